--- /dev/null
+++ b/internal/commander/config.go
@@ -0,0 +1,159 @@
+package commander
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/user"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+
+	"github.com/waxwingmount/waxwingmount/internal/operator"
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+func init() {
+	register(verb{noun: "config", name: "check", help: "Check a base file with a site's overlay.", flags: configCheck})
+	register(verb{noun: "config", name: "apply", help: "Accept a configuration and wait until it is in force.", flags: configApply})
+	register(verb{noun: "config", name: "status", help: "Show which version each entry instance runs.", flags: configStatus})
+	register(verb{noun: "config", name: "history", help: "Show the accepted versions, the newest first.", flags: configHistory})
+}
+
+const (
+	defaultWait = 10 * time.Second
+	waitStep    = 100 * time.Millisecond
+)
+
+// files are the sources of a configuration.
+type files struct {
+	base    string
+	overlay string
+}
+
+func (f *files) flags(sub *flaggy.Subcommand) {
+	sub.AddPositionalValue(&f.base, "base", 1, true, "The base configuration file.")
+	sub.AddPositionalValue(&f.overlay, "overlay", 2, false, "The site's overlay.")
+}
+
+// load reads the files and checks them.
+func (f *files) load() ([]decoder.Source, error) {
+	var sources []decoder.Source
+	for _, path := range []string{f.base, f.overlay} {
+		if path == "" {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, faulter.New("read configuration", KindUsage, err)
+		}
+		sources = append(sources, decoder.Source{Name: path, Data: data})
+	}
+	if _, err := configurer.Check(sources...); err != nil {
+		return nil, faulter.New("check configuration", KindUsage, err)
+	}
+	return sources, nil
+}
+
+func configCheck(sub *flaggy.Subcommand) func(*session) error {
+	f := &files{}
+	f.flags(sub)
+	return func(s *session) error {
+		if _, err := f.load(); err != nil {
+			return err
+		}
+		fmt.Fprintln(s.out, "the configuration is accepted")
+		return nil
+	}
+}
+
+func configApply(sub *flaggy.Subcommand) func(*session) error {
+	f := &files{}
+	f.flags(sub)
+	author, base := "", -1
+	wait := defaultWait
+	sub.String(&author, "", "author", "Who makes the change; the user's name unless it is given.")
+	sub.Int(&base, "", "base-version", "Refuse unless this is the newest accepted version.")
+	sub.Duration(&wait, "", "wait", "How long to wait until the change is in force everywhere.")
+	return func(s *session) error {
+		sources, err := f.load()
+		if err != nil {
+			return err
+		}
+		call := operator.ApplyCall{Sources: sources, Author: authorOr(author), OperationID: uuid.NewString()}
+		if base >= 0 {
+			version := uint64(base)
+			call.BaseVersion = &version
+		}
+		var head configurer.Head
+		if err := s.client.call(http.MethodPost, "/operator/config", call, &head); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "version %d accepted\n", head.Version)
+		return s.awaitInForce(head.Version, wait)
+	}
+}
+
+func authorOr(author string) string {
+	if author != "" {
+		return author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// awaitInForce waits until every live entry instance runs the version.
+func (s *session) awaitInForce(version uint64, wait time.Duration) error {
+	began := time.Now()
+	for {
+		var status operator.ConfigStatus
+		err := s.client.call(http.MethodGet, "/operator/config", nil, &status)
+		if err == nil && status.InForce && status.Accepted.Version >= version {
+			fmt.Fprintf(s.out, "version %d in force at %d entry instances after %s\n",
+				version, len(status.Entries), time.Since(began).Round(time.Millisecond))
+			return nil
+		}
+		if time.Since(began) > wait {
+			return faulter.Newf("apply", KindNotInForce, "version %d is accepted but not in force everywhere after %s", version, wait)
+		}
+		time.Sleep(waitStep)
+	}
+}
+
+func configStatus(_ *flaggy.Subcommand) func(*session) error {
+	return func(s *session) error {
+		var status operator.ConfigStatus
+		if err := s.client.call(http.MethodGet, "/operator/config", nil, &status); err != nil {
+			return err
+		}
+		return s.print(status, func() [][]string {
+			rows := [][]string{{"ENTRY", "VERSION", "ACCEPTED"}}
+			for _, e := range status.Entries {
+				rows = append(rows, []string{e.Entry, strconv.FormatUint(e.Version, 10), strconv.FormatUint(status.Accepted.Version, 10)})
+			}
+			return rows
+		})
+	}
+}
+
+func configHistory(_ *flaggy.Subcommand) func(*session) error {
+	return func(s *session) error {
+		var history operator.History
+		if err := s.client.call(http.MethodGet, "/operator/config/history", nil, &history); err != nil {
+			return err
+		}
+		return s.print(history, func() [][]string {
+			rows := [][]string{{"VERSION", "AUTHOR", "OBJECT"}}
+			for _, h := range history.Versions {
+				rows = append(rows, []string{strconv.FormatUint(h.Version, 10), h.Author, h.Object})
+			}
+			return rows
+		})
+	}
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,218 @@
+// Package controller runs the control loop of the system on the one entry
+// instance that holds the lease: it forms and repairs replica groups through
+// the table service and orders engines to follow it. Serving does not need
+// it; while the table is down nothing changes and everything goes on.
+//
+// # Usage
+//
+//	c := controller.New(controller.Dependencies{...})
+//	c.Start(ctx)
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingmount/waxwingmount/internal/follower"
+	"github.com/waxwingmount/waxwingmount/internal/prober"
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+	"github.com/waxwingmount/waxwingmount/pkg/leaser"
+	"github.com/waxwingmount/waxwingmount/pkg/placer"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+const (
+	leaseKey  = "leases/control"
+	leaseTerm = 3 * time.Second
+	// orderFlight is the longest time from the check of the lease to the end
+	// of an order's delivery.
+	orderFlight = 500 * time.Millisecond
+	// clockError covers clocks of different rate over one term.
+	clockError = 50 * time.Millisecond
+	// renewInterval is the time between two looks at the lease.
+	renewInterval = 500 * time.Millisecond
+	// passInterval is the time between two passes of the control loop.
+	passInterval = 250 * time.Millisecond
+	tableTimeout = 2 * time.Second
+	// minRepairDelay is how long an instance is silent before it is replaced.
+	minRepairDelay = time.Second
+	// drainTime lets every entry instance learn of a drain.
+	drainTime = 3 * time.Second
+)
+
+// Dependencies are what a Controller works with.
+type Dependencies struct {
+	// Holder names this process; a restart has another name.
+	Holder   string
+	Platform provider.Platform
+	Follower *follower.Follower
+	Prober   *prober.Prober
+	Scope    tally.Scope
+}
+
+// Controller is the control loop of one entry instance.
+type Controller struct {
+	Dependencies
+	sender *sender
+	placer *placer.Placer
+
+	mu    sync.Mutex
+	lease *leaser.Lease
+	// listed is the newest list of instances.
+	listed []provider.Instance
+}
+
+// New returns a controller that does not hold the lease.
+func New(d Dependencies) *Controller {
+	return &Controller{
+		Dependencies: d,
+		sender:       newSender(),
+		placer:       placer.New(),
+		lease: leaser.New(leaser.Settings{
+			Key:    leaseKey,
+			Holder: d.Holder,
+			Term:   leaseTerm,
+			Margin: clockError + orderFlight,
+		}),
+	}
+}
+
+// Start begins the duties; they end with ctx.
+func (c *Controller) Start(ctx context.Context) {
+	go c.leaseLoop(ctx)
+	go c.listLoop(ctx)
+	go c.loop(ctx)
+}
+
+// Leader returns who held the lease when it was last read.
+func (c *Controller) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Holder()
+}
+
+// Instances returns the newest list of instances.
+func (c *Controller) Instances() []provider.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed
+}
+
+// remaining returns how much of the lease's term is left.
+func (c *Controller) remaining() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Remaining(time.Now())
+}
+
+// mayOrder reports whether an order sent now ends within the lease.
+func (c *Controller) mayOrder() bool { return c.remaining() > orderFlight }
+
+func (c *Controller) leaseLoop(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		c.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// driveLease steps the lease's machine until it rests.
+func (c *Controller) driveLease(ctx context.Context, event leaser.Event) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		action := c.lease.Step(time.Now(), event)
+		c.mu.Unlock()
+		sentAt := time.Now()
+		var err error
+		switch action.Kind {
+		case leaser.Rest:
+			return
+		case leaser.Read:
+			event = leaser.Event{Kind: leaser.RowRead, SentAt: sentAt}
+			event.Row, err = c.Platform.Read(ctx, action.Key)
+		case leaser.Commit:
+			action.Transaction.OperationID = uuid.NewString()
+			event = leaser.Event{Kind: leaser.Settled, SentAt: sentAt}
+			event.Outcome, err = c.Platform.Commit(ctx, action.Transaction)
+		}
+		if err != nil {
+			event = leaser.Event{Kind: leaser.Failed, SentAt: sentAt}
+		}
+	}
+}
+
+// Resign gives the lease up, so that another instance need not wait for its end.
+func (c *Controller) Resign(ctx context.Context) {
+	c.driveLease(ctx, leaser.Event{Kind: leaser.Resigned})
+}
+
+func (c *Controller) listLoop(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		if instances, err := c.Platform.ListInstances(ctx); err == nil {
+			c.mu.Lock()
+			c.listed = instances
+			c.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) loop(ctx context.Context) {
+	ticker := time.NewTicker(passInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !c.mayOrder() {
+			c.Prober.Watch(nil)
+			continue
+		}
+		if err := c.pass(ctx); err != nil {
+			log.WithError(err).Warn("control pass ended early")
+		}
+	}
+}
+
+// pass reads the groups, commits what the placer decides, and sends orders.
+func (c *Controller) pass(ctx context.Context) error {
+	config := c.Follower.Config()
+	if config == nil {
+		return nil
+	}
+	c.watchAll()
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	snapshot, err := grouper.Load(ctx, c.Platform)
+	if err != nil {
+		return err
+	}
+	if config.Capacity.Control {
+		c.place(ctx, snapshot)
+		if snapshot, err = grouper.Load(ctx, c.Platform); err != nil {
+			return err
+		}
+	}
+	c.order(ctx, snapshot)
+	return nil
+}
--- /dev/null
+++ b/internal/controller/place.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+	"github.com/waxwingmount/waxwingmount/pkg/placer"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// watchAll makes the prober look at every listed instance.
+func (c *Controller) watchAll() {
+	addresses := make(map[string]netip.AddrPort)
+	for _, in := range c.Instances() {
+		addresses[in.ID] = in.Address
+	}
+	c.Prober.Watch(addresses)
+}
+
+// view gathers what the placer looks at.
+func (c *Controller) view(config *configurer.Config, snapshot grouper.Snapshot) placer.View {
+	view := placer.View{
+		Settings: placer.Settings{
+			Spares:      config.Capacity.Spares,
+			RepairDelay: max(config.Capacity.RepairDelay, minRepairDelay),
+			DrainTime:   drainTime,
+		},
+		Groups: snapshot.Sorted(),
+	}
+	for _, name := range sortedModels(config) {
+		m := config.Models[name]
+		view.Models = append(view.Models, placer.Model{
+			Name:              m.Name,
+			Version:           m.Version,
+			InstancesPerGroup: m.InstancesPerGroup,
+			Groups:            m.Groups,
+		})
+	}
+	reports := c.Prober.Reports()
+	for _, in := range c.Instances() {
+		view.Instances = append(view.Instances, c.instance(in, reports))
+	}
+	return view
+}
+
+func (c *Controller) instance(in provider.Instance, reports map[string]orderer.Report) placer.Instance {
+	report, alive := reports[in.ID]
+	evidence, known := c.Prober.Evidence(in.ID)
+	return placer.Instance{
+		ID:           in.ID,
+		Address:      in.Address,
+		FabricDomain: in.FabricDomain,
+		DataCentre:   in.DataCentre,
+		Incarnation:  report.Incarnation,
+		Alive:        alive,
+		Gone:         known && evidence.Lost,
+		Ready:        report.Phase == orderer.PhaseReady,
+		Leaving:      in.Leaving || report.Leaving,
+		Idle:         report.InFlight == 0,
+	}
+}
+
+func sortedModels(config *configurer.Config) []string {
+	names := make([]string, 0, len(config.Models))
+	for name := range config.Models {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
+
+// place commits what the placer decides, one decision at a time. A decision
+// that conflicts is dropped; the next pass looks anew.
+func (c *Controller) place(ctx context.Context, snapshot grouper.Snapshot) {
+	config := c.Follower.Config()
+	decisions := c.placer.Step(time.Now(), c.view(config, snapshot))
+	for _, d := range decisions {
+		if !c.mayOrder() {
+			return
+		}
+		fresh, err := grouper.Load(ctx, c.Platform)
+		if err != nil {
+			return
+		}
+		c.commit(ctx, fresh, d)
+	}
+}
+
+func (c *Controller) commit(ctx context.Context, snapshot grouper.Snapshot, d placer.Decision) {
+	entry := log.WithFields(log.Fields{"decision": d.Kind, "group": d.Group.ID, "reason": d.Reason})
+	tx, err := transaction(snapshot, d)
+	if err != nil {
+		entry.WithError(err).Warn("decision is out of date")
+		return
+	}
+	outcome, err := CommitSettled(ctx, c.Platform, tx)
+	if err != nil || !outcome.Committed {
+		entry.WithError(err).Warn("decision not committed")
+		return
+	}
+	c.Scope.Tagged(map[string]string{"kind": d.Kind.String()}).Counter("decisions").Inc(1)
+	entry.Info("decision committed")
+}
+
+func transaction(snapshot grouper.Snapshot, d placer.Decision) (provider.Transaction, error) {
+	operationID := uuid.NewString()
+	switch d.Kind {
+	case placer.Form:
+		return grouper.Form(snapshot, d.Group, operationID)
+	case placer.Replace:
+		return grouper.Replace(snapshot, d.Group.ID, d.Group.Members, operationID)
+	case placer.Drain:
+		return grouper.Drain(snapshot, d.Group.ID, operationID)
+	default:
+		return grouper.Disband(snapshot, d.Group.ID, operationID)
+	}
+}
+
+// settleInterval is the time between two tries to learn a commit's outcome.
+const settleInterval = 50 * time.Millisecond
+
+// CommitSettled commits a transaction and, when the reply is lost, sends it
+// again under the same operation id until ctx ends, so that the outcome is
+// learned and never guessed.
+func CommitSettled(ctx context.Context, table provider.Committer, tx provider.Transaction) (provider.Outcome, error) {
+	for {
+		outcome, err := table.Commit(ctx, tx)
+		if err == nil || ctx.Err() != nil {
+			return outcome, err
+		}
+		select {
+		case <-ctx.Done():
+			return outcome, err
+		case <-time.After(settleInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/sender.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+)
+
+// ordersAtOnce bounds how many orders are in flight.
+const ordersAtOnce = 32
+
+// sender carries orders to engines.
+type sender struct {
+	client *http.Client
+}
+
+func newSender() *sender {
+	// Without idle connections an order never waits in a connection that its
+	// engine has already given up.
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &sender{client: &http.Client{Transport: transport, Timeout: orderFlight}}
+}
+
+// order sends the orders that bring the engines to what the snapshot says.
+func (c *Controller) order(ctx context.Context, snapshot grouper.Snapshot) {
+	addresses := make(map[string]string)
+	for _, in := range c.Instances() {
+		addresses[in.ID] = in.Address.String()
+	}
+	slots := make(chan struct{}, ordersAtOnce)
+	var sending sync.WaitGroup
+	for _, o := range orderer.Plan(snapshot, c.Prober.Reports()) {
+		address, listed := addresses[o.Instance]
+		if !listed {
+			continue
+		}
+		slots <- struct{}{}
+		sending.Go(func() {
+			defer func() { <-slots }()
+			c.send(ctx, address, o)
+		})
+	}
+	sending.Wait()
+}
+
+func (c *Controller) send(ctx context.Context, address string, o orderer.Order) {
+	entry := log.WithFields(log.Fields{"instance": o.Instance, "action": o.Action, "group": o.Group, "fence": o.Fence})
+	if !c.mayOrder() {
+		entry.Warn("order not sent: the lease is about to end")
+		return
+	}
+	if err := c.sender.send(ctx, address, o); err != nil {
+		entry.WithError(err).Warn("order failed")
+		return
+	}
+	c.Scope.Tagged(map[string]string{"action": o.Action.String()}).Counter("orders").Inc(1)
+	entry.Info("order obeyed")
+}
+
+func (s *sender) send(ctx context.Context, address string, o orderer.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderFlight)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	target := url.URL{Scheme: "http", Host: address, Path: "/orders"}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	io.Copy(io.Discard, response.Body)
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("status %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatcher/rate.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+)
+
+// rateLimit bounds an organisation's requests at this entry instance.
+type rateLimit struct {
+	limiter *rate.Limiter
+	// seen counts the requests since the last demand was told.
+	seen int
+}
+
+func (l *rateLimit) take(now time.Time) (time.Duration, bool) {
+	l.seen++
+	reservation := l.limiter.ReserveN(now, 1)
+	if !reservation.OK() {
+		return noBackendRetry, false
+	}
+	if wait := reservation.DelayFrom(now); wait > 0 {
+		reservation.CancelAt(now)
+		return wait, false
+	}
+	return 0, true
+}
+
+// burstTime is how long an organisation may save its rate up.
+const burstTime = time.Second
+
+func (d *Dispatcher) rate(o configurer.Organisation) *rateLimit {
+	l, found := d.rates[o.Name]
+	if !found {
+		l = &rateLimit{limiter: rate.NewLimiter(rate.Limit(o.RequestsPerSecond), burst(o.RequestsPerSecond))}
+		d.rates[o.Name] = l
+	}
+	return l
+}
+
+func burst(perSecond float64) int {
+	return max(1, int(perSecond*burstTime.Seconds()))
+}
+
+// SetRate bounds an organisation's requests at this entry instance.
+func (d *Dispatcher) SetRate(organisation string, perSecond float64) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, found := d.rates[organisation]
+	if !found {
+		l = &rateLimit{limiter: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond))}
+		d.rates[organisation] = l
+		return
+	}
+	l.limiter.SetLimitAt(now, rate.Limit(perSecond))
+	l.limiter.SetBurstAt(now, burst(perSecond))
+}
+
+// TakeSeen returns how many requests an organisation has sent to this entry
+// instance since the last call.
+func (d *Dispatcher) TakeSeen(organisation string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, found := d.rates[organisation]
+	if !found {
+		return 0
+	}
+	seen := l.seen
+	l.seen = 0
+	return seen
+}
--- /dev/null
+++ b/internal/dispatcher/request.go
@@ -0,0 +1,77 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+	"github.com/waxwingmount/waxwingmount/pkg/router"
+)
+
+// Request is one request of a caller for a model or a plain service.
+type Request struct {
+	ID           string
+	Organisation configurer.Organisation
+	Class        configurer.Class
+	// Model is set for completions, Service for calls of plain services.
+	Model   string
+	Service string
+	Method  string
+	// Path is the path and query at the back end.
+	Path        string
+	ContentType string
+	Body        []byte
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Idempotent says that the request may be run more than once.
+	Idempotent bool
+	// Buffered says that the caller sees nothing before the end.
+	Buffered bool
+	Deadline time.Time
+}
+
+const (
+	// prefixBlock is the size of the steps by which prefixes grow.
+	prefixBlock = 256
+	// maxPrefixes bounds how many prefixes of one request are looked at.
+	maxPrefixes = 32
+	// maxQueueWait bounds how long a request waits for a back end.
+	maxQueueWait = 5 * time.Second
+)
+
+func (r Request) facts(now time.Time) retrier.Facts {
+	return retrier.Facts{
+		Idempotent: r.Idempotent,
+		Buffered:   r.Buffered,
+		Deadline:   r.Deadline,
+		QueueUntil: now.Add(maxQueueWait),
+	}
+}
+
+func (r Request) fingerprint() quarantiner.Fingerprint {
+	digest := xxhash.New()
+	digest.WriteString(r.Organisation.Name + "\x00" + r.Method + "\x00" + r.Path + "\x00")
+	digest.Write(r.Body)
+	return quarantiner.Fingerprint(digest.Sum64())
+}
+
+// routing returns what a policy may know of the request.
+func (r Request) routing() router.Request {
+	return router.Request{Prefixes: Prefixes(r.Organisation.Name, r.Body)}
+}
+
+// Prefixes hashes growing prefixes of a prompt, shortest first. Prompts of
+// different organisations never share one.
+func Prefixes(organisation string, body []byte) []uint64 {
+	digest := xxhash.New()
+	digest.WriteString(organisation + "\x00")
+	var prefixes []uint64
+	for start := 0; start+prefixBlock <= len(body) && len(prefixes) < maxPrefixes; start += prefixBlock {
+		digest.Write(body[start : start+prefixBlock])
+		prefixes = append(prefixes, digest.Sum64())
+	}
+	return prefixes
+}
--- /dev/null
+++ b/internal/engineemulator/orders.go
@@ -0,0 +1,64 @@
+package engineemulator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+)
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(e.Report())
+}
+
+// serveLeave makes the engine say that it is leaving.
+func (e *Engine) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.report.Leaving = true
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order orderer.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	accepted := e.obey(order)
+	e.recorder.Record(Run{
+		Kind: RunOrder, Instance: order.Instance, Incarnation: order.Incarnation,
+		Group: order.Group, Fence: order.Fence, Refused: !accepted,
+	})
+	if !accepted {
+		http.Error(w, "order refused", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// obey carries an order out and reports whether it was accepted.
+func (e *Engine) obey(order orderer.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.fencing && (order.Fence < e.report.Fence || order.Incarnation != e.report.Incarnation) {
+		return false
+	}
+	same := order.Group == e.report.Group && order.Fence == e.report.Fence
+	if order.Action == orderer.ActionForm && same {
+		return true
+	}
+	e.report.Fence = order.Fence
+	e.report.Group = order.Group
+	e.report.Model = order.Model
+	e.report.ModelVersion = order.ModelVersion
+	e.report.Phase = orderer.PhaseIdle
+	e.members = order.Members
+	e.memberLost = false
+	if order.Action == orderer.ActionForm {
+		e.report.Phase = orderer.PhaseLoading
+		go e.load(order)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/engineemulator/service.go
@@ -0,0 +1,57 @@
+package engineemulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Service is an emulated plain service: it records each call, waits, and
+// echoes the body.
+type Service struct {
+	name     string
+	delay    time.Duration
+	recorder *Recorder
+	crash    func()
+}
+
+// Echo is the answer of a Service.
+type Echo struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Body    string `json:"body"`
+}
+
+// NewService returns a plain service that records its calls to record.
+func NewService(name string, delay time.Duration, record io.Writer, crash func()) *Service {
+	return &Service{name: name, delay: delay, recorder: NewRecorder(record), crash: crash}
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.recorder.Record(Run{
+		Kind:           RunCall,
+		RequestID:      r.Header.Get(headerRequestID),
+		IdempotencyKey: r.Header.Get(headerKey),
+		Organisation:   r.Header.Get(headerOrganisation),
+		Instance:       s.name,
+	})
+	if strings.Contains(string(body), CrashMark) {
+		s.crash()
+		return
+	}
+	sleep(r.Context(), s.delay)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(Echo{Service: s.name, Method: r.Method, Path: r.URL.Path, Body: string(body)})
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,251 @@
+// Package follower keeps an entry instance's copy of what was accepted: the
+// configuration and the replica groups. It polls two small rows of the table
+// service, and takes what is newer from peers, so that an instance that
+// starts while the table is down still gets the newest.
+//
+// # Usage
+//
+//	f := follower.New(platform, pool)
+//	f.Start(ctx)
+//	config, groups := f.Config(), f.Groups()
+//
+// Both only ever go forward.
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+const (
+	pollInterval = 500 * time.Millisecond
+	callTimeout  = time.Second
+	groupsPrefix = "groups/"
+	// hintCapacity bounds the peers' hints that wait to be followed.
+	hintCapacity = 64
+)
+
+// Follower holds what one entry instance follows.
+type Follower struct {
+	platform provider.Platform
+	pool     *messenger.Pool
+	hints    chan hint
+	config   atomic.Pointer[configurer.Config]
+	groups   atomic.Pointer[grouper.Snapshot]
+	onApply  func(configurer.Head)
+
+	mu      sync.Mutex
+	chain   configurer.Chain
+	content configurer.Content
+	rows    []provider.Row
+}
+
+// hint says that a peer has something newer.
+type hint struct {
+	peer    netip.AddrPort
+	message messenger.ExchangeMessage
+}
+
+// New returns a follower that has nothing yet. The function onApply is called
+// with each configuration that comes into force.
+func New(platform provider.Platform, pool *messenger.Pool, onApply func(configurer.Head)) *Follower {
+	f := &Follower{
+		platform: platform,
+		pool:     pool,
+		hints:    make(chan hint, hintCapacity),
+		onApply:  onApply,
+	}
+	f.groups.Store(&grouper.Snapshot{})
+	return f
+}
+
+// Start begins the duty; it ends with ctx.
+func (f *Follower) Start(ctx context.Context) { go f.loop(ctx) }
+
+// Config returns the configuration in force, or nil before the first.
+func (f *Follower) Config() *configurer.Config { return f.config.Load() }
+
+// Groups returns the newest snapshot of the groups.
+func (f *Follower) Groups() *grouper.Snapshot { return f.groups.Load() }
+
+// Head returns the version in force, and whether it may be served.
+func (f *Follower) Head() (configurer.Head, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chain.Applied(), f.chain.Serving()
+}
+
+// Newest fills in the versions that this instance has.
+func (f *Follower) Newest(message *messenger.ExchangeMessage) {
+	message.Head, _ = f.Head()
+	message.Fence = f.Groups().Fence
+}
+
+// Learn takes in the versions that a peer has.
+func (f *Follower) Learn(peer netip.AddrPort, message messenger.ExchangeMessage) {
+	f.mu.Lock()
+	newer := f.chain.Learn(message.Head)
+	f.mu.Unlock()
+	if !newer && message.Fence <= f.Groups().Fence {
+		return
+	}
+	select {
+	case f.hints <- hint{peer: peer, message: message}:
+	default:
+		// The next exchange brings the hint again.
+	}
+}
+
+// ConfigReply returns the configuration in force, for a peer.
+func (f *Follower) ConfigReply() messenger.ConfigReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return messenger.ConfigReply{Head: f.chain.Applied(), Content: f.content}
+}
+
+// GroupsReply returns the rows of the newest snapshot, for a peer.
+func (f *Follower) GroupsReply() messenger.GroupsReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return messenger.GroupsReply{Rows: f.rows}
+}
+
+// Refresh reads the table now.
+func (f *Follower) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := f.pollConfig(ctx); err != nil {
+		return err
+	}
+	return f.pollGroups(ctx)
+}
+
+func (f *Follower) loop(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if err := f.Refresh(ctx); err != nil {
+			log.WithError(err).Debug("table not read")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case h := <-f.hints:
+			f.follow(ctx, h)
+		}
+	}
+}
+
+// follow takes from a peer what is newer there.
+func (f *Follower) follow(ctx context.Context, h hint) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if head, _ := f.Head(); h.message.Head.Version > head.Version {
+		var reply messenger.ConfigReply
+		if err := f.pool.Call(ctx, h.peer, messenger.MethodConfig, &messenger.Nothing{}, &reply); err == nil {
+			f.apply(reply.Head, reply.Content)
+		}
+	}
+	if h.message.Fence > f.Groups().Fence {
+		var reply messenger.GroupsReply
+		if err := f.pool.Call(ctx, h.peer, messenger.MethodGroups, &messenger.Nothing{}, &reply); err == nil {
+			f.adopt(reply.Rows)
+		}
+	}
+}
+
+func (f *Follower) pollConfig(ctx context.Context) error {
+	row, err := f.platform.Read(ctx, configurer.HeadKey)
+	if err != nil {
+		return err
+	}
+	head, err := configurer.DecodeHead(row)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	newer := f.chain.Learn(head)
+	f.mu.Unlock()
+	if !newer {
+		return nil
+	}
+	content, err := FetchContent(ctx, f.platform, head)
+	if err != nil {
+		return err
+	}
+	f.apply(head, content)
+	return nil
+}
+
+// FetchContent gets the content of a version from the object store.
+func FetchContent(ctx context.Context, objects provider.Objects, head configurer.Head) (configurer.Content, error) {
+	var content configurer.Content
+	data, err := objects.GetObject(ctx, head.Object)
+	if err != nil {
+		return content, err
+	}
+	if err := json.Unmarshal(data, &content); err != nil {
+		return content, faulter.New("decode content", configurer.KindCorrupt, err)
+	}
+	return content, nil
+}
+
+// apply brings a configuration into force unless a newer one is.
+func (f *Follower) apply(head configurer.Head, content configurer.Content) {
+	config, err := configurer.Check(content.Sources...)
+	if err != nil {
+		log.WithError(err).WithField("version", head.Version).Error("accepted configuration does not check")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.chain.Apply(head) {
+		return
+	}
+	f.content = content
+	f.config.Store(config)
+	log.WithField("version", head.Version).Info("configuration in force")
+	f.onApply(head)
+}
+
+func (f *Follower) pollGroups(ctx context.Context) error {
+	fence, err := grouper.LoadFence(ctx, f.platform)
+	if err != nil || fence <= f.Groups().Fence {
+		return err
+	}
+	rows, err := f.platform.Scan(ctx, groupsPrefix)
+	if err != nil {
+		return err
+	}
+	f.adopt(rows)
+	return nil
+}
+
+// adopt makes rows the newest snapshot unless a newer one is there.
+func (f *Follower) adopt(rows []provider.Row) {
+	snapshot, err := grouper.Decode(rows)
+	if err != nil {
+		log.WithError(err).Error("groups not decoded")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if snapshot.Fence <= f.Groups().Fence {
+		return
+	}
+	f.rows = rows
+	f.groups.Store(&snapshot)
+}
--- /dev/null
+++ b/internal/integration/cluster_test.go
@@ -0,0 +1,475 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingmount/waxwingmount/internal/engineemulator"
+	"github.com/waxwingmount/waxwingmount/internal/operator"
+	"github.com/waxwingmount/waxwingmount/pkg/caller"
+	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// binaries is where TestMain puts the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runMain(m))
+}
+
+func runMain(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "waxwing")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "github.com/waxwingmount/waxwingmount/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+const (
+	organisationKey = "key-of-alpha"
+	startTimeout    = 20 * time.Second
+)
+
+// process is a program that a test has started.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	log     string
+}
+
+// plan says what a cluster consists of.
+type plan struct {
+	entries    int
+	domains    map[string]int
+	services   int
+	engineArgs []string
+	config     string
+	// entrySettings is added to the [entry] section of each entry instance.
+	entrySettings string
+	listLag       time.Duration
+}
+
+// cluster is a whole system of real processes.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	plan     plan
+	platform netip.AddrPort
+	// links are the proxies between each entry instance and the platform.
+	links     map[string]*toxiproxy.Proxy
+	processes map[string]*process
+	callers   map[string]netip.AddrPort
+	operators map[string]netip.AddrPort
+	peers     map[string]netip.AddrPort
+	engines   map[string]netip.AddrPort
+	domainOf  map[string]string
+	services  []netip.AddrPort
+	toxics    *toxiproxy.ApiServer
+}
+
+const baseConfig = `
+[system]
+deployment = test
+[class.trainee]
+priority = 0
+deadline = 30s
+[class.batch]
+priority = 5
+deadline = 30s
+[organisation.alpha]
+key_sha256 = %s
+class = trainee
+`
+
+// start starts a whole system and waits until it serves.
+func start(t *testing.T, p plan) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, dir: t.TempDir(), plan: p,
+		links:     make(map[string]*toxiproxy.Proxy),
+		processes: make(map[string]*process),
+		callers:   make(map[string]netip.AddrPort),
+		operators: make(map[string]netip.AddrPort),
+		peers:     make(map[string]netip.AddrPort),
+		engines:   make(map[string]netip.AddrPort),
+		domainOf:  make(map[string]string),
+		toxics:    toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+	}
+	t.Cleanup(c.stopAll)
+	c.platform = freeAddress(t)
+	c.run("platform", "waxwing-standin", "platform", "--address", c.platform.String(), "--list-lag", p.listLag.String())
+	awaitPort(t, c.platform)
+	for domain, count := range p.domains {
+		for i := range count {
+			c.startEngine(fmt.Sprintf("%s-%d", domain, i), domain)
+		}
+	}
+	for i := range p.services {
+		address := freeAddress(t)
+		c.services = append(c.services, address)
+		name := fmt.Sprintf("service-%d", i)
+		c.run(name, "waxwing-standin", "service", "--id", name, "--address", address.String(), "--record", c.recordPath(name))
+		awaitPort(t, address)
+	}
+	for i := range p.entries {
+		c.startEntry(fmt.Sprintf("entry-%d", i))
+	}
+	version := c.apply("entry-0", c.fullConfig())
+	c.awaitVersion(version)
+	return c
+}
+
+func (c *cluster) fullConfig() string {
+	sum := sha256.Sum256([]byte(organisationKey))
+	text := fmt.Sprintf(baseConfig, hex.EncodeToString(sum[:])) + c.plan.config
+	if len(c.services) > 0 {
+		addresses := make([]string, len(c.services))
+		for i, a := range c.services {
+			addresses[i] = a.String()
+		}
+		text += "\n[service.portal]\naddresses = " + strings.Join(addresses, ", ") +
+			"\n[route.portal]\npath_prefix = /portal/\nservice = portal\n"
+	}
+	return text
+}
+
+func (c *cluster) startEngine(id, domain string) {
+	address, known := c.engines[id]
+	if !known {
+		address = freeAddress(c.t)
+	}
+	c.engines[id], c.domainOf[id] = address, domain
+	arguments := []string{"engine", "--id", id, "--address", address.String(), "--record", c.recordPath(id)}
+	c.run(id, "waxwing-standin", append(arguments, c.plan.engineArgs...)...)
+	awaitPort(c.t, address)
+	c.list(id, false)
+}
+
+// list puts an instance into the platform's list.
+func (c *cluster) list(id string, leaving bool) {
+	c.t.Helper()
+	data, err := json.Marshal(provider.Instance{
+		ID: id, Address: c.engines[id], FabricDomain: c.domainOf[id], DataCentre: "hall-a", Leaving: leaving,
+	})
+	assert.NilError(c.t, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.platform.String()+"/instances", bytes.NewReader(data))
+	assert.NilError(c.t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(c.t, err)
+	response.Body.Close()
+}
+
+const entryFile = `
+[entry]
+id = %s
+data_centre = hall-a
+address = %s
+keep_answer = 1s
+%s
+[platform]
+address = %s
+[peers]
+address = %s
+heartbeat_interval = 200ms
+seeds = %s
+[operator]
+address = %s
+`
+
+// startEntry starts an entry instance; one that was there before comes back
+// under the same name and addresses.
+func (c *cluster) startEntry(id string) {
+	c.t.Helper()
+	if _, known := c.callers[id]; !known {
+		c.callers[id], c.operators[id], c.peers[id] = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+		c.links[id] = c.proxy(id+"-platform", c.platform)
+	}
+	var seeds []string
+	for _, seed := range c.peers {
+		seeds = append(seeds, seed.String())
+	}
+	link, err := netip.ParseAddrPort(c.links[id].Listen)
+	assert.NilError(c.t, err)
+	path := filepath.Join(c.dir, id+".ini")
+	text := fmt.Sprintf(entryFile, id, c.callers[id], c.plan.entrySettings, link, c.peers[id], strings.Join(seeds, ", "), c.operators[id])
+	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o644))
+	c.run(id, "waxwingd", "--settings", path)
+	awaitPort(c.t, c.callers[id])
+}
+
+// proxy puts a fault-injecting proxy before an address.
+func (c *cluster) proxy(name string, upstream netip.AddrPort) *toxiproxy.Proxy {
+	p := toxiproxy.NewProxy(c.toxics, name, freeAddress(c.t).String(), upstream.String())
+	assert.NilError(c.t, p.Start())
+	c.t.Cleanup(p.Stop)
+	return p
+}
+
+// addToxic adds a fault to a proxy; the attributes are the proxy library's.
+func (c *cluster) addToxic(p *toxiproxy.Proxy, toxic string) {
+	c.t.Helper()
+	_, err := p.Toxics.AddToxicJson(strings.NewReader(toxic))
+	assert.NilError(c.t, err)
+}
+
+func (c *cluster) clearToxics(p *toxiproxy.Proxy) { p.Toxics.ResetToxics(context.Background()) }
+
+// cutPlatform cuts every entry instance off the platform, or heals the cut.
+func (c *cluster) cutPlatform(cut bool) {
+	for _, link := range c.links {
+		if cut {
+			c.addToxic(link, `{"name":"cut","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`)
+		} else {
+			c.clearToxics(link)
+		}
+	}
+}
+
+// run starts a program and keeps its log.
+func (c *cluster) run(name, program string, arguments ...string) {
+	c.t.Helper()
+	path := filepath.Join(c.dir, name+".log")
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	assert.NilError(c.t, err)
+	command := exec.Command(filepath.Join(binaries, program), arguments...)
+	command.Stdout, command.Stderr = file, file
+	assert.NilError(c.t, command.Start())
+	p := &process{command: command, done: make(chan struct{}), log: path}
+	c.processes[name] = p
+	go func() {
+		command.Wait()
+		file.Close()
+		close(p.done)
+	}()
+}
+
+// signal sends a signal to a process.
+func (c *cluster) signal(name string, s syscall.Signal) {
+	c.t.Helper()
+	assert.NilError(c.t, c.processes[name].command.Process.Signal(s))
+}
+
+// kill ends a process at once and waits for its end.
+func (c *cluster) kill(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGKILL)
+	<-c.processes[name].done
+}
+
+// awaitExit waits for the end of a process that was told to stop.
+func (c *cluster) awaitExit(name string) {
+	c.t.Helper()
+	select {
+	case <-c.processes[name].done:
+	case <-time.After(startTimeout):
+		c.t.Fatalf("%s did not stop; its log: %s", name, c.logOf(name))
+	}
+}
+
+func (c *cluster) stopAll() {
+	var stopping sync.WaitGroup
+	for name, p := range c.processes {
+		stopping.Go(func() {
+			p.command.Process.Signal(syscall.SIGKILL)
+			<-p.done
+			if c.t.Failed() && strings.HasPrefix(name, "entry") {
+				c.t.Logf("%s:\n%s", name, c.logOf(name))
+			}
+		})
+	}
+	stopping.Wait()
+}
+
+// logOf returns the end of a process's log.
+func (c *cluster) logOf(name string) string {
+	data, _ := os.ReadFile(c.processes[name].log)
+	const most = 4000
+	return string(data[max(0, len(data)-most):])
+}
+
+func (c *cluster) recordPath(name string) string { return filepath.Join(c.dir, name+".record") }
+
+// records returns what all engines and services wrote of their runs.
+func (c *cluster) records() []engineemulator.Run {
+	c.t.Helper()
+	paths, err := filepath.Glob(filepath.Join(c.dir, "*.record"))
+	assert.NilError(c.t, err)
+	var runs []engineemulator.Run
+	for _, path := range paths {
+		file, err := os.Open(path)
+		assert.NilError(c.t, err)
+		read, err := engineemulator.ReadRuns(file)
+		assert.NilError(c.t, err)
+		file.Close()
+		runs = append(runs, read...)
+	}
+	return runs
+}
+
+// operate calls an entry instance's operator interface.
+func (c *cluster) operate(entry, method, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(method, "http://"+c.operators[entry].String()+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		var refusal operator.ErrorBody
+		json.NewDecoder(response.Body).Decode(&refusal)
+		return fmt.Errorf("status %d: %s: %s", response.StatusCode, refusal.Kind, refusal.Error)
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+// tryApply asks an entry instance to accept a configuration.
+func (c *cluster) tryApply(entry, text, operationID string) (uint64, error) {
+	call := operator.ApplyCall{
+		Sources:     []decoder.Source{{Name: "test.ini", Data: []byte(text)}},
+		Author:      "test",
+		OperationID: operationID,
+	}
+	var head struct{ Version uint64 }
+	err := c.operate(entry, http.MethodPost, "/operator/config", call, &head)
+	return head.Version, err
+}
+
+func (c *cluster) apply(entry, text string) uint64 {
+	c.t.Helper()
+	version, err := c.tryApply(entry, text, fmt.Sprintf("apply-%d", time.Now().UnixNano()))
+	assert.NilError(c.t, err)
+	return version
+}
+
+// awaitVersion waits until every entry instance runs the version.
+func (c *cluster) awaitVersion(version uint64) {
+	c.t.Helper()
+	c.await("configuration in force everywhere", func() bool {
+		for entry := range c.operators {
+			var status operator.ConfigStatus
+			if c.operate(entry, http.MethodGet, "/operator/config", nil, &status) != nil {
+				return false
+			}
+			if !status.InForce || status.Accepted.Version < version || len(status.Entries) < len(c.operators) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) groups(entry string) []operator.GroupStatus {
+	var groups []operator.GroupStatus
+	c.operate(entry, http.MethodGet, "/operator/groups", nil, &groups)
+	return groups
+}
+
+// awaitOpen waits until an entry instance sees so many groups open.
+func (c *cluster) awaitOpen(entry string, count int) []operator.GroupStatus {
+	c.t.Helper()
+	var groups []operator.GroupStatus
+	c.await(fmt.Sprintf("%d open groups at %s", count, entry), func() bool {
+		groups = nil
+		for _, g := range c.groups(entry) {
+			if g.Verdict == "open" {
+				groups = append(groups, g)
+			}
+		}
+		return len(groups) >= count
+	})
+	return groups
+}
+
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(startTimeout), poll.WithDelay(20*time.Millisecond))
+}
+
+// client returns a caller of organisation alpha.
+func (c *cluster) client() *caller.Client {
+	var seeds []netip.AddrPort
+	for _, a := range c.callers {
+		seeds = append(seeds, a)
+	}
+	return caller.New(seeds, caller.WithKey(organisationKey))
+}
+
+// clientOf returns a caller that knows only one entry instance, and that
+// stays with it.
+func (c *cluster) post(entry, path, body string, headers map[string]string) (int, http.Header, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.callers[entry].String()+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+organisationKey)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	var b bytes.Buffer
+	_, err = b.ReadFrom(response.Body)
+	return response.StatusCode, response.Header, b.String(), err
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func awaitPort(t *testing.T, address netip.AddrPort) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.DialTimeout("tcp", address.String(), 100*time.Millisecond)
+		if err != nil {
+			return poll.Continue("%s", err)
+		}
+		conn.Close()
+		return poll.Success()
+	}, poll.WithTimeout(startTimeout), poll.WithDelay(20*time.Millisecond))
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,136 @@
+// Package loader reads the settings of one entry instance's process: its
+// addresses, its data centre, where the platform is, and its keys. What the
+// system as a whole should do is the operators' configuration; see package
+// configurer.
+//
+// # Usage
+//
+//	settings, err := loader.Load("entry.ini")
+package loader
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// Settings are what one entry instance's process is told at its start.
+type Settings struct {
+	// ID names the entry instance.
+	ID         string
+	DataCentre string
+	// Caller, Peer and Operator are the addresses to listen on.
+	Caller   netip.AddrPort
+	Peer     netip.AddrPort
+	Operator netip.AddrPort
+	// Platform names the plug-in, and PlatformAddress where it is.
+	Platform        string
+	PlatformAddress netip.AddrPort
+	// Seeds are peer addresses to ask while the table does not answer.
+	Seeds []netip.AddrPort
+	// KeepAnswer is how long callers keep the answer with the addresses.
+	KeepAnswer time.Duration
+	// DrainTimeout bounds how long a stop waits for requests in progress.
+	DrainTimeout time.Duration
+	// HeartbeatInterval is the time between two exchanges with the peers.
+	HeartbeatInterval time.Duration
+	// Degree is how many peers to exchange with.
+	Degree int
+	// TraceFile gets a line for each span, unless it is empty.
+	TraceFile string
+	LogLevel  string
+	TLS       TLS
+	// OperatorToken must come with every operator's call, unless it is empty.
+	OperatorToken string
+	// PeerToken must come with every peer's connection, unless it is empty.
+	PeerToken string
+}
+
+// TLS names the files of keys and certificates; empty names turn it off.
+type TLS struct {
+	Certificate string
+	Key         string
+	// Authority signs the certificates of peers.
+	Authority string
+}
+
+// Enabled reports whether connections are encrypted.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
+// Defaults returns the settings that a file need not give.
+func Defaults() Settings {
+	return Settings{
+		Platform:          "http",
+		KeepAnswer:        5 * time.Second,
+		DrainTimeout:      time.Minute,
+		HeartbeatInterval: 500 * time.Millisecond,
+		Degree:            4,
+		LogLevel:          "info",
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(decoder.Source{Name: path, Data: data})
+}
+
+// Parse checks the content of a settings file.
+func Parse(source decoder.Source) (Settings, error) {
+	s := Defaults()
+	document, err := decoder.Parse(source)
+	if err != nil {
+		return s, err
+	}
+	return s, document.Decode(s.schema, "[entry], [platform], [peers], [tls], [operator]")
+}
+
+func (s *Settings) schema(section *decoder.Section) ([]decoder.Field, bool) {
+	switch section.Kind {
+	case "entry":
+		return s.entry(), section.Name == ""
+	case "platform":
+		return []decoder.Field{
+			decoder.OneOf("plugin", &s.Platform, provider.Platforms.Names()...),
+			decoder.Need(decoder.Address("address", &s.PlatformAddress)),
+		}, section.Name == ""
+	case "peers":
+		return []decoder.Field{
+			decoder.Need(decoder.Address("address", &s.Peer)),
+			decoder.Addresses("seeds", &s.Seeds),
+			decoder.Duration("heartbeat_interval", &s.HeartbeatInterval, 10*time.Millisecond, time.Minute),
+			decoder.Int("degree", &s.Degree, 1, 64),
+			decoder.Text("token", &s.PeerToken),
+		}, section.Name == ""
+	case "tls":
+		return []decoder.Field{
+			decoder.Need(decoder.Text("certificate", &s.TLS.Certificate)),
+			decoder.Need(decoder.Text("key", &s.TLS.Key)),
+			decoder.Need(decoder.Text("authority", &s.TLS.Authority)),
+		}, section.Name == ""
+	case "operator":
+		return []decoder.Field{
+			decoder.Need(decoder.Address("address", &s.Operator)),
+			decoder.Text("token", &s.OperatorToken),
+		}, section.Name == ""
+	}
+	return nil, false
+}
+
+func (s *Settings) entry() []decoder.Field {
+	return []decoder.Field{
+		decoder.Need(decoder.Text("id", &s.ID)),
+		decoder.Need(decoder.Text("data_centre", &s.DataCentre)),
+		decoder.Need(decoder.Address("address", &s.Caller)),
+		decoder.Duration("keep_answer", &s.KeepAnswer, 100*time.Millisecond, 10*time.Minute),
+		decoder.Duration("drain_timeout", &s.DrainTimeout, 0, time.Hour),
+		decoder.Text("trace_file", &s.TraceFile),
+		decoder.OneOf("log_level", &s.LogLevel, "debug", "info", "warn", "error"),
+	}
+}
--- /dev/null
+++ b/internal/messenger/peer.go
@@ -0,0 +1,81 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
+)
+
+// PeerService is the name under which the methods below are called.
+const PeerService = "Peer"
+
+// Methods of the peer service.
+const (
+	MethodExchange = PeerService + ".Exchange"
+	MethodEvidence = PeerService + ".Evidence"
+	MethodStrike   = PeerService + ".Strike"
+	MethodConfig   = PeerService + ".Config"
+	MethodGroups   = PeerService + ".Groups"
+	MethodAllot    = PeerService + ".Allot"
+	MethodStrikes  = PeerService + ".Strikes"
+	MethodLeave    = PeerService + ".Leave"
+)
+
+// Nothing is an empty argument.
+type Nothing struct{}
+
+// ExchangeMessage is a digest with the newest versions that its sender knows.
+type ExchangeMessage struct {
+	Digest spreader.Digest
+	// Head is the configuration that the sender runs.
+	Head configurer.Head
+	// Fence is the highest fence of the groups that the sender knows.
+	Fence uint64
+}
+
+// RelayedEvidence is evidence from a peer's own probe. It carries an age in
+// place of a time, since clocks differ.
+type RelayedEvidence struct {
+	Report orderer.Report
+	Age    time.Duration
+	Lost   bool
+}
+
+// EvidenceReply is all the evidence from a peer's own probes.
+type EvidenceReply struct {
+	Evidence []RelayedEvidence
+}
+
+// StrikeMessage tells of requests that crash back ends. The reply holds what
+// the receiver knows of the same fingerprints.
+type StrikeMessage struct {
+	Strikes []quarantiner.Strike
+}
+
+// ConfigReply is the configuration that a peer runs.
+type ConfigReply struct {
+	Head    configurer.Head
+	Content configurer.Content
+}
+
+// GroupsReply is the snapshot of the groups that a peer has.
+type GroupsReply struct {
+	Rows []provider.Row
+}
+
+// AllotArguments asks an organisation's home for a part of its rate.
+type AllotArguments struct {
+	Organisation string
+	Demand       limiter.Demand
+}
+
+// AllotReply is that part, with its time to live.
+type AllotReply struct {
+	PerSecond float64
+	TTL       time.Duration
+}
--- /dev/null
+++ b/internal/messenger/server.go
@@ -0,0 +1,116 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	greetingTimeout = 2 * time.Second
+	nonceBytes      = sha256.Size
+)
+
+// Server answers the calls of peers.
+type Server struct {
+	security Security
+	rpc      *rpc.Server
+	nonce    func([]byte) (int, error)
+}
+
+// NewServer returns a server that offers the methods of receiver under name.
+// The nonce function fills its argument with random bytes.
+func NewServer(security Security, name string, receiver any, nonce func([]byte) (int, error)) (*Server, error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(name, receiver); err != nil {
+		return nil, err
+	}
+	return &Server{security: security, rpc: server, nonce: nonce}, nil
+}
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) {
+	go func() {
+		<-ctx.Done()
+		listener.Close()
+	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.run(conn)
+	}
+}
+
+// run answers the calls of one connection once its peer has proved itself.
+func (s *Server) run(conn net.Conn) {
+	if s.security.Server != nil {
+		conn = tls.Server(conn, s.security.Server)
+	}
+	if err := s.challenge(conn); err != nil {
+		conn.Close()
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
+
+// challenge sends a nonce and checks the peer's proof that it has the token.
+func (s *Server) challenge(conn net.Conn) error {
+	conn.SetDeadline(time.Now().Add(greetingTimeout))
+	nonce := make([]byte, nonceBytes)
+	if _, err := s.nonce(nonce); err != nil {
+		return err
+	}
+	if _, err := conn.Write(nonce); err != nil {
+		return err
+	}
+	proof := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, proof); err != nil {
+		return err
+	}
+	if !hmac.Equal(proof, prove(s.security.Token, nonce)) {
+		return errors.New("peer has another token")
+	}
+	if _, err := conn.Write(accepted); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// accepted is what a server sends once it takes a proof.
+var accepted = []byte("ok")
+
+// greet answers a server's challenge.
+func greet(conn net.Conn, token string) error {
+	conn.SetDeadline(time.Now().Add(greetingTimeout))
+	nonce := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(conn, nonce); err != nil {
+		return err
+	}
+	if _, err := conn.Write(prove(token, nonce)); err != nil {
+		return err
+	}
+	answer := make([]byte, len(accepted))
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return err
+	}
+	if !bytes.Equal(answer, accepted) {
+		return errors.New("peer refused the token")
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+func prove(token string, nonce []byte) []byte {
+	mac := hmac.New(sha256.New, []byte(token))
+	mac.Write(nonce)
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/internal/prober/client.go
@@ -0,0 +1,58 @@
+package prober
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/pkg/gatekeeper"
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+)
+
+const probeTimeout = 500 * time.Millisecond
+
+// client asks engines what they say of themselves.
+type client struct {
+	http *http.Client
+}
+
+func newClient() *client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	return &client{http: &http.Client{Transport: transport, Timeout: probeTimeout}}
+}
+
+// probe asks one instance. It returns no evidence where nothing was found
+// out: silence is not proof of loss, and old evidence runs out by itself.
+func (c *client) probe(ctx context.Context, t target) (gatekeeper.Evidence, bool) {
+	sent := time.Now()
+	report, err := c.ask(ctx, t.address)
+	switch {
+	case err == nil && report.Instance == t.instance:
+		return gatekeeper.Evidence{Report: report, ObservedAt: sent}, true
+	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
+		lost := orderer.Report{Instance: t.instance}
+		return gatekeeper.Evidence{Report: lost, ObservedAt: sent, Lost: true}, true
+	}
+	return gatekeeper.Evidence{}, false
+}
+
+func (c *client) ask(ctx context.Context, address netip.AddrPort) (orderer.Report, error) {
+	var report orderer.Report
+	source := url.URL{Scheme: "http", Host: address.String(), Path: "/report"}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, source.String(), nil)
+	if err != nil {
+		return report, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return report, err
+	}
+	defer response.Body.Close()
+	return report, json.NewDecoder(response.Body).Decode(&report)
+}
--- /dev/null
+++ b/internal/prober/loops.go
@@ -0,0 +1,174 @@
+package prober
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/gatekeeper"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
+	"github.com/waxwingmount/waxwingmount/pkg/watcher"
+)
+
+// defaultInterval is used before there is a configuration.
+const defaultInterval = 250 * time.Millisecond
+
+func (p *Prober) interval() time.Duration {
+	if config := p.configs.Config(); config != nil {
+		return config.Gate.ProbeInterval
+	}
+	return defaultInterval
+}
+
+// loop fills the ring with the probes that are due.
+func (p *Prober) loop(ctx context.Context) {
+	for {
+		p.schedule()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(p.interval()):
+		}
+	}
+}
+
+// run probes what the ring holds.
+func (p *Prober) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-p.ring:
+			p.probe(ctx, t)
+		}
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, t target) {
+	evidence, found := p.client.probe(ctx, t)
+	p.mu.Lock()
+	delete(p.probing, t.instance)
+	if found {
+		p.own[t.instance] = evidence
+	}
+	p.mu.Unlock()
+	if found {
+		p.record(evidence)
+	}
+}
+
+// schedule puts the due probes into the ring, and drops old evidence.
+func (p *Prober) schedule() {
+	config := p.configs.Config()
+	if config == nil {
+		return
+	}
+	due := p.due(config.Gate.Watchers, config.Gate.EvidenceTTL)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeper.SetTTL(config.Gate.EvidenceTTL)
+	for instance, e := range p.own {
+		if time.Since(e.ObservedAt) > config.Gate.EvidenceTTL {
+			delete(p.own, instance)
+		}
+	}
+	for instance, address := range due {
+		if p.probing[instance] {
+			continue
+		}
+		select {
+		case p.ring <- target{instance: instance, address: address}:
+			p.probing[instance] = true
+		default:
+			// The ring is full; the probe stays due.
+		}
+	}
+}
+
+// due returns the instances to probe now.
+func (p *Prober) due(watchers int, ttl time.Duration) map[string]netip.AddrPort {
+	live := entryIDs(p.members.Live())
+	self := p.members.Self().ID
+	now := time.Now()
+	due := make(map[string]netip.AddrPort)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for instance, address := range p.extra {
+		due[instance] = address
+	}
+	for _, group := range p.configs.Groups().Sorted() {
+		mine := watcher.Watches(group.ID, self, live, watchers)
+		for _, m := range group.Members {
+			if mine || !p.keeper.Fresh(now, m.Instance, ttl/2) {
+				due[m.Instance] = m.Address
+			}
+		}
+	}
+	return due
+}
+
+// relayLoop asks watchers for the evidence that this instance lacks.
+func (p *Prober) relayLoop(ctx context.Context) {
+	for {
+		p.relayAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(p.interval()):
+		}
+	}
+}
+
+func (p *Prober) relayAll(ctx context.Context) {
+	config := p.configs.Config()
+	if config == nil {
+		return
+	}
+	members := p.members.Live()
+	sources := p.sources(members, config.Gate.Watchers)
+	var calls sync.WaitGroup
+	for _, m := range members {
+		if sources[m.ID] {
+			calls.Go(func() { p.relay(ctx, m.Peer) })
+		}
+	}
+	calls.Wait()
+}
+
+// sources returns the peers that watch the groups which this one does not.
+func (p *Prober) sources(members []spreader.Member, watchers int) map[string]bool {
+	live := entryIDs(members)
+	self := p.members.Self().ID
+	sources := make(map[string]bool)
+	for id := range p.configs.Groups().Groups {
+		if !watcher.Watches(id, self, live, watchers) {
+			sources[watcher.Assign(id, live, 1)[0]] = true
+		}
+	}
+	return sources
+}
+
+// relay asks one peer. Its evidence is dated from the sending of the
+// question, so that no delay can make it look younger than it is.
+func (p *Prober) relay(ctx context.Context, peer netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	sent := time.Now()
+	var reply messenger.EvidenceReply
+	if err := p.pool.Call(ctx, peer, messenger.MethodEvidence, &messenger.Nothing{}, &reply); err != nil {
+		return
+	}
+	for _, r := range reply.Evidence {
+		p.record(gatekeeper.Evidence{Report: r.Report, ObservedAt: sent.Add(-r.Age), Lost: r.Lost})
+	}
+}
+
+func entryIDs(members []spreader.Member) []string {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,161 @@
+// Package prober gathers the evidence that keeps the gates of replica groups
+// open. An entry instance probes the groups that it watches, takes evidence
+// for the others from their watchers, and probes for itself what grows old.
+//
+// # Usage
+//
+//	p := prober.New(follower, introducer, pool)
+//	p.Start(ctx)
+//	verdict := p.Check(group)
+package prober
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/gatekeeper"
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+	"github.com/waxwingmount/waxwingmount/pkg/orderer"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
+)
+
+const (
+	// probeWorkers is how many probes run at once.
+	probeWorkers = 32
+	// probeCapacity bounds the probes that wait for a worker.
+	probeCapacity = 4096
+	// relayTimeout bounds one question to a peer.
+	relayTimeout = 250 * time.Millisecond
+)
+
+// Configs gives the configuration in force and the groups.
+type Configs interface {
+	Config() *configurer.Config
+	Groups() *grouper.Snapshot
+}
+
+// Members gives the live entry instances.
+type Members interface {
+	Self() spreader.Member
+	Live() []spreader.Member
+}
+
+// Prober gathers evidence for one entry instance.
+type Prober struct {
+	configs Configs
+	members Members
+	pool    *messenger.Pool
+	client  *client
+	ring    chan target
+	changed chan struct{}
+
+	mu     sync.Mutex
+	keeper *gatekeeper.Keeper
+	// own holds the evidence from this instance's own probes.
+	own map[string]gatekeeper.Evidence
+	// probing holds the targets that wait or are being probed.
+	probing map[string]bool
+	// extra holds instances outside of groups that are to be probed too.
+	extra map[string]netip.AddrPort
+}
+
+// target is one instance to probe.
+type target struct {
+	instance string
+	address  netip.AddrPort
+}
+
+// New returns a prober without evidence.
+func New(configs Configs, members Members, pool *messenger.Pool) *Prober {
+	return &Prober{
+		configs: configs,
+		members: members,
+		pool:    pool,
+		client:  newClient(),
+		ring:    make(chan target, probeCapacity),
+		changed: make(chan struct{}, 1),
+		keeper:  gatekeeper.New(time.Second),
+		own:     make(map[string]gatekeeper.Evidence),
+		probing: make(map[string]bool),
+		extra:   make(map[string]netip.AddrPort),
+	}
+}
+
+// Start begins the duties; they end with ctx.
+func (p *Prober) Start(ctx context.Context) {
+	go p.loop(ctx)
+	go p.relayLoop(ctx)
+	for range probeWorkers {
+		go p.run(ctx)
+	}
+}
+
+// Changed tells when evidence has come in.
+func (p *Prober) Changed() <-chan struct{} { return p.changed }
+
+// Check says whether the group may be sent a request now.
+func (p *Prober) Check(group grouper.Group) gatekeeper.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Check(time.Now(), group)
+}
+
+// Evidence returns the newest evidence for an instance.
+func (p *Prober) Evidence(instance string) (gatekeeper.Evidence, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Evidence(instance)
+}
+
+// Reports returns the fresh reports of instances that are not lost.
+func (p *Prober) Reports() map[string]orderer.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.Reports(time.Now())
+}
+
+// Ask probes one instance now.
+func (p *Prober) Ask(instance string, address netip.AddrPort) (gatekeeper.Evidence, bool) {
+	return p.client.probe(context.Background(), target{instance: instance, address: address})
+}
+
+// Watch makes the prober probe these instances too, besides its groups.
+func (p *Prober) Watch(instances map[string]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extra = instances
+}
+
+// Relay returns the evidence from this instance's own probes, for a peer.
+func (p *Prober) Relay() messenger.EvidenceReply {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var reply messenger.EvidenceReply
+	for _, e := range p.own {
+		reply.Evidence = append(reply.Evidence, messenger.RelayedEvidence{
+			Report: e.Report,
+			Age:    now.Sub(e.ObservedAt),
+			Lost:   e.Lost,
+		})
+	}
+	return reply
+}
+
+// record takes in evidence and wakes who waits for it.
+func (p *Prober) record(e gatekeeper.Evidence) {
+	p.mu.Lock()
+	taken := p.keeper.Record(e)
+	p.mu.Unlock()
+	if !taken {
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/receiver/decode.go
@@ -0,0 +1,204 @@
+package receiver
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
+
+	"github.com/waxwingmount/waxwingmount/internal/dispatcher"
+	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+)
+
+// Headers of callers.
+const (
+	headerKey        = "Idempotency-Key"
+	headerIdempotent = "Waxwing-Idempotent"
+	headerTimeout    = "Waxwing-Timeout"
+	headerClass      = "Waxwing-Class"
+	headerRequestID  = "Waxwing-Request-Id"
+)
+
+const (
+	maxKeyBytes     = 256
+	minimumDeadline = time.Millisecond
+)
+
+// completion is a decoded completion request.
+type completion struct {
+	dispatcher.Request
+	shape  shape
+	stream bool
+}
+
+// completionBody is the part of a completion that the entry instance reads.
+type completionBody struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (r *Receiver) decodeNothing(_ context.Context, _ *http.Request) (any, error) { return nil, nil }
+
+// decodeCompletion returns a decoder for completions of one shape.
+func (r *Receiver) decodeCompletion(s shape) kithttp.DecodeRequestFunc {
+	return func(_ context.Context, request *http.Request) (any, error) {
+		base, config, err := r.decodeBase(request)
+		if err != nil {
+			return nil, err
+		}
+		var body completionBody
+		if err := json.Unmarshal(base.Body, &body); err != nil {
+			return nil, problemf(http.StatusBadRequest, "malformed_body", "the body is not a JSON completion request")
+		}
+		if _, known := config.Models[body.Model]; !known {
+			return nil, problemf(http.StatusNotFound, "model_not_found", "there is no model %q", body.Model)
+		}
+		if !body.Stream {
+			base.Body, err = withStream(base.Body)
+			if err != nil {
+				return nil, problemf(http.StatusBadRequest, "malformed_body", "the body is not a JSON object")
+			}
+		}
+		base.Model = body.Model
+		base.Buffered = !body.Stream
+		base.Idempotent = base.Key == "" && request.Header.Get(headerIdempotent) != "false"
+		return &completion{Request: base, shape: s, stream: body.Stream}, nil
+	}
+}
+
+// withStream returns the body with a stream asked for.
+func withStream(body []byte) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
+
+// decodeCall decodes a call of a plain service.
+func (r *Receiver) decodeCall(_ context.Context, request *http.Request) (any, error) {
+	base, config, err := r.decodeBase(request)
+	if err != nil {
+		return nil, err
+	}
+	for _, route := range config.Routes {
+		if strings.HasPrefix(request.URL.Path, route.PathPrefix) {
+			base.Service = route.Service
+			base.Idempotent = isIdempotent(request, base, route)
+			return &base, nil
+		}
+	}
+	return nil, problemf(http.StatusNotFound, "route_not_found", "there is no route for %s", request.URL.Path)
+}
+
+func isIdempotent(request *http.Request, base dispatcher.Request, route configurer.Route) bool {
+	if base.Key != "" || request.Header.Get(headerIdempotent) == "false" {
+		return false
+	}
+	return slices.Contains(route.IdempotentMethods, request.Method)
+}
+
+// decodeBase decodes what all requests share.
+func (r *Receiver) decodeBase(request *http.Request) (dispatcher.Request, *configurer.Config, error) {
+	var base dispatcher.Request
+	config := r.Configs.Config()
+	if config == nil {
+		return base, nil, problemf(http.StatusServiceUnavailable, "not_ready", "this entry instance has no configuration yet")
+	}
+	organisation, err := authenticate(config, request)
+	if err != nil {
+		return base, nil, err
+	}
+	class, err := classOf(config, organisation, request)
+	if err != nil {
+		return base, nil, err
+	}
+	deadline, err := deadlineOf(class, request)
+	if err != nil {
+		return base, nil, err
+	}
+	body, err := readBody(request, int64(config.Admission.MaxBodyBytes))
+	if err != nil {
+		return base, nil, err
+	}
+	key := request.Header.Get(headerKey)
+	if len(key) > maxKeyBytes {
+		return base, nil, problemf(http.StatusBadRequest, "key_too_long", "the idempotency key is longer than %d bytes", maxKeyBytes)
+	}
+	return dispatcher.Request{
+		ID:           uuid.NewString(),
+		Organisation: organisation,
+		Class:        class,
+		Method:       request.Method,
+		Path:         request.URL.RequestURI(),
+		ContentType:  request.Header.Get("Content-Type"),
+		Body:         body,
+		Key:          key,
+		Deadline:     deadline,
+	}, config, nil
+}
+
+// authenticate finds the organisation whose key the caller has.
+func authenticate(config *configurer.Config, request *http.Request) (configurer.Organisation, error) {
+	key, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !found || key == "" {
+		return configurer.Organisation{}, problemf(http.StatusUnauthorized, "missing_key", "the request has no bearer key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	organisation, known := config.OrganisationByKey(hash)
+	if !known {
+		return configurer.Organisation{}, problemf(http.StatusUnauthorized, "unknown_key", "the bearer key belongs to no organisation")
+	}
+	return organisation, nil
+}
+
+func classOf(config *configurer.Config, o configurer.Organisation, request *http.Request) (configurer.Class, error) {
+	name := request.Header.Get(headerClass)
+	if name == "" {
+		return config.Classes[o.Class], nil
+	}
+	class, known := config.Classes[name]
+	if !known {
+		return class, problemf(http.StatusBadRequest, "unknown_class", "there is no class %q", name)
+	}
+	if class.Priority < config.Classes[o.Class].Priority {
+		return class, problemf(http.StatusForbidden, "class_not_allowed", "class %q goes before the organisation's own", name)
+	}
+	return class, nil
+}
+
+func deadlineOf(class configurer.Class, request *http.Request) (time.Time, error) {
+	now := time.Now()
+	text := request.Header.Get(headerTimeout)
+	if text == "" {
+		return now.Add(class.Deadline), nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout < minimumDeadline {
+		return now, problemf(http.StatusBadRequest, "bad_timeout", "%s is not a duration such as 30s", headerTimeout)
+	}
+	return now.Add(min(timeout, class.Deadline)), nil
+}
+
+func readBody(request *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problemf(http.StatusRequestEntityTooLarge, "body_too_large", "the body is longer than %d bytes", limit)
+	case err != nil:
+		return nil, problemf(http.StatusBadRequest, "body_unreadable", "the body did not arrive whole")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/receiver/problem.go
@@ -0,0 +1,131 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/internal/dispatcher"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+// headerOutcome tells a caller what is known of its request's run.
+const headerOutcome = "Waxwing-Outcome"
+
+// Problem is a refusal as a caller sees it.
+type Problem struct {
+	Status  int    `json:"-"`
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	// Outcome is not_run, may_have_run or in_progress.
+	Outcome string `json:"outcome"`
+	// RetryAfterMS is when to come back, in milliseconds; absent means not to.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Error implements [error].
+func (p *Problem) Error() string { return p.Message }
+
+// problemBody is the body around a Problem.
+type problemBody struct {
+	Error *Problem `json:"error"`
+}
+
+// problemf returns a refusal of a request that was not run.
+func problemf(status int, code, format string, args ...any) *Problem {
+	kind := "invalid_request_error"
+	if status >= http.StatusInternalServerError {
+		kind = "server_error"
+	}
+	p := &Problem{
+		Status:  status,
+		Message: fmt.Sprintf(format, args...),
+		Type:    kind,
+		Code:    code,
+		Outcome: retrier.NotRun.String(),
+	}
+	if status == http.StatusServiceUnavailable {
+		p.RetryAfterMS = notReadyRetry.Milliseconds()
+	}
+	return p
+}
+
+const notReadyRetry = time.Second
+
+// describe returns what a caller is told of an error.
+func describe(err error) *Problem {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	var refusal *dispatcher.Error
+	if !errors.As(err, &refusal) {
+		return problemf(http.StatusInternalServerError, "internal", "internal error")
+	}
+	return &Problem{
+		Status:       statusOf(refusal),
+		Message:      explain(refusal),
+		Type:         "server_error",
+		Code:         refusal.Kind.String(),
+		Outcome:      refusal.Outcome.String(),
+		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
+	}
+}
+
+// statuses maps kinds of refusal to HTTP statuses.
+var statuses = map[dispatcher.Kind]int{
+	dispatcher.KindOverloaded:       http.StatusServiceUnavailable,
+	dispatcher.KindRateLimited:      http.StatusTooManyRequests,
+	dispatcher.KindNoBackend:        http.StatusServiceUnavailable,
+	dispatcher.KindBackendFailed:    http.StatusBadGateway,
+	dispatcher.KindDeadline:         http.StatusGatewayTimeout,
+	dispatcher.KindQuarantined:      http.StatusUnprocessableEntity,
+	dispatcher.KindLeaving:          http.StatusServiceUnavailable,
+	dispatcher.KindClaimUnavailable: http.StatusServiceUnavailable,
+	dispatcher.KindDuplicate:        http.StatusConflict,
+	dispatcher.KindKeyMismatch:      http.StatusUnprocessableEntity,
+}
+
+func statusOf(refusal *dispatcher.Error) int {
+	status := statuses[refusal.Kind]
+	if status == http.StatusBadGateway && refusal.Outcome == retrier.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
+// explanations are the messages for people.
+var explanations = map[dispatcher.Kind]string{
+	dispatcher.KindOverloaded:       "too many requests are waiting",
+	dispatcher.KindRateLimited:      "the organisation is above its rate of requests",
+	dispatcher.KindNoBackend:        "no backend server may be sent the request now",
+	dispatcher.KindBackendFailed:    "the backend servers that were tried failed",
+	dispatcher.KindDeadline:         "the deadline of the request has passed",
+	dispatcher.KindQuarantined:      "the request has crashed backend servers and is refused",
+	dispatcher.KindLeaving:          "this entry instance is about to stop; use another address",
+	dispatcher.KindClaimUnavailable: "the idempotency key could not be claimed",
+	dispatcher.KindDuplicate:        "the idempotency key has been used before",
+	dispatcher.KindKeyMismatch:      "the idempotency key was used with another request",
+}
+
+func explain(refusal *dispatcher.Error) string { return explanations[refusal.Kind] }
+
+// encodeError writes a refusal.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	p := describe(err)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, p.Outcome)
+	if p.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(p.RetryAfterMS)/1000))))
+	}
+	w.WriteHeader(p.Status)
+	json.NewEncoder(w).Encode(problemBody{Error: p})
+}
--- /dev/null
+++ b/internal/starter/tls.go
@@ -0,0 +1,44 @@
+package starter
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/internal/loader"
+)
+
+// tlsConfigs are the ways in which a node encrypts; nil is not at all.
+type tlsConfigs struct {
+	// server is for callers and operators.
+	server *tls.Config
+	// peerServer and peerClient both demand the other side's certificate.
+	peerServer *tls.Config
+	peerClient *tls.Config
+}
+
+func loadTLS(s loader.TLS) (tlsConfigs, error) {
+	if !s.Enabled() {
+		return tlsConfigs{}, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
+	if err != nil {
+		return tlsConfigs{}, errors.Wrap(err, "load certificate")
+	}
+	pem, err := os.ReadFile(s.Authority)
+	if err != nil {
+		return tlsConfigs{}, errors.Wrap(err, "load authority")
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(pem) {
+		return tlsConfigs{}, errors.Newf("no certificate in %s", s.Authority)
+	}
+	base := tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}
+	server, peerServer, peerClient := base.Clone(), base.Clone(), base.Clone()
+	peerServer.ClientAuth = tls.RequireAndVerifyClientCert
+	peerServer.ClientCAs = authority
+	peerClient.RootCAs = authority
+	return tlsConfigs{server: server, peerServer: peerServer, peerClient: peerClient}, nil
+}
--- /dev/null
+++ b/pkg/caller/client.go
@@ -0,0 +1,155 @@
+// Package caller is a client of the system: it asks for the addresses of the
+// entry instances, keeps the answer as long as it says, connects to one of
+// them, and comes back when a refusal says that the request was not run.
+//
+// # Usage
+//
+//	client := caller.New(seeds, caller.WithKey("organisation-key"))
+//	result, err := client.Do(ctx, caller.Request{Path: "/v1/completions", Body: body})
+//
+// An error says that no answer came at all; a [Result] says what came.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
+
+// Kind sorts the failures of this package.
+type Kind int
+
+// Kinds of failure.
+const (
+	// KindNoAddress says that no entry instance could be asked for addresses.
+	KindNoAddress Kind = iota
+	// KindUnanswered says that a request was sent and no answer came.
+	KindUnanswered
+	// KindExpired says that the context ended.
+	KindExpired
+)
+
+// Error is the error type of this package.
+type Error = faulter.Error[Kind]
+
+const (
+	dialTimeout   = 500 * time.Millisecond
+	askTimeout    = time.Second
+	refusedPause  = 50 * time.Millisecond
+	idlePerEntry  = 256
+	maxRetryPause = 2 * time.Second
+)
+
+// Client calls the system. It is safe for concurrent use.
+type Client struct {
+	seeds  []netip.AddrPort
+	key    string
+	scheme string
+	http   *http.Client
+
+	mu        sync.Mutex
+	addresses []netip.AddrPort
+	expiry    time.Time
+	next      int
+}
+
+// Option changes a new Client.
+type Option func(*Client)
+
+// WithKey sets the organisation's bearer key.
+func WithKey(key string) Option { return func(c *Client) { c.key = key } }
+
+// WithTLS makes the client encrypt its connections.
+func WithTLS(config *tls.Config) Option {
+	return func(c *Client) {
+		c.scheme = "https"
+		c.http.Transport.(*http.Transport).TLSClientConfig = config
+	}
+}
+
+// New returns a client that asks the seeds for the addresses to use.
+func New(seeds []netip.AddrPort, options ...Option) *Client {
+	c := &Client{
+		seeds:  seeds,
+		scheme: "http",
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idlePerEntry,
+			DisableCompression:  true,
+		}},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// addressAnswer is the system's answer with its addresses.
+type addressAnswer struct {
+	Addresses []netip.AddrPort `json:"addresses"`
+	KeepForMS int64            `json:"keep_for_ms"`
+}
+
+// address returns the next address to use.
+func (c *Client) address(ctx context.Context) (netip.AddrPort, error) {
+	c.mu.Lock()
+	fresh := time.Now().Before(c.expiry) && len(c.addresses) > 0
+	c.mu.Unlock()
+	if !fresh {
+		c.refresh(ctx)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) == 0 {
+		return netip.AddrPort{}, faulter.New("choose address", KindNoAddress, ctx.Err())
+	}
+	c.next++
+	return c.addresses[c.next%len(c.addresses)], nil
+}
+
+// refresh asks for the addresses, first where they were good before.
+func (c *Client) refresh(ctx context.Context) {
+	c.mu.Lock()
+	candidates := append(append([]netip.AddrPort{}, c.addresses...), c.seeds...)
+	c.mu.Unlock()
+	for _, candidate := range candidates {
+		answer, err := c.ask(ctx, candidate)
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		c.mu.Lock()
+		c.addresses = answer.Addresses
+		c.expiry = time.Now().Add(time.Duration(answer.KeepForMS) * time.Millisecond)
+		c.mu.Unlock()
+		return
+	}
+}
+
+func (c *Client) ask(ctx context.Context, entry netip.AddrPort) (addressAnswer, error) {
+	var answer addressAnswer
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+entry.String()+"/v1/addresses", nil)
+	if err != nil {
+		return answer, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer, err
+	}
+	return answer, json.Unmarshal(data, &answer)
+}
--- /dev/null
+++ b/pkg/caller/do.go
@@ -0,0 +1,219 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+// Headers of the system.
+const (
+	headerOutcome    = "Waxwing-Outcome"
+	headerIdempotent = "Waxwing-Idempotent"
+	headerTimeout    = "Waxwing-Timeout"
+	headerRequestID  = "Waxwing-Request-Id"
+	headerKey        = "Idempotency-Key"
+)
+
+// Outcomes that a result may tell.
+const (
+	OutcomeComplete   = "complete"
+	OutcomeNotRun     = "not_run"
+	OutcomeMayHaveRun = "may_have_run"
+	OutcomeInProgress = "in_progress"
+	// OutcomeCut says that a stream broke off without a word.
+	OutcomeCut = "cut"
+)
+
+// Request is one request to the system.
+type Request struct {
+	// Method is POST unless it is set.
+	Method string
+	Path   string
+	Body   []byte
+	// IdempotencyKey makes the request run at most once, however often it is sent.
+	IdempotencyKey string
+	// NotIdempotent marks a request without a key that may not be repeated.
+	NotIdempotent bool
+	// Timeout is told to the system, unless it is zero.
+	Timeout time.Duration
+	// OnEvent is called with each event of a stream.
+	OnEvent func(event []byte)
+}
+
+// Result is the answer to a request.
+type Result struct {
+	Status  int
+	Outcome string
+	Body    []byte
+	// Events counts the events of a stream.
+	Events int
+	// Tries counts how often the request was sent.
+	Tries int
+	// Entry is the instance that gave the answer.
+	Entry     netip.AddrPort
+	RequestID string
+	// Code is the code of a refusal.
+	Code string
+}
+
+// problem is the body of a refusal.
+type problem struct {
+	Error struct {
+		Code         string `json:"code"`
+		Outcome      string `json:"outcome"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
+	} `json:"error"`
+}
+
+// Do sends a request and, while it was not run and the context lasts, sends it
+// again when and where the system says.
+func (c *Client) Do(ctx context.Context, r Request) (*Result, error) {
+	for tries := 1; ; tries++ {
+		result, pause, err := c.once(ctx, r)
+		if result != nil {
+			result.Tries = tries
+		}
+		if pause <= 0 {
+			return result, err
+		}
+		timer := time.NewTimer(min(pause, maxRetryPause))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return result, errors.CombineErrors(err, faulter.New("do", KindExpired, ctx.Err()))
+		}
+	}
+}
+
+// once sends a request once. A pause above zero says to send it again.
+func (c *Client) once(ctx context.Context, r Request) (*Result, time.Duration, error) {
+	entry, err := c.address(ctx)
+	if err != nil {
+		return nil, refusedPause, err
+	}
+	request, err := c.request(ctx, entry, r)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.distrust(entry)
+		if notSent(err) {
+			return nil, refusedPause, err
+		}
+		return nil, 0, faulter.New("do", KindUnanswered, err)
+	}
+	defer response.Body.Close()
+	result, err := read(response, r)
+	if err != nil {
+		return nil, 0, faulter.New("do", KindUnanswered, err)
+	}
+	result.Entry = entry
+	return result, result.pause(), nil
+}
+
+func (c *Client) request(ctx context.Context, entry netip.AddrPort, r Request) (*http.Request, error) {
+	method := r.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	// A body without a way to be read twice keeps the transport from sending
+	// the request again by itself.
+	body := io.NopCloser(bytes.NewReader(r.Body))
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+entry.String()+r.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(r.Body))
+	request.Header.Set("Content-Type", "application/json")
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	if r.IdempotencyKey != "" {
+		request.Header.Set(headerKey, r.IdempotencyKey)
+	}
+	if r.NotIdempotent {
+		request.Header.Set(headerIdempotent, "false")
+	}
+	if r.Timeout > 0 {
+		request.Header.Set(headerTimeout, r.Timeout.String())
+	}
+	return request, nil
+}
+
+// distrust makes the client ask for addresses anew before its next request.
+func (c *Client) distrust(entry netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expiry = time.Time{}
+	kept := c.addresses[:0:0]
+	for _, a := range c.addresses {
+		if a != entry {
+			kept = append(kept, a)
+		}
+	}
+	c.addresses = kept
+}
+
+// notSent reports whether no connection was made at all.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func read(response *http.Response, r Request) (*Result, error) {
+	result := &Result{
+		Status:    response.StatusCode,
+		Outcome:   response.Header.Get(headerOutcome),
+		RequestID: response.Header.Get(headerRequestID),
+	}
+	if response.Header.Get("Content-Type") == "text/event-stream" {
+		return result, readStream(response.Body, r, result)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	result.Body = body
+	if response.StatusCode >= http.StatusBadRequest {
+		result.refused(body)
+	}
+	return result, nil
+}
+
+// refused takes over what a refusal's body says.
+func (r *Result) refused(body []byte) time.Duration {
+	var p problem
+	if json.Unmarshal(body, &p) != nil {
+		return 0
+	}
+	r.Code = p.Error.Code
+	if p.Error.Outcome != "" {
+		r.Outcome = p.Error.Outcome
+	}
+	return time.Duration(p.Error.RetryAfterMS) * time.Millisecond
+}
+
+// pause returns when to send the request again, or zero.
+func (r *Result) pause() time.Duration {
+	if r.Status < http.StatusBadRequest || r.Outcome != OutcomeNotRun {
+		return 0
+	}
+	return r.refused(r.Body)
+}
--- /dev/null
+++ b/pkg/claimer/batcher.go
@@ -0,0 +1,105 @@
+package claimer
+
+import (
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// MaxBatch bounds the operations of one transaction.
+const MaxBatch = 64
+
+// Operation is one change of one claim's row.
+type Operation struct {
+	ID  uint64
+	Key string
+	// Value is the record to write; nil deletes the row.
+	Value []byte
+	// Insert demands that the row does not exist.
+	Insert bool
+}
+
+// Result is what became of an operation.
+type Result struct {
+	ID uint64
+	// Conflict is the row that was there already, for an Insert that failed.
+	Conflict *provider.Row
+}
+
+// Batcher gathers operations into transactions. One transaction is under way
+// at a time; one without an outcome is repeated under the same operation id
+// until it has one. It does no I/O and is not safe for concurrent use.
+type Batcher struct {
+	newID    func() string
+	pending  []Operation
+	inFlight []Operation
+	tx       provider.Transaction
+}
+
+// NewBatcher returns an empty batcher that takes operation ids from newID.
+func NewBatcher(newID func() string) *Batcher { return &Batcher{newID: newID} }
+
+// Submit adds an operation.
+func (b *Batcher) Submit(op Operation) { b.pending = append(b.pending, op) }
+
+// Idle reports whether nothing waits for an outcome.
+func (b *Batcher) Idle() bool { return len(b.pending)+len(b.inFlight) == 0 }
+
+// Next returns the transaction to commit now: the last one again while it has
+// no outcome, or a new one. It returns false when there is nothing to do.
+func (b *Batcher) Next() (provider.Transaction, bool) {
+	if len(b.inFlight) > 0 {
+		return b.tx, true
+	}
+	b.fill()
+	if len(b.inFlight) == 0 {
+		return provider.Transaction{}, false
+	}
+	b.tx = provider.Transaction{OperationID: b.newID()}
+	for _, op := range b.inFlight {
+		if op.Insert {
+			b.tx.Guards = append(b.tx.Guards, provider.Guard{Key: op.Key})
+		}
+		b.tx.Writes = append(b.tx.Writes, provider.Write{Key: op.Key, Value: op.Value, Delete: op.Value == nil})
+	}
+	return b.tx, true
+}
+
+// fill moves pending operations into the next batch, at most one for each
+// key, so that operations on one key keep their order.
+func (b *Batcher) fill() {
+	taken := make(map[string]bool)
+	var left []Operation
+	for _, op := range b.pending {
+		if len(b.inFlight) >= MaxBatch || taken[op.Key] {
+			left = append(left, op)
+		} else {
+			b.inFlight = append(b.inFlight, op)
+		}
+		taken[op.Key] = true
+	}
+	b.pending = left
+}
+
+// Settle takes in the outcome of the transaction that Next returned. After a
+// conflict the operations that had none go into the next transaction.
+func (b *Batcher) Settle(outcome provider.Outcome) []Result {
+	conflicts := make(map[string]*provider.Row, len(outcome.Conflicts))
+	for i := range outcome.Conflicts {
+		conflicts[outcome.Conflicts[i].Key] = &outcome.Conflicts[i]
+	}
+	var results []Result
+	var again []Operation
+	for _, op := range b.inFlight {
+		row, conflicted := conflicts[op.Key]
+		switch {
+		case outcome.Committed:
+			results = append(results, Result{ID: op.ID})
+		case conflicted && op.Insert:
+			results = append(results, Result{ID: op.ID, Conflict: row})
+		default:
+			again = append(again, op)
+		}
+	}
+	b.inFlight = nil
+	b.pending = append(again, b.pending...)
+	return results
+}
--- /dev/null
+++ b/pkg/configurer/check.go
@@ -0,0 +1,227 @@
+package configurer
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/router"
+)
+
+// Limits of accepted values.
+const (
+	maxGroupSize  = 64
+	maxGroups     = 100_000
+	maxBodyBytes  = 64 << 20
+	maxQueue      = 1_000_000
+	maxRate       = 1e6
+	maxWeight     = 1_000_000
+	maxPriority   = 100
+	maxSpares     = 1_000
+	maxWatchers   = 16
+	maxDeadline   = time.Hour
+	shortestProbe = 10 * time.Millisecond
+	longestProbe  = 10 * time.Second
+	longestTTL    = time.Minute
+)
+
+// Check parses a base file and overlays and returns the configuration that
+// they make together, or an error that names every mistake.
+func Check(sources ...decoder.Source) (*Config, error) {
+	document, err := decoder.Parse(sources...)
+	if err != nil {
+		return nil, err
+	}
+	c := &checker{config: defaults()}
+	if err := document.Decode(c.schema, sectionsAccepted); err != nil {
+		return nil, err
+	}
+	if err := c.finish(); err != nil {
+		return nil, err
+	}
+	return c.config, nil
+}
+
+const sectionsAccepted = "[system], [gate], [admission], [capacity], [model.NAME], [service.NAME], [route.NAME], [class.NAME], [organisation.NAME]"
+
+func defaults() *Config {
+	return &Config{
+		Gate:          Gate{ProbeInterval: 250 * time.Millisecond, EvidenceTTL: time.Second, Watchers: 3},
+		Admission:     Admission{MaxInFlight: 64, QueueLength: 256, RetryRatio: 0.1, MaxBodyBytes: 1 << 20},
+		Capacity:      Capacity{Control: true, DowntimeWeight: 1, StrandedWeight: 1, RepairDelay: 0},
+		Models:        make(map[string]Model),
+		Services:      make(map[string]Service),
+		Classes:       make(map[string]Class),
+		Organisations: make(map[string]Organisation),
+		byKey:         make(map[string]string),
+	}
+}
+
+// checker collects what the sections say and then checks what concerns more
+// than one of them.
+type checker struct {
+	config  *Config
+	commits []func()
+	checks  []func() error
+}
+
+func (c *checker) schema(s *decoder.Section) ([]decoder.Field, bool) {
+	if named := s.Name != ""; named != slices.Contains(namedKinds, s.Kind) {
+		return nil, false
+	}
+	switch s.Kind {
+	case "system":
+		return []decoder.Field{decoder.Need(decoder.Text("deployment", &c.config.Deployment))}, true
+	case "gate":
+		return c.gate(s), true
+	case "admission":
+		return c.admission(), true
+	case "capacity":
+		return c.capacity(), true
+	case "model":
+		return c.model(s), true
+	case "service":
+		return c.service(s), true
+	case "route":
+		return c.route(s), true
+	case "class":
+		return c.class(s), true
+	case "organisation":
+		return c.organisation(s), true
+	}
+	return nil, false
+}
+
+var namedKinds = []string{"model", "service", "route", "class", "organisation"}
+
+func (c *checker) gate(s *decoder.Section) []decoder.Field {
+	g := &c.config.Gate
+	c.checks = append(c.checks, func() error {
+		if g.EvidenceTTL < 2*g.ProbeInterval {
+			return s.Mistake("evidence_ttl", "shorter than two probe intervals", "at least twice probe_interval")
+		}
+		return nil
+	})
+	return []decoder.Field{
+		decoder.Duration("probe_interval", &g.ProbeInterval, shortestProbe, longestProbe),
+		decoder.Duration("evidence_ttl", &g.EvidenceTTL, shortestProbe, longestTTL),
+		decoder.Int("watchers", &g.Watchers, 1, maxWatchers),
+	}
+}
+
+func (c *checker) admission() []decoder.Field {
+	a := &c.config.Admission
+	return []decoder.Field{
+		decoder.Int("max_in_flight", &a.MaxInFlight, 1, maxQueue),
+		decoder.Int("queue_length", &a.QueueLength, 0, maxQueue),
+		decoder.Float("retry_ratio", &a.RetryRatio, 0, 1),
+		decoder.Int("max_body_bytes", &a.MaxBodyBytes, 1, maxBodyBytes),
+	}
+}
+
+func (c *checker) capacity() []decoder.Field {
+	k := &c.config.Capacity
+	return []decoder.Field{
+		decoder.Bool("control", &k.Control),
+		decoder.Int("spares", &k.Spares, 0, maxSpares),
+		decoder.Float("downtime_weight", &k.DowntimeWeight, 0, maxWeight),
+		decoder.Float("stranded_weight", &k.StrandedWeight, 0, maxWeight),
+		decoder.Duration("repair_delay", &k.RepairDelay, 0, time.Hour),
+	}
+}
+
+func (c *checker) model(s *decoder.Section) []decoder.Field {
+	m := &Model{Name: s.Name, InstancesPerGroup: 1, FencingEnforced: true}
+	fencing := "enforced"
+	c.commits = append(c.commits, func() {
+		m.FencingEnforced = fencing == "enforced"
+		c.config.Models[m.Name] = *m
+	})
+	return []decoder.Field{
+		decoder.Need(decoder.Text("version", &m.Version)),
+		decoder.Int("instances_per_group", &m.InstancesPerGroup, 1, maxGroupSize),
+		decoder.Need(decoder.Int("groups", &m.Groups, 0, maxGroups)),
+		decoder.OneOf("policy", &m.Policy, router.Policies.Names()...),
+		decoder.OneOf("fencing", &fencing, "enforced", "ignored"),
+	}
+}
+
+func (c *checker) service(s *decoder.Section) []decoder.Field {
+	service := &Service{Name: s.Name}
+	c.commits = append(c.commits, func() { c.config.Services[service.Name] = *service })
+	return []decoder.Field{decoder.Need(decoder.Addresses("addresses", &service.Addresses))}
+}
+
+func (c *checker) route(s *decoder.Section) []decoder.Field {
+	r := &Route{Name: s.Name, IdempotentMethods: []string{"GET", "HEAD"}}
+	c.commits = append(c.commits, func() { c.config.Routes = append(c.config.Routes, *r) })
+	c.checks = append(c.checks, func() error {
+		if !strings.HasPrefix(r.PathPrefix, "/") || strings.HasPrefix(r.PathPrefix, "/v1/") {
+			return s.Mistake("path_prefix", "not a path for services", "a path that begins with / and not with /v1/")
+		}
+		if _, known := c.config.Services[r.Service]; !known {
+			return s.Mistake("service", "no such service", "the name of a [service.NAME] section")
+		}
+		return nil
+	})
+	return []decoder.Field{
+		decoder.Need(decoder.Text("path_prefix", &r.PathPrefix)),
+		decoder.Need(decoder.Text("service", &r.Service)),
+		decoder.List("idempotent_methods", &r.IdempotentMethods),
+	}
+}
+
+func (c *checker) class(s *decoder.Section) []decoder.Field {
+	class := &Class{Name: s.Name, Deadline: time.Minute}
+	c.commits = append(c.commits, func() { c.config.Classes[class.Name] = *class })
+	return []decoder.Field{
+		decoder.Need(decoder.Int("priority", &class.Priority, 0, maxPriority)),
+		decoder.Duration("deadline", &class.Deadline, time.Millisecond, maxDeadline),
+	}
+}
+
+func (c *checker) organisation(s *decoder.Section) []decoder.Field {
+	o := &Organisation{Name: s.Name, RequestsPerSecond: maxRate, Weight: 1}
+	c.commits = append(c.commits, func() { c.config.Organisations[o.Name] = *o })
+	c.checks = append(c.checks, func() error {
+		if raw, err := hex.DecodeString(o.KeySHA256); err != nil || len(raw) != 32 {
+			return s.Mistake("key_sha256", "not a SHA-256 hash", "64 hexadecimal digits")
+		}
+		if other, taken := c.config.byKey[strings.ToLower(o.KeySHA256)]; taken {
+			return s.Mistake("key_sha256", "the key belongs to organisation "+other+" too", "a hash of its own")
+		}
+		c.config.byKey[strings.ToLower(o.KeySHA256)] = o.Name
+		if _, known := c.config.Classes[o.Class]; !known {
+			return s.Mistake("class", "no such class", "the name of a [class.NAME] section")
+		}
+		return nil
+	})
+	return []decoder.Field{
+		decoder.Need(decoder.Text("key_sha256", &o.KeySHA256)),
+		decoder.Need(decoder.Text("class", &o.Class)),
+		decoder.Float("requests_per_second", &o.RequestsPerSecond, 0, maxRate),
+		decoder.Int("weight", &o.Weight, 1, maxWeight),
+	}
+}
+
+// finish stores the named sections and runs the checks between them.
+func (c *checker) finish() error {
+	if c.config.Deployment == "" {
+		return faulter.Newf("check settings", decoder.KindMistakes, "section [system] with the key \"deployment\" is missing")
+	}
+	for _, commit := range c.commits {
+		commit()
+	}
+	for _, check := range c.checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	slices.SortFunc(c.config.Routes, func(a, b Route) int {
+		return len(b.PathPrefix) - len(a.PathPrefix)
+	})
+	return nil
+}
--- /dev/null
+++ b/pkg/decoder/errors.go
@@ -0,0 +1,59 @@
+package decoder
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
+
+// Kind sorts the failures of this package.
+type Kind int
+
+// Kinds of failure.
+const (
+	// KindSyntax says that a file is not well-formed INI.
+	KindSyntax Kind = iota
+	// KindMistakes says that a file breaks its schema.
+	KindMistakes
+)
+
+// Error is the error type of this package.
+type Error = faulter.Error[Kind]
+
+// Mistake is one place where a document breaks its schema.
+type Mistake struct {
+	Position Position
+	Section  string
+	Key      string
+	Problem  string
+	// Accepted says what would have been right.
+	Accepted string
+}
+
+// String returns the mistake as one line.
+func (m Mistake) String() string {
+	text := fmt.Sprintf("%s:%d: section [%s]", m.Position.File, m.Position.Line, m.Section)
+	if m.Key != "" {
+		text += fmt.Sprintf(": key %q", m.Key)
+	}
+	text += ": " + m.Problem
+	if m.Accepted != "" {
+		text += "; accepted: " + m.Accepted
+	}
+	return text
+}
+
+// Mistakes is all that is wrong with a document.
+type Mistakes []Mistake
+
+// Error returns one line for each mistake.
+func (m Mistakes) Error() string {
+	lines := make([]string, len(m))
+	for i, mistake := range m {
+		lines[i] = mistake.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/pkg/grouper/snapshot.go
@@ -0,0 +1,113 @@
+package grouper
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// Keys of the rows that hold groups.
+const (
+	groupPrefix      = "groups/group/"
+	assignmentPrefix = "groups/instance/"
+	// fenceKey holds the highest fence; every change of any group raises it.
+	fenceKey   = "groups/fence"
+	scanPrefix = "groups/"
+)
+
+// assignment is the value of an instance's row.
+type assignment struct {
+	Group string `json:"group"`
+}
+
+// fenceValue is the value of the fence row.
+type fenceValue struct {
+	Fence uint64 `json:"fence"`
+}
+
+// Snapshot is what the table said of all groups at one read.
+type Snapshot struct {
+	// Groups holds the groups by id.
+	Groups map[string]Group
+	// Fence is the highest fence given out.
+	Fence uint64
+
+	versions    map[string]uint64
+	assignments map[string]string
+}
+
+// Load reads a snapshot from the table.
+func Load(ctx context.Context, table provider.Reader) (Snapshot, error) {
+	rows, err := table.Scan(ctx, scanPrefix)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Decode(rows)
+}
+
+// LoadFence reads the highest fence alone, which tells whether a snapshot is old.
+func LoadFence(ctx context.Context, table provider.Reader) (uint64, error) {
+	row, err := table.Read(ctx, fenceKey)
+	if err != nil || !row.Exists() {
+		return 0, err
+	}
+	var value fenceValue
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return 0, faulter.New("decode "+fenceKey, KindCorrupt, err)
+	}
+	return value.Fence, nil
+}
+
+// Decode builds a snapshot from rows that were read together.
+func Decode(rows []provider.Row) (Snapshot, error) {
+	s := Snapshot{
+		Groups:      make(map[string]Group),
+		versions:    make(map[string]uint64, len(rows)),
+		assignments: make(map[string]string),
+	}
+	for _, row := range rows {
+		if err := s.add(row); err != nil {
+			return Snapshot{}, faulter.New("decode "+row.Key, KindCorrupt, err)
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) add(row provider.Row) error {
+	s.versions[row.Key] = row.Version
+	switch {
+	case row.Key == fenceKey:
+		var value fenceValue
+		err := json.Unmarshal(row.Value, &value)
+		s.Fence = value.Fence
+		return err
+	case strings.HasPrefix(row.Key, groupPrefix):
+		var g Group
+		err := json.Unmarshal(row.Value, &g)
+		s.Groups[g.ID] = g
+		return err
+	case strings.HasPrefix(row.Key, assignmentPrefix):
+		var value assignment
+		err := json.Unmarshal(row.Value, &value)
+		s.assignments[strings.TrimPrefix(row.Key, assignmentPrefix)] = value.Group
+		return err
+	}
+	return nil
+}
+
+// GroupOf returns the group that an instance is assigned to, or "".
+func (s Snapshot) GroupOf(instance string) string { return s.assignments[instance] }
+
+// Sorted returns the groups in order of their ids.
+func (s Snapshot) Sorted() []Group {
+	groups := make([]Group, 0, len(s.Groups))
+	for _, g := range s.Groups {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b Group) int { return strings.Compare(a.ID, b.ID) })
+	return groups
+}
--- /dev/null
+++ b/pkg/limiter/queue.go
@@ -0,0 +1,207 @@
+// Package limiter decides which requests an entry instance takes on, which
+// wait, and which are refused at once with a time to come back.
+//
+// # Usage
+//
+//	queue := limiter.NewQueue(256)
+//	decision := queue.Offer(now, ticket, free)
+//	for _, ticket := range queue.Pump(now, free) { start(ticket) }
+//
+// Classes are served in order of priority. Within a class, organisations
+// share by weight, however many requests each of them sends. An [Allotter]
+// splits an organisation's rate over all entry instances.
+package limiter
+
+import (
+	"time"
+)
+
+//go:generate stringer -type=Verdict -linecomment -output=verdict_string.go
+
+// Verdict is what becomes of an offered request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	// Admitted says that the request starts now.
+	Admitted Verdict = iota // admitted
+	// Queued says that the request waits.
+	Queued // queued
+	// Refused says that the request is turned away.
+	Refused // refused
+)
+
+// Ticket is one request that asks to be taken on.
+type Ticket struct {
+	ID           uint64
+	Organisation string
+	// Weight is the organisation's share within its class.
+	Weight int
+	// Priority orders classes; the lowest number goes first.
+	Priority int
+	// Deadline is when the request is of no more use.
+	Deadline time.Time
+}
+
+// Decision is the answer to an offer.
+type Decision struct {
+	Verdict Verdict
+	// RetryAfter tells a refused caller when to come back.
+	RetryAfter time.Duration
+	// Evicted is a waiting request that lost its place to this one, if any.
+	Evicted *Ticket
+}
+
+// Queue holds the requests that wait. It does no I/O and is not safe for
+// concurrent use.
+type Queue struct {
+	capacity int
+	waiting  []waiter
+	// finish holds each organisation's virtual time of service.
+	finish map[string]float64
+	clock  float64
+	pace   pace
+}
+
+// waiter is a ticket with its virtual time of service.
+type waiter struct {
+	ticket Ticket
+	start  float64
+}
+
+// NewQueue returns a queue in which up to capacity requests wait.
+func NewQueue(capacity int) *Queue {
+	return &Queue{capacity: capacity, finish: make(map[string]float64)}
+}
+
+// SetCapacity changes how many requests may wait.
+func (q *Queue) SetCapacity(capacity int) { q.capacity = capacity }
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Offer asks to take on a request while free more can be run.
+func (q *Queue) Offer(now time.Time, t Ticket, free int) Decision {
+	if free > len(q.waiting) {
+		q.charge(t)
+		q.pace.served(now, 1)
+		return Decision{Verdict: Admitted}
+	}
+	wait := q.pace.wait(q.ahead(t) + 1)
+	if now.Add(wait).After(t.Deadline) {
+		return Decision{Verdict: Refused, RetryAfter: wait}
+	}
+	if len(q.waiting) < q.capacity {
+		q.push(t)
+		return Decision{Verdict: Queued}
+	}
+	evicted, found := q.evict(t)
+	if !found {
+		return Decision{Verdict: Refused, RetryAfter: wait}
+	}
+	q.push(t)
+	return Decision{Verdict: Queued, Evicted: &evicted, RetryAfter: wait}
+}
+
+// Pump returns the waiting requests that start now that free can be run.
+func (q *Queue) Pump(now time.Time, free int) []Ticket {
+	var started []Ticket
+	for len(started) < free && len(q.waiting) > 0 {
+		best := 0
+		for i := range q.waiting {
+			if before(q.waiting[i], q.waiting[best]) {
+				best = i
+			}
+		}
+		w := q.remove(best)
+		q.clock = max(q.clock, w.start)
+		started = append(started, w.ticket)
+	}
+	q.pace.served(now, len(started))
+	return started
+}
+
+// Expire removes and returns the waiting requests whose deadline has passed.
+func (q *Queue) Expire(now time.Time) []Ticket {
+	var expired []Ticket
+	for i := len(q.waiting) - 1; i >= 0; i-- {
+		if !now.Before(q.waiting[i].ticket.Deadline) {
+			expired = append(expired, q.remove(i).ticket)
+		}
+	}
+	return expired
+}
+
+// Cancel removes a waiting request whose caller has gone.
+func (q *Queue) Cancel(id uint64) bool {
+	for i := range q.waiting {
+		if q.waiting[i].ticket.ID == id {
+			q.remove(i)
+			return true
+		}
+	}
+	return false
+}
+
+// RetryAfter estimates when a request that is refused now should come back.
+func (q *Queue) RetryAfter() time.Duration { return q.pace.wait(len(q.waiting) + 1) }
+
+func (q *Queue) push(t Ticket) {
+	q.waiting = append(q.waiting, waiter{ticket: t, start: q.charge(t)})
+}
+
+// charge books one request to the organisation and returns its virtual time.
+func (q *Queue) charge(t Ticket) float64 {
+	if len(q.waiting) == 0 {
+		clear(q.finish)
+		q.clock = 0
+	}
+	start := max(q.clock, q.finish[t.Organisation])
+	q.finish[t.Organisation] = start + 1/float64(max(1, t.Weight))
+	return start
+}
+
+// ahead counts the waiting requests that would be served before t.
+func (q *Queue) ahead(t Ticket) int {
+	next := waiter{ticket: t, start: max(q.clock, q.finish[t.Organisation])}
+	count := 0
+	for _, w := range q.waiting {
+		if !before(next, w) {
+			count++
+		}
+	}
+	return count
+}
+
+// evict removes the waiting request that would be served last, if t would be
+// served before it.
+func (q *Queue) evict(t Ticket) (Ticket, bool) {
+	if len(q.waiting) == 0 {
+		return Ticket{}, false
+	}
+	worst := 0
+	for i := range q.waiting {
+		if !before(q.waiting[i], q.waiting[worst]) {
+			worst = i
+		}
+	}
+	next := waiter{ticket: t, start: max(q.clock, q.finish[t.Organisation])}
+	if !before(next, q.waiting[worst]) {
+		return Ticket{}, false
+	}
+	return q.remove(worst).ticket, true
+}
+
+func (q *Queue) remove(i int) waiter {
+	w := q.waiting[i]
+	q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+	return w
+}
+
+// before reports whether a is served before b.
+func before(a, b waiter) bool {
+	if a.ticket.Priority != b.ticket.Priority {
+		return a.ticket.Priority < b.ticket.Priority
+	}
+	return a.start < b.start
+}
--- /dev/null
+++ b/pkg/placer/placer.go
@@ -0,0 +1,148 @@
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/grouper"
+)
+
+// Placer remembers since when instances are lost and groups drain. It does no
+// I/O and is not safe for concurrent use.
+type Placer struct {
+	lostSince     map[string]time.Time
+	drainingSince map[string]time.Time
+}
+
+// New returns a placer without memory.
+func New() *Placer {
+	return &Placer{lostSince: make(map[string]time.Time), drainingSince: make(map[string]time.Time)}
+}
+
+// Step looks at a view and returns what to change now.
+func (p *Placer) Step(now time.Time, view View) []Decision {
+	p.remember(now, view)
+	if !credible(view) {
+		return nil
+	}
+	s := &step{placer: p, now: now, view: view, instances: make(map[string]Instance)}
+	s.index()
+	s.repair()
+	for _, model := range view.Models {
+		s.fit(model)
+	}
+	s.dropUnknown()
+	return s.decisions
+}
+
+// maxLostShare is the share of instances above which it is the observer that is
+// taken to be cut off.
+const maxLostShare = 0.5
+
+// credible reports whether the view shows enough live instances to act on.
+// Members that are not listed count as lost.
+func credible(view View) bool {
+	listed := make(map[string]bool, len(view.Instances))
+	total, lost := len(view.Instances), 0
+	for _, in := range view.Instances {
+		listed[in.ID] = true
+		if !in.Alive {
+			lost++
+		}
+	}
+	for _, g := range view.Groups {
+		for _, m := range g.Members {
+			if !listed[m.Instance] {
+				total++
+				lost++
+			}
+		}
+	}
+	return float64(lost) <= maxLostShare*float64(total)
+}
+
+// remember keeps the times at which losses and drains were first seen.
+func (p *Placer) remember(now time.Time, view View) {
+	lost := make(map[string]time.Time)
+	for _, in := range view.Instances {
+		if in.Alive {
+			continue
+		}
+		since, known := p.lostSince[in.ID]
+		if !known {
+			since = now
+		}
+		lost[in.ID] = since
+	}
+	draining := make(map[string]time.Time)
+	for _, g := range view.Groups {
+		if !g.Draining && !anyLeaving(view, g) {
+			continue
+		}
+		since, known := p.drainingSince[g.ID]
+		if !known {
+			since = now
+		}
+		draining[g.ID] = since
+	}
+	p.lostSince, p.drainingSince = lost, draining
+}
+
+// anyLeaving reports whether a member of the group is about to stop.
+func anyLeaving(view View, g grouper.Group) bool {
+	for _, in := range view.Instances {
+		if in.Leaving && g.Has(in.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// step is one pass over a view.
+type step struct {
+	placer    *Placer
+	now       time.Time
+	view      View
+	instances map[string]Instance
+	// free holds, by fabric domain, the instances that a group may take.
+	free      map[string][]Instance
+	decisions []Decision
+}
+
+func (s *step) index() {
+	taken := make(map[string]bool)
+	for _, g := range s.view.Groups {
+		for _, m := range g.Members {
+			taken[m.Instance] = true
+		}
+	}
+	s.free = make(map[string][]Instance)
+	for _, in := range s.view.Instances {
+		s.instances[in.ID] = in
+		if !taken[in.ID] && in.Alive && !in.Leaving {
+			s.free[in.FabricDomain] = append(s.free[in.FabricDomain], in)
+		}
+	}
+	for _, free := range s.free {
+		slices.SortFunc(free, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+func (s *step) decide(kind DecisionKind, g grouper.Group, reason string) {
+	s.decisions = append(s.decisions, Decision{Kind: kind, Group: g, Reason: reason})
+}
+
+// take removes and returns a free instance of a domain.
+func (s *step) take(domain string) (Instance, bool) {
+	free := s.free[domain]
+	if len(free) == 0 {
+		return Instance{}, false
+	}
+	s.free[domain] = free[1:]
+	return free[0], true
+}
+
+func member(in Instance) grouper.Member {
+	return grouper.Member{Instance: in.ID, Incarnation: in.Incarnation, Address: in.Address}
+}
--- /dev/null
+++ b/pkg/registrar/registry.go
@@ -0,0 +1,98 @@
+// Package registrar keeps plug-ins by name. A plug-in joins from an init
+// function in its own file, so that adding one touches that file alone.
+//
+// # Usage
+//
+//	var Policies = registrar.New[Factory]("routing policy")
+//
+//	func init() { Policies.Register("round_robin", newRoundRobin) }
+//
+//	factory, err := Policies.Lookup(name)
+package registrar
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
+
+// Kind sorts the failures of this package.
+type Kind int
+
+// Kinds of failure.
+const (
+	// KindUnknown says that no plug-in has the name asked for.
+	KindUnknown Kind = iota
+)
+
+// Error is the error type of this package.
+type Error = faulter.Error[Kind]
+
+// Registry maps names to plug-ins of one type. It is safe for concurrent use.
+type Registry[T any] struct {
+	what string
+
+	mu       sync.RWMutex
+	byName   map[string]T
+	fallback string
+}
+
+// New returns an empty registry; what names the type of plug-in in errors.
+func New[T any](what string) *Registry[T] {
+	return &Registry[T]{what: what, byName: make(map[string]T)}
+}
+
+// Register adds a plug-in. It panics when the name is taken, which can only
+// happen at start-up.
+func (r *Registry[T]) Register(name string, plugin T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.byName[name]; taken {
+		panic(fmt.Sprintf("registrar: %s %q registered twice", r.what, name))
+	}
+	r.byName[name] = plugin
+}
+
+// SetFallback names the plug-in that Lookup returns for an empty name.
+func (r *Registry[T]) SetFallback(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fallback = name
+}
+
+// Lookup returns the plug-in of that name, or the fallback for an empty name.
+// An unknown name is an error of KindUnknown that lists the names accepted.
+func (r *Registry[T]) Lookup(name string) (T, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if name == "" {
+		name = r.fallback
+	}
+	plugin, found := r.byName[name]
+	if !found {
+		return plugin, faulter.Newf("look up "+r.what, KindUnknown,
+			"%q is not one of: %s", name, strings.Join(r.namesLocked(), ", "))
+	}
+	return plugin, nil
+}
+
+// Names returns the registered names in order.
+func (r *Registry[T]) Names() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.namesLocked()
+}
+
+func (r *Registry[T]) namesLocked() []string {
+	names := make([]string, 0, len(r.byName))
+	for name := range r.byName {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/pkg/retrier/attempt.go
@@ -0,0 +1,200 @@
+// Package retrier decides what becomes of one request: where it is tried,
+// whether it is resumed or run again after a failure, and which outcome its
+// caller is told. It is a plain state machine: events in, one action out.
+//
+// # Usage
+//
+//	machine := retrier.New(retrier.Facts{Idempotent: true, Deadline: deadline}, budget)
+//	action := machine.Step(now, retrier.Event{Kind: retrier.Started})
+//	for action.Kind == retrier.Try { ... }
+//
+// "Not run" is only ever told when no byte of the request left for a back end,
+// or when each back end that got any proved that it did not begin.
+package retrier
+
+import "time"
+
+//go:generate stringer -type=EventKind,ActionKind -linecomment -output=enum_string.go
+
+// MaxAttempts bounds how often one request is sent.
+const MaxAttempts = 4
+
+// Waiting times between tries that found no back end.
+const (
+	minWait = 20 * time.Millisecond
+	maxWait = 250 * time.Millisecond
+)
+
+// Facts is what is known of a request from the start.
+type Facts struct {
+	// Idempotent says that the request may be run more than once.
+	Idempotent bool
+	// Buffered says that the caller sees nothing before the end, so that a
+	// partial answer can be thrown away.
+	Buffered bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// QueueUntil is how long the request may wait for a back end to appear.
+	QueueUntil time.Time
+}
+
+// EventKind is what happened to a request.
+type EventKind int
+
+// Kinds of event.
+const (
+	// Started begins the request.
+	Started EventKind = iota // started
+	// NoBackend says that no back end may be sent the request now.
+	NoBackend // no_backend
+	// Waited says that the time of a Wait is over.
+	Waited // waited
+	// NotSent says that a try ended before the back end began.
+	NotSent // not_sent
+	// CannotResume says that the back end did not begin since it cannot resume.
+	CannotResume // cannot_resume
+	// Broke says that a try ended after the back end may have begun.
+	Broke // broke
+	// Finished says that the whole answer came.
+	Finished // finished
+	// Blocked says that the request is known to crash back ends.
+	Blocked // blocked
+	// Expired says that the deadline has passed, or that the caller has gone.
+	Expired // expired
+)
+
+// Event is one event with what the machine needs to know of it.
+type Event struct {
+	Kind EventKind
+	// Delivered counts the events of the stream that the caller has been sent.
+	Delivered int
+}
+
+// ActionKind is what to do next.
+type ActionKind int
+
+// Kinds of action.
+const (
+	// Try sends the request to a back end.
+	Try ActionKind = iota // try
+	// Wait asks again after a while.
+	Wait // wait
+	// Answer tells the caller the outcome; the request is over.
+	Answer // answer
+)
+
+// Action is what to do next.
+type Action struct {
+	Kind ActionKind
+	// ResumeFrom is the event of the stream from which a Try goes on.
+	ResumeFrom int
+	// For is how long to Wait.
+	For time.Duration
+	// Outcome is what an Answer tells.
+	Outcome Outcome
+	// Final says that the caller should not come back with this request.
+	Final bool
+	// Expired says that the deadline decided.
+	Expired bool
+}
+
+// Machine is the state of one request. It is not safe for concurrent use.
+type Machine struct {
+	facts    Facts
+	budget   *Budget
+	attempts int
+	waits    int
+	// begun says that some back end may have begun the request.
+	begun bool
+	done  bool
+}
+
+// New returns the machine of a request that draws its retries from budget.
+func New(facts Facts, budget *Budget) *Machine {
+	return &Machine{facts: facts, budget: budget}
+}
+
+// Attempts returns how often the request has been tried.
+func (m *Machine) Attempts() int { return m.attempts }
+
+// Step takes in an event and returns what to do next.
+func (m *Machine) Step(now time.Time, event Event) Action {
+	switch event.Kind {
+	case Started:
+		m.budget.Deposit()
+		return m.try(0)
+	case Finished:
+		return m.answer(Complete)
+	case NoBackend:
+		return m.noBackend(now)
+	case Waited:
+		return m.try(event.Delivered)
+	case NotSent:
+		return m.again(now, event)
+	case CannotResume:
+		return m.cannotResume(now, event)
+	case Broke:
+		return m.broke(now, event)
+	case Blocked:
+		action := m.answer(m.failure())
+		action.Final = true
+		return action
+	}
+	action := m.answer(m.failure())
+	action.Expired = true
+	return action
+}
+
+// failure is the outcome of a request that has no whole answer.
+func (m *Machine) failure() Outcome {
+	if m.begun {
+		return MayHaveRun
+	}
+	return NotRun
+}
+
+func (m *Machine) try(resumeFrom int) Action {
+	m.attempts++
+	return Action{Kind: Try, ResumeFrom: resumeFrom}
+}
+
+func (m *Machine) answer(outcome Outcome) Action {
+	m.done = true
+	return Action{Kind: Answer, Outcome: outcome}
+}
+
+// noBackend waits while the request may wait, and gives up at once after.
+func (m *Machine) noBackend(now time.Time) Action {
+	m.attempts = max(0, m.attempts-1)
+	if !now.Before(m.facts.QueueUntil) || !now.Before(m.facts.Deadline) {
+		return m.answer(m.failure())
+	}
+	m.waits++
+	wait := min(minWait<<min(m.waits-1, 4), maxWait)
+	wait = min(wait, m.facts.QueueUntil.Sub(now), m.facts.Deadline.Sub(now))
+	return Action{Kind: Wait, For: wait}
+}
+
+// broke goes on where a second run, or the rest of the first, is allowed.
+func (m *Machine) broke(now time.Time, event Event) Action {
+	m.begun = true
+	if !m.facts.Idempotent {
+		return m.answer(MayHaveRun)
+	}
+	return m.again(now, event)
+}
+
+func (m *Machine) cannotResume(now time.Time, event Event) Action {
+	if m.facts.Buffered {
+		event.Delivered = 0
+		return m.again(now, event)
+	}
+	return m.answer(MayHaveRun)
+}
+
+func (m *Machine) again(now time.Time, event Event) Action {
+	if m.attempts >= MaxAttempts || !now.Before(m.facts.Deadline) || !m.budget.Withdraw() {
+		return m.answer(m.failure())
+	}
+	return m.try(event.Delivered)
+}
--- /dev/null
+++ b/pkg/router/random.go
@@ -0,0 +1,12 @@
+package router
+
+import "math/rand/v2"
+
+func init() {
+	Policies.Register("random", func() Policy { return PolicyFunc(pickRandom) })
+}
+
+// pickRandom takes any candidate.
+func pickRandom(_ Request, candidates []Candidate, random *rand.Rand) int {
+	return random.IntN(len(candidates))
+}
--- /dev/null
+++ b/pkg/router/round_robin.go
@@ -0,0 +1,18 @@
+package router
+
+import "math/rand/v2"
+
+func init() {
+	Policies.Register("round_robin", func() Policy { return &roundRobin{} })
+}
+
+// roundRobin takes the candidates in turn.
+type roundRobin struct {
+	next int
+}
+
+// Pick implements [Policy].
+func (p *roundRobin) Pick(_ Request, candidates []Candidate, _ *rand.Rand) int {
+	p.next++
+	return p.next % len(candidates)
+}
--- /dev/null
+++ b/pkg/router/tracker.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"time"
+)
+
+// Tracker knows the load of each group as seen from one entry instance. It
+// does no I/O and is not safe for concurrent use.
+type Tracker struct {
+	groups map[string]*load
+}
+
+// load is what is known of one group.
+type load struct {
+	// own counts the requests that this entry has in flight.
+	own int
+	// others estimates the requests of other entries, from the last report.
+	others float64
+	// reportedAt is the time of that report.
+	reportedAt time.Time
+	outlier    outlier
+}
+
+// NewTracker returns a tracker that knows no group.
+func NewTracker() *Tracker {
+	return &Tracker{groups: make(map[string]*load)}
+}
+
+func (t *Tracker) load(group string) *load {
+	l, found := t.groups[group]
+	if !found {
+		l = &load{}
+		t.groups[group] = l
+	}
+	return l
+}
+
+// Begin counts a request that is sent to the group.
+func (t *Tracker) Begin(group string) { t.load(group).own++ }
+
+// End counts a request that is over, and whether the group failed it.
+func (t *Tracker) End(now time.Time, group string, failed bool) {
+	l := t.load(group)
+	l.own = max(0, l.own-1)
+	l.outlier.record(now, failed)
+}
+
+// Report takes in how many requests the group's engine said it has. What is
+// not this entry's own belongs to the others.
+func (t *Tracker) Report(now time.Time, group string, inFlight int) {
+	l := t.load(group)
+	if now.Before(l.reportedAt) {
+		return
+	}
+	l.others = max(0, float64(inFlight-l.own))
+	l.reportedAt = now
+}
+
+// InFlight returns how many requests this entry has at the group.
+func (t *Tracker) InFlight(group string) int {
+	if l, found := t.groups[group]; found {
+		return l.own
+	}
+	return 0
+}
+
+// Load estimates all requests that the group has.
+func (t *Tracker) Load(group string) float64 {
+	l, found := t.groups[group]
+	if !found {
+		return 0
+	}
+	return float64(l.own) + l.others
+}
+
+// Keep drops the groups for which keep says no and that have nothing in flight.
+func (t *Tracker) Keep(keep func(group string) bool) {
+	for group, l := range t.groups {
+		if l.own == 0 && !keep(group) {
+			delete(t.groups, group)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/spreader/spreader.go
@@ -0,0 +1,216 @@
+// Package spreader spreads what each entry instance tells of itself to all
+// others over a sparse random regular graph. Each instance exchanges
+// digests with a few neighbours; a heartbeat is a number in the digest, and
+// the content of a record travels only when it has changed.
+//
+// # Usage
+//
+//	s := spreader.New(self, spreader.Settings{Expiry: 3 * time.Second, Degree: 4})
+//	for _, neighbour := range s.Tick(now) {
+//		reply := call(neighbour, s.Digest())
+//		s.Merge(now, reply)
+//	}
+//
+// A record is live while its heartbeat rises as seen on the own clock.
+package spreader
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Settings are the constants of a spreader.
+type Settings struct {
+	// Expiry is how long a member is live without a new heartbeat.
+	Expiry time.Duration
+	// Degree is how many neighbours each member has.
+	Degree int
+}
+
+// Digest is what two members exchange.
+type Digest struct {
+	// Versions holds what the sender knows of, by member.
+	Versions map[string]Version
+	// Records holds the content that the receiver lacks.
+	Records []Member
+	// Wanted names the records that the sender lacks.
+	Wanted []string
+}
+
+// Spreader holds what one instance knows of all. It does no I/O and is not
+// safe for concurrent use.
+type Spreader struct {
+	settings Settings
+	self     Member
+	known    map[string]*knowledge
+	seeds    map[string]Member
+}
+
+// knowledge is what is known of one member.
+type knowledge struct {
+	member  Member
+	version Version
+	// heard is when the heartbeat last rose.
+	heard time.Time
+}
+
+// New returns a spreader for the instance self.
+func New(self Member, settings Settings) *Spreader {
+	s := &Spreader{
+		settings: settings,
+		self:     self,
+		known:    make(map[string]*knowledge),
+		seeds:    make(map[string]Member),
+	}
+	s.known[self.ID] = &knowledge{member: self, version: Version{Epoch: self.Epoch, Revision: self.Revision, Beat: 1}}
+	return s
+}
+
+// Self returns the instance's own record.
+func (s *Spreader) Self() Member { return s.self }
+
+// Update changes the instance's own record.
+func (s *Spreader) Update(change func(*Member)) {
+	next := s.self
+	change(&next)
+	if next == s.self {
+		return
+	}
+	next.Revision++
+	s.self = next
+	own := s.known[next.ID]
+	own.member = next
+	own.version.Revision = next.Revision
+}
+
+// Seed names a member that may be there, from the table or from settings.
+func (s *Spreader) Seed(m Member) {
+	if m.ID != s.self.ID {
+		s.seeds[m.ID] = m
+	}
+}
+
+// Tick raises the own heartbeat and returns the members to exchange with.
+func (s *Spreader) Tick(now time.Time) []Member {
+	own := s.known[s.self.ID]
+	own.version.Beat++
+	own.heard = now
+	contacts := s.neighbours(now)
+	for _, id := range slices.Sorted(maps.Keys(s.seeds)) {
+		if _, known := s.known[id]; !known {
+			contacts = append(contacts, s.seeds[id])
+		}
+	}
+	return contacts
+}
+
+// Digest returns what to send to another member.
+func (s *Spreader) Digest() Digest {
+	d := Digest{Versions: make(map[string]Version, len(s.known))}
+	for id, k := range s.known {
+		d.Versions[id] = k.version
+	}
+	return d
+}
+
+// Answer takes in a digest and returns the one to reply with.
+func (s *Spreader) Answer(now time.Time, d Digest) Digest {
+	s.Merge(now, d)
+	reply := s.Digest()
+	for id, k := range s.known {
+		if k.version.newerRecord(d.Versions[id]) {
+			reply.Records = append(reply.Records, k.member)
+		}
+	}
+	for id, version := range d.Versions {
+		if s.lacks(id, version) {
+			reply.Wanted = append(reply.Wanted, id)
+		}
+	}
+	slices.Sort(reply.Wanted)
+	slices.SortFunc(reply.Records, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return reply
+}
+
+// Supply returns the records that a reply asked for, or false for none.
+func (s *Spreader) Supply(reply Digest) (Digest, bool) {
+	if len(reply.Wanted) == 0 {
+		return Digest{}, false
+	}
+	d := s.Digest()
+	for _, id := range reply.Wanted {
+		if k, known := s.known[id]; known {
+			d.Records = append(d.Records, k.member)
+		}
+	}
+	return d, true
+}
+
+// Merge takes in a digest.
+func (s *Spreader) Merge(now time.Time, d Digest) {
+	for _, m := range d.Records {
+		s.mergeRecord(now, m)
+	}
+	for id, version := range d.Versions {
+		k, known := s.known[id]
+		if known && id != s.self.ID && version.sameRecord(k.version) && version.Beat > k.version.Beat {
+			k.version.Beat = version.Beat
+			k.heard = now
+		}
+	}
+}
+
+func (s *Spreader) mergeRecord(now time.Time, m Member) {
+	if m.ID == s.self.ID {
+		return
+	}
+	version := Version{Epoch: m.Epoch, Revision: m.Revision}
+	k, known := s.known[m.ID]
+	if !known {
+		s.known[m.ID] = &knowledge{member: m, version: version, heard: now}
+		return
+	}
+	if !version.newerRecord(k.version) {
+		return
+	}
+	if version.Epoch == k.version.Epoch {
+		version.Beat = k.version.Beat
+	}
+	k.member, k.version, k.heard = m, version, now
+}
+
+func (s *Spreader) lacks(id string, version Version) bool {
+	if id == s.self.ID {
+		return false
+	}
+	k, known := s.known[id]
+	return !known || version.newerRecord(k.version)
+}
+
+// Live returns the members whose heartbeat is fresh, in order of their ids.
+// The instance itself is always among them.
+func (s *Spreader) Live(now time.Time) []Member {
+	members := make([]Member, 0, len(s.known))
+	for id, k := range s.known {
+		if id == s.self.ID || now.Sub(k.heard) < s.settings.Expiry {
+			members = append(members, k.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+// forgetTerms is after how many expiries a silent member is dropped.
+const forgetTerms = 20
+
+// Forget drops the members that have been silent for long.
+func (s *Spreader) Forget(now time.Time) {
+	for id, k := range s.known {
+		if id != s.self.ID && now.Sub(k.heard) > forgetTerms*s.settings.Expiry {
+			delete(s.known, id)
+			delete(s.seeds, id)
+		}
+	}
+}
