Close a group's gate on a broken connection, and on the platform's word

Cause (TestStreamsSurviveTheLossOfAnEngine): after the head was killed, a stream's retries went to the same dead group, whose load had just dropped to zero and whose evidence was still fresh; four attempts were used up within milliseconds and the caller was told may_have_run although a whole group was there. Cause (TestLeavingBackendServerGetsNoNewWork, list): the platform's list reached the control loop only, never the gate.

Ruled out: more attempts (same group again), treating a broken connection as loss (it would cancel every stream of a group for one request's failure).

Also: callers may have patience, so that a frozen entry does not hold them.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,6 +166,7 @@
 			c.mu.Lock()
 			c.listed = instances
 			c.mu.Unlock()
+			c.Prober.SetLeaving(leaving(instances))
 		}
 		select {
 		case <-ctx.Done():
@@ -175,6 +176,17 @@
 	}
 }
 
+// leaving returns the instances that are about to stop.
+func leaving(instances []provider.Instance) map[string]bool {
+	set := make(map[string]bool)
+	for _, in := range instances {
+		if in.Leaving {
+			set[in.ID] = true
+		}
+	}
+	return set
+}
+
 func (c *Controller) loop(ctx context.Context) {
 	ticker := time.NewTicker(passInterval)
 	defer ticker.Stop()
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Controller) commit(ctx context.Context, snapshot grouper.Snapshot, d placer.Decision) {
-	entry := log.WithFields(log.Fields{"decision": d.Kind, "group": d.Group.ID, "reason": d.Reason})
+	entry := log.WithFields(log.Fields{"decision": d.Kind.String(), "group": d.Group.ID, "reason": d.Reason})
 	tx, err := transaction(snapshot, d)
 	if err != nil {
 		entry.WithError(err).Warn("decision is out of date")
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -54,7 +54,7 @@
 }
 
 func (c *Controller) send(ctx context.Context, address string, o orderer.Order) {
-	entry := log.WithFields(log.Fields{"instance": o.Instance, "action": o.Action, "group": o.Group, "fence": o.Fence})
+	entry := log.WithFields(log.Fields{"instance": o.Instance, "action": o.Action.String(), "group": o.Group, "fence": o.Fence})
 	if !c.mayOrder() {
 		entry.Warn("order not sent: the lease is about to end")
 		return
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -45,6 +45,8 @@
 	Check(group grouper.Group) gatekeeper.Verdict
 	Evidence(instance string) (gatekeeper.Evidence, bool)
 	Changed() <-chan struct{}
+	// Doubt closes the gates of groups with this instance until it is seen anew.
+	Doubt(instance string, address netip.AddrPort)
 }
 
 // Broadcaster tells peers of strikes and returns what they know of them.
--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -68,10 +68,10 @@
 	d.tracker.Report(at, group, inFlight)
 }
 
-// pick chooses a back end and counts the request there.
-func (d *Dispatcher) pick(r Request) (backend, bool) {
+// pick chooses a back end, rather one that has not failed the request, and counts the request there.
+func (d *Dispatcher) pick(r Request, failed map[string]bool) (backend, bool) {
 	config := d.configs.Config()
-	found := d.backends(r)
+	found := prefer(d.backends(r), failed)
 	if config == nil || len(found) == 0 {
 		return backend{}, false
 	}
@@ -92,6 +92,20 @@
 	return backend{}, false
 }
 
+// prefer leaves out the back ends that failed, unless there is no other.
+func prefer(found []backend, failed map[string]bool) []backend {
+	var others []backend
+	for _, b := range found {
+		if !failed[b.name] {
+			others = append(others, b)
+		}
+	}
+	if len(others) == 0 {
+		return found
+	}
+	return others
+}
+
 func (d *Dispatcher) candidates(config *configurer.Config, r Request, found []backend) []router.Candidate {
 	var candidates []router.Candidate
 	for _, b := range found {
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -48,6 +48,8 @@
 	// restarted says that a Buffered stream began anew.
 	restarted bool
 	failure   error
+	// failed holds the back ends that this request has failed at.
+	failed map[string]bool
 	// whole says that the terminal mark has come.
 	whole  bool
 	closed bool
@@ -203,6 +205,7 @@
 		err = cause
 	}
 	s.failure = err
+	s.blame(s.current.backend)
 	s.strike(s.current.backend, err)
 	s.dispatcher.finish(s.current, true)
 	s.current = nil
@@ -258,7 +261,7 @@
 // or else the event for the machine.
 func (s *Stream) try(action retrier.Action) (retrier.EventKind, bool) {
 	resumeFrom := action.ResumeFrom
-	b, found := s.dispatcher.pick(s.request)
+	b, found := s.dispatcher.pick(s.request, s.failed)
 	if !found {
 		return retrier.NoBackend, false
 	}
@@ -269,10 +272,11 @@
 	t, kind, err := s.dispatcher.send(s.ctx, s.request, b, resumeFrom)
 	if err != nil {
 		s.failure = err
+		s.blame(b)
 		if kind == retrier.Broke {
 			s.strike(b, err)
 		}
-		log.WithFields(log.Fields{"request": s.request.ID, "backend": b.name, "event": kind}).WithError(err).Debug("try failed")
+		log.WithFields(log.Fields{"request": s.request.ID, "backend": b.name, "event": kind.String()}).WithError(err).Debug("try failed")
 		return kind, false
 	}
 	s.current = t
@@ -281,6 +285,21 @@
 	return retrier.Started, true
 }
 
+// blame keeps this request away from a back end that failed it, and closes
+// the gate of a group until its head has been seen anew.
+func (s *Stream) blame(b backend) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	if s.failed == nil {
+		s.failed = make(map[string]bool)
+	}
+	s.failed[b.name] = true
+	if b.group != nil {
+		s.dispatcher.gates.Doubt(b.group.Head().Instance, b.address)
+	}
+}
+
 // strike counts a crash against the request where the head is to blame or
 // gone, and waits shortly for what the peers know.
 func (s *Stream) strike(b backend, err error) {
--- a/internal/engineemulator/completion.go
+++ b/internal/engineemulator/completion.go
@@ -92,7 +92,7 @@
 	}
 	defer e.end()
 	resumeFrom, _ := strconv.Atoi(r.Header.Get(headerResumeFrom))
-	e.recordCompletion(r, resumeFrom)
+	e.recordCompletion(r, request, resumeFrom)
 	if strings.Contains(request.text(), CrashMark) {
 		e.settings.crash()
 		return
@@ -123,7 +123,7 @@
 	e.report.InFlight--
 }
 
-func (e *Engine) recordCompletion(r *http.Request, resumeFrom int) {
+func (e *Engine) recordCompletion(r *http.Request, request completionRequest, resumeFrom int) {
 	report := e.Report()
 	e.recorder.Record(Run{
 		Kind:           RunCompletion,
@@ -135,6 +135,7 @@
 		Group:          report.Group,
 		Fence:          report.Fence,
 		ResumeFrom:     resumeFrom,
+		Subject:        subject(request.text()),
 	})
 }
 
--- a/internal/engineemulator/recorder.go
+++ b/internal/engineemulator/recorder.go
@@ -28,8 +28,15 @@
 	Fence          uint64    `json:"fence,omitempty"`
 	ResumeFrom     int       `json:"resume_from,omitempty"`
 	Refused        bool      `json:"refused,omitempty"`
+	// Subject is the beginning of the prompt or body.
+	Subject string `json:"subject,omitempty"`
 }
 
+// subjectBytes is how much of a prompt or body is recorded.
+const subjectBytes = 64
+
+func subject(text string) string { return text[:min(len(text), subjectBytes)] }
+
 // Recorder appends runs to a writer, one JSON object a line.
 type Recorder struct {
 	mu      sync.Mutex
--- a/internal/engineemulator/service.go
+++ b/internal/engineemulator/service.go
@@ -46,6 +46,7 @@
 		IdempotencyKey: r.Header.Get(headerKey),
 		Organisation:   r.Header.Get(headerOrganisation),
 		Instance:       s.name,
+		Subject:        subject(string(body)),
 	})
 	if strings.Contains(string(body), CrashMark) {
 		s.crash()
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -55,6 +55,7 @@
 const (
 	organisationKey = "key-of-alpha"
 	startTimeout    = 20 * time.Second
+	patience        = 3 * time.Second
 )
 
 // process is a program that a test has started.
@@ -430,11 +431,10 @@
 	for _, a := range c.callers {
 		seeds = append(seeds, a)
 	}
-	return caller.New(seeds, caller.WithKey(organisationKey))
+	return caller.New(seeds, caller.WithKey(organisationKey), caller.WithPatience(patience))
 }
 
-// clientOf returns a caller that knows only one entry instance, and that
-// stays with it.
+// post sends one request to one entry instance, without a second try.
 func (c *cluster) post(entry, path, body string, headers map[string]string) (int, http.Header, string, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.callers[entry].String()+path, strings.NewReader(body))
 	if err != nil {
@@ -473,3 +473,12 @@
 		return poll.Success()
 	}, poll.WithTimeout(startTimeout), poll.WithDelay(20*time.Millisecond))
 }
+
+func postNothing(target string) (int, error) {
+	response, err := http.Post(target, "application/json", nil)
+	if err != nil {
+		return 0, err
+	}
+	response.Body.Close()
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/internal/integration/stream_test.go
@@ -0,0 +1,187 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/pkg/caller"
+)
+
+// longStream is a number of tokens that takes long enough to fail amidst it.
+const longStream = 600
+
+// TestStreamsSurviveTheLossOfAnEngine kills the head of a group, or another
+// member, while many streams run there. Where the engines resume, every
+// caller gets its whole answer; where they do not, no answer is silently short.
+func TestStreamsSurviveTheLossOfAnEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		args   []string
+		member int
+		whole  bool
+	}{
+		"head lost and engines resume":            {[]string{"--token-interval", "3ms"}, 0, true},
+		"member lost and engines resume":          {[]string{"--token-interval", "3ms"}, 2, true},
+		"head lost and engines do not resume":     {[]string{"--token-interval", "3ms", "--cannot-resume"}, 0, false},
+		"member frozen and engines do not resume": {[]string{"--token-interval", "3ms", "--cannot-resume"}, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := start(t, plan{
+				entries:    3,
+				domains:    map[string]int{"fabric-a": 4, "fabric-b": 4},
+				engineArgs: test.args,
+				config:     fmt.Sprintf(assistModel, 2) + "[admission]\nretry_ratio = 1\n",
+			})
+			groups := c.awaitOpen("entry-0", 2)
+			c.awaitOpen("entry-1", 2)
+			c.awaitOpen("entry-2", 2)
+			const streams = 40
+			l := &load{cancel: func() {}}
+			for i := range streams {
+				client := c.client()
+				l.done.Go(func() { l.one(client, fmt.Sprintf("long answer %d", i), longStream) })
+			}
+			c.await("streams run on the group", func() bool { return c.runsOn(groups[0].ID) > streams/4 })
+			victim := groups[0].Members[test.member].Instance
+			if name == "member frozen and engines do not resume" {
+				c.signal(victim, syscall.SIGSTOP)
+			} else {
+				c.kill(victim)
+			}
+			all := l.stop()
+			assert.Equal(t, len(all), streams)
+			checkNoneSilentlyShort(t, all)
+			if test.whole {
+				checkAllComplete(t, all)
+			}
+		})
+	}
+}
+
+// runsOn counts the runs that the engines of a group have begun.
+func (c *cluster) runsOn(group string) int {
+	count := 0
+	for _, r := range c.records() {
+		if r.Group == group && r.Subject != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// TestCallerComesBackThroughAnotherEntry kills an entry instance amidst many
+// streams. Its callers see them cut, never short, and get the whole answer
+// through another entry instance.
+func TestCallerComesBackThroughAnotherEntry(t *testing.T) {
+	c := start(t, plan{
+		entries:    3,
+		domains:    map[string]int{"fabric-a": 4},
+		engineArgs: []string{"--token-interval", "3ms"},
+		config:     fmt.Sprintf(assistModel, 1),
+	})
+	c.awaitOpen("entry-0", 1)
+	c.awaitOpen("entry-1", 1)
+	c.awaitOpen("entry-2", 1)
+	const streams = 30
+	var mu sync.Mutex
+	cut := 0
+	var all []said
+	var callers sync.WaitGroup
+	for i := range streams {
+		client := c.client()
+		callers.Go(func() {
+			prompt := fmt.Sprintf("long answer %d", i)
+			ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+			defer cancel()
+			result, text, err := complete(ctx, client, prompt, longStream, nil)
+			if err != nil || result.Outcome != caller.OutcomeComplete {
+				mu.Lock()
+				cut++
+				mu.Unlock()
+				result, text, err = complete(ctx, client, prompt, longStream, nil)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s := said{prompt: prompt, text: text, tokens: longStream, err: err}
+			if result != nil {
+				s.outcome = result.Outcome
+			}
+			all = append(all, s)
+		})
+	}
+	c.await("all streams run", func() bool { return c.runsOn("assist-1") >= streams })
+	c.kill("entry-1")
+	callers.Wait()
+	assert.Assert(t, cut > 0, "no stream ran through the entry instance that was killed")
+	checkAllComplete(t, all)
+}
+
+// TestRollingRestart restarts every entry instance in turn under load, with
+// callers that keep their address answers.
+func TestRollingRestart(t *testing.T) {
+	c := start(t, plan{
+		entries:    3,
+		domains:    map[string]int{"fabric-a": 4},
+		engineArgs: []string{"--token-interval", "2ms"},
+		config:     fmt.Sprintf(assistModel, 1),
+	})
+	for entry := range c.callers {
+		c.awaitOpen(entry, 1)
+	}
+	l := c.startLoad(12, 200)
+	c.await("load", func() bool { return l.count() > 10 })
+	for i := range 3 {
+		entry := fmt.Sprintf("entry-%d", i)
+		c.signal(entry, syscall.SIGTERM)
+		c.awaitExit(entry)
+		c.startEntry(entry)
+		c.awaitOpen(entry, 1)
+		before := l.count()
+		c.await("load goes on", func() bool { return l.count() > before+20 })
+	}
+	checkAllComplete(t, l.stop())
+}
+
+// TestLeavingBackendServerGetsNoNewWork makes a member say that it leaves
+// while the platform's list lags for long.
+func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
+	const leavingBound = 2 * time.Second
+	for name, leave := range map[string]func(c *cluster, instance string){
+		"the engine says so, the list lags": func(c *cluster, instance string) {
+			_, err := postNothing("http://" + c.engines[instance].String() + "/leave")
+			assert.NilError(c.t, err)
+		},
+		"the list says so": func(c *cluster, instance string) { c.list(instance, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lag := time.Duration(0)
+			if name == "the engine says so, the list lags" {
+				lag = time.Second
+			}
+			c := start(t, plan{
+				entries: 3,
+				listLag: lag,
+				domains: map[string]int{"fabric-a": 4, "fabric-b": 4},
+				config:  fmt.Sprintf(assistModel, 2),
+			})
+			groups := c.awaitOpen("entry-0", 2)
+			l := c.startLoad(8, 20)
+			c.await("load", func() bool { return l.count() > loadBefore })
+			leave(c, groups[0].Members[1].Instance)
+			left := time.Now()
+			time.Sleep(watchAfter)
+			before := l.count()
+			c.await("load goes on", func() bool { return l.count() > before+loadBefore })
+			checkAllComplete(t, l.stop())
+			late := begunAfter(c.records(), groups[0], left.Add(leavingBound))
+			assert.Equal(t, len(late), 0, "the last began %s after the leaving", lastAfter(late, left))
+		})
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -118,6 +118,26 @@
 	return p.keeper.Reports(time.Now())
 }
 
+// Doubt closes the gates of groups with this instance until a new probe, which
+// is begun at once, has shown it.
+func (p *Prober) Doubt(instance string, address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeper.Doubt(instance, time.Now())
+	select {
+	case p.ring <- target{instance: instance, address: address}:
+	default:
+		// The ring is full; the next round probes it.
+	}
+}
+
+// SetLeaving replaces the instances that are leaving by the platform's list.
+func (p *Prober) SetLeaving(leaving map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeper.SetLeaving(leaving)
+}
+
 // Ask probes one instance now.
 func (p *Prober) Ask(instance string, address netip.AddrPort) (gatekeeper.Evidence, bool) {
 	return p.client.probe(context.Background(), target{instance: instance, address: address})
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -55,6 +55,8 @@
 	key    string
 	scheme string
 	http   *http.Client
+	// patience is how long to wait for the first byte of an answer.
+	patience time.Duration
 
 	mu        sync.Mutex
 	addresses []netip.AddrPort
@@ -76,6 +78,13 @@
 	}
 }
 
+// WithPatience makes the client turn to another entry instance when no first
+// byte of an answer has come for so long. It does so only for requests that
+// may be sent again: idempotent ones and those with a key.
+func WithPatience(patience time.Duration) Option {
+	return func(c *Client) { c.patience = patience }
+}
+
 // New returns a client that asks the seeds for the addresses to use.
 func New(seeds []netip.AddrPort, options ...Option) *Client {
 	c := &Client{
--- a/pkg/caller/do.go
+++ b/pkg/caller/do.go
@@ -102,14 +102,18 @@
 	if err != nil {
 		return nil, refusedPause, err
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	request, err := c.request(ctx, entry, r)
 	if err != nil {
 		return nil, 0, err
 	}
+	calm := c.watch(r, cancel)
 	response, err := c.http.Do(request)
+	calm()
 	if err != nil {
 		c.distrust(entry)
-		if notSent(err) {
+		if notSent(err) || errors.Is(context.Cause(ctx), errImpatient) {
 			return nil, refusedPause, err
 		}
 		return nil, 0, faulter.New("do", KindUnanswered, err)
@@ -152,6 +156,18 @@
 	return request, nil
 }
 
+var errImpatient = errors.New("no first byte of an answer came in time")
+
+// watch cancels a request that may be sent again when no answer begins in
+// time, unless the function that it returns is called first.
+func (c *Client) watch(r Request, cancel context.CancelCauseFunc) func() {
+	if c.patience <= 0 || (r.NotIdempotent && r.IdempotencyKey == "") {
+		return func() {}
+	}
+	timer := time.AfterFunc(c.patience, func() { cancel(errImpatient) })
+	return func() { timer.Stop() }
+}
+
 // distrust makes the client ask for addresses anew before its next request.
 func (c *Client) distrust(entry netip.AddrPort) {
 	c.mu.Lock()
--- a/pkg/gatekeeper/keeper.go
+++ b/pkg/gatekeeper/keeper.go
@@ -38,11 +38,15 @@
 type Keeper struct {
 	ttl      time.Duration
 	evidence map[string]Evidence
+	// doubts holds when an instance was last doubted; older evidence is stale.
+	doubts map[string]time.Time
+	// leaving holds the instances that the platform's list says are leaving.
+	leaving map[string]bool
 }
 
 // New returns a keeper for which evidence counts for ttl.
 func New(ttl time.Duration) *Keeper {
-	return &Keeper{ttl: ttl, evidence: make(map[string]Evidence)}
+	return &Keeper{ttl: ttl, evidence: make(map[string]Evidence), doubts: make(map[string]time.Time)}
 }
 
 // SetTTL changes how long evidence counts.
@@ -59,11 +63,19 @@
 	return true
 }
 
+// Doubt makes all evidence for the instance that is not newer than at stale. It
+// is for failures that may mean its loss, such as a connection that broke off.
+func (k *Keeper) Doubt(instance string, at time.Time) { k.doubts[instance] = at }
+
+// SetLeaving replaces the instances that are leaving by the platform's list.
+func (k *Keeper) SetLeaving(leaving map[string]bool) { k.leaving = leaving }
+
 // Forget drops the evidence for instances for which keep says no.
 func (k *Keeper) Forget(keep func(instance string) bool) {
 	for instance := range k.evidence {
 		if !keep(instance) {
 			delete(k.evidence, instance)
+			delete(k.doubts, instance)
 		}
 	}
 }
@@ -115,11 +127,11 @@
 		return Reborn
 	case e.Report.Group != group.ID || e.Report.Fence != group.Fence:
 		return Elsewhere
-	case now.Sub(e.ObservedAt) >= k.ttl:
+	case now.Sub(e.ObservedAt) >= k.ttl, !e.ObservedAt.After(k.doubts[member.Instance]):
 		return Stale
 	case e.Report.Phase != orderer.PhaseReady:
 		return NotReady
-	case e.Report.Leaving:
+	case e.Report.Leaving, k.leaving[member.Instance]:
 		return Leaving
 	}
 	return Open
