Tell the retrier of every failed try before it is given up

Cause (TestRefusalsAreTrue): when the deadline passed while a request was at an engine, the wiring replaced the event 'broke' by 'expired', so that the machine never learned that the request may have run and told not_run. The same held for a request that the quarantine blocked after it had crashed an engine.

Ruled out: the engines' record (it is written before the run) and the claim path (no keys in this test).

Before: 'question 2 of worker 7 was told as not run', 1 run in the record.

--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -212,25 +212,30 @@
 	return s.advance(retrier.Broke)
 }
 
-// step passes an event to the machine. The budget is shared, so that the
-// dispatcher's lock is held.
+// step passes an event to the machine, and after it what forbids another try.
+// The machine must see each event, since it knows by them whether the request
+// may have run. The budget is shared, so that the dispatcher's lock is held.
 func (s *Stream) step(kind retrier.EventKind) retrier.Action {
 	s.dispatcher.mu.Lock()
 	defer s.dispatcher.mu.Unlock()
 	now := time.Now()
-	if kind != retrier.Finished && s.dispatcher.quarantine.Blocked(now, s.request.fingerprint()) {
-		kind = retrier.Blocked
+	action := s.machine.Step(now, retrier.Event{Kind: kind, Delivered: s.delivered})
+	if action.Kind == retrier.Answer {
+		return action
 	}
-	return s.machine.Step(now, retrier.Event{Kind: kind, Delivered: s.delivered})
+	switch {
+	case s.dispatcher.quarantine.Blocked(now, s.request.fingerprint()):
+		return s.machine.Step(now, retrier.Event{Kind: retrier.Blocked})
+	case s.ctx.Err() != nil:
+		return s.machine.Step(now, retrier.Event{Kind: retrier.Expired})
+	}
+	return action
 }
 
 // advance carries out what the machine says until a back end answers or the
 // request is given up.
 func (s *Stream) advance(kind retrier.EventKind) error {
 	for {
-		if s.ctx.Err() != nil {
-			kind = retrier.Expired
-		}
 		action := s.step(kind)
 		switch action.Kind {
 		case retrier.Answer:
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -482,3 +482,6 @@
 	response.Body.Close()
 	return response.StatusCode, nil
 }
+
+// only returns the address of one entry instance.
+func (c *cluster) only(entry string) []netip.AddrPort { return []netip.AddrPort{c.callers[entry]} }
