Never begin on an older configuration than one that is known

Cause (TestConfigurationNeverReverts): an entry instance that restarted while the platform was down applied version 4 of a peer that had been frozen, then 5: seen from outside it went back from 5 to 4. Peers' hints also waited behind the table's time-outs in one loop, 7.0 s to the newest version.

Ruled out: the running instances (their chain only rises).

Before: 'entry-0 went from 5 to 4'.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -35,6 +35,9 @@
 	groupsPrefix = "groups/"
 	// hintCapacity bounds the peers' hints that wait to be followed.
 	hintCapacity = 64
+	// settleTime is how long a new instance listens to its peers before it
+	// takes over from one of them, while the table does not answer.
+	settleTime = 2 * time.Second
 )
 
 // Follower holds what one entry instance follows.
@@ -45,11 +48,14 @@
 	config   atomic.Pointer[configurer.Config]
 	groups   atomic.Pointer[grouper.Snapshot]
 	onApply  func(configurer.Head)
+	started  time.Time
 
-	mu      sync.Mutex
-	chain   configurer.Chain
-	content configurer.Content
-	rows    []provider.Row
+	mu    sync.Mutex
+	chain configurer.Chain
+	// tableRead says that the table has answered since the start.
+	tableRead bool
+	content   configurer.Content
+	rows      []provider.Row
 }
 
 // hint says that a peer has something newer.
@@ -66,13 +72,17 @@
 		pool:     pool,
 		hints:    make(chan hint, hintCapacity),
 		onApply:  onApply,
+		started:  time.Now(),
 	}
 	f.groups.Store(&grouper.Snapshot{})
 	return f
 }
 
-// Start begins the duty; it ends with ctx.
-func (f *Follower) Start(ctx context.Context) { go f.loop(ctx) }
+// Start begins the duties; they end with ctx.
+func (f *Follower) Start(ctx context.Context) {
+	go f.loop(ctx)
+	go f.hintLoop(ctx)
+}
 
 // Config returns the configuration in force, or nil before the first.
 func (f *Follower) Config() *configurer.Config { return f.config.Load() }
@@ -143,14 +153,36 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		}
+	}
+}
+
+// hintLoop follows the peers' hints. It does not wait for the table.
+func (f *Follower) hintLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
 		case h := <-f.hints:
 			f.follow(ctx, h)
 		}
 	}
 }
 
+// settled reports whether this instance has heard enough after its start to
+// take over from a peer: until then it only learns which versions there are,
+// so that it does not begin on an old one of a peer that is behind.
+func (f *Follower) settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tableRead || time.Since(f.started) >= settleTime
+}
+
 // follow takes from a peer what is newer there.
 func (f *Follower) follow(ctx context.Context, h hint) {
+	if !f.settled() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if head, _ := f.Head(); h.message.Head.Version > head.Version {
@@ -177,6 +209,7 @@
 		return err
 	}
 	f.mu.Lock()
+	f.tableRead = true
 	newer := f.chain.Learn(head)
 	f.mu.Unlock()
 	if !newer {
--- a/pkg/configurer/chain.go
+++ b/pkg/configurer/chain.go
@@ -89,11 +89,15 @@
 }
 
 // Apply makes head the version that runs, and reports whether it did. A
-// version that is not newer is left alone.
+// version that is not newer is left alone, and so is a first one that is older
+// than one that is known: before a restart the instance may have run that.
 func (c *Chain) Apply(head Head) bool {
 	if head.Version <= c.applied.Version {
 		return false
 	}
+	if c.applied.Version == 0 && head.Version < c.known {
+		return false
+	}
 	c.applied = head
 	c.known = max(c.known, head.Version)
 	c.caughtUp = c.caughtUp || c.applied.Version == c.known
