Serve profiles to operators; record a try to coalesce events

Cause: through one entry instance at 64 callers the first token comes later than from the engine alone; a profile was wanted before a change.

The profile: 53 % in read and write calls, 24 % in the scheduler, about 2 % in this module's code.

Tried and reverted: sending events out together that have come together, and a write deadline set less often: 45 to 52 us a token, no difference beyond noise. Conclusion: one read and one write a token is the floor of this design.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -89,6 +90,8 @@
 	mux.Handle("POST /operator/entries/drain", handle(o.drainEntry))
 	mux.Handle("GET /operator/status", handle(o.status))
 	mux.Handle("GET /metrics", o.Metrics)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	return o.authorise(mux)
 }
 
