Drain the next group of an old version only once the new one is ready

Cause (found by reading the placer's new script): in the pass in which the first group of the new version was formed, the next old one was drained as well, since only the groups before the pass were looked at: both were down.

A second fault of the same script: with 1 spare asked for, a group that was beyond repair was not formed anew from 2 free instances of another domain: down and stranded at once. Spares now yield to a missing group. The weights downtime_weight and stranded_weight did nothing and are gone from the settings; spares and repair_delay say what they meant.

Before: 'form m-1 / drain m-2' in one step; 'disband m-1', then nothing. After: m-2 drains once m-1 is ready; 'disband m-1, form m-3' in one step.

--- a/pkg/configurer/check.go
+++ b/pkg/configurer/check.go
@@ -51,7 +51,7 @@
 	return &Config{
 		Gate:          Gate{ProbeInterval: 250 * time.Millisecond, EvidenceTTL: time.Second, Watchers: 3},
 		Admission:     Admission{MaxInFlight: 64, QueueLength: 256, RetryRatio: 0.1, MaxBodyBytes: 1 << 20},
-		Capacity:      Capacity{Control: true, DowntimeWeight: 1, StrandedWeight: 1, RepairDelay: 0},
+		Capacity:      Capacity{Control: true},
 		Models:        make(map[string]Model),
 		Services:      make(map[string]Service),
 		Classes:       make(map[string]Class),
@@ -127,8 +127,6 @@
 	return []decoder.Field{
 		decoder.Bool("control", &k.Control),
 		decoder.Int("spares", &k.Spares, 0, maxSpares),
-		decoder.Float("downtime_weight", &k.DowntimeWeight, 0, maxWeight),
-		decoder.Float("stranded_weight", &k.StrandedWeight, 0, maxWeight),
 		decoder.Duration("repair_delay", &k.RepairDelay, 0, time.Hour),
 	}
 }
--- a/pkg/configurer/config.go
+++ b/pkg/configurer/config.go
@@ -63,11 +63,9 @@
 type Capacity struct {
 	// Control is whether the system forms and repairs groups by itself.
 	Control bool
-	// Spares is how many free instances to keep in each fabric domain.
+	// Spares is how many free instances to keep in each fabric domain while no
+	// group is missing. More of them shorten downtime and strand accelerators.
 	Spares int
-	// DowntimeWeight and StrandedWeight weigh the two measures.
-	DowntimeWeight float64
-	StrandedWeight float64
 	// RepairDelay is how long an instance must be lost before it is replaced.
 	RepairDelay time.Duration
 }
--- a/pkg/placer/fit.go
+++ b/pkg/placer/fit.go
@@ -15,12 +15,9 @@
 	groups := s.groupsOf(model.Name)
 	s.finishDrains(groups)
 	current := slices.DeleteFunc(slices.Clone(groups), func(g grouper.Group) bool { return g.Draining })
-	for i := len(current); i < model.Groups; i++ {
-		if !s.form(model) {
-			break
-		}
-	}
 	switch surplus := len(current) - model.Groups; {
+	case surplus < 0:
+		s.grow(model, -surplus)
 	case surplus > 0:
 		s.shrink(current, surplus)
 	case len(current) == len(groups):
@@ -28,6 +25,16 @@
 	}
 }
 
+// grow forms missing groups. It leaves the spares where it can, but a group
+// that is missing now is worth more than an instance for a loss to come.
+func (s *step) grow(model Model, missing int) {
+	for range missing {
+		if !s.form(model, s.view.Settings.Spares) && !s.form(model, 0) {
+			return
+		}
+	}
+}
+
 func (s *step) groupsOf(model string) []grouper.Group {
 	var groups []grouper.Group
 	for _, g := range s.view.Groups {
@@ -48,12 +55,12 @@
 }
 
 // form makes one group in the fabric domain that it leaves with the fewest
-// free instances beyond the spares.
-func (s *step) form(model Model) bool {
+// free instances, but not with fewer than spares.
+func (s *step) form(model Model, spares int) bool {
 	best, found := "", false
 	for _, domain := range slices.Sorted(maps.Keys(s.free)) {
 		left := len(s.free[domain]) - model.InstancesPerGroup
-		if left < s.view.Settings.Spares {
+		if left < spares {
 			continue
 		}
 		if !found || left < len(s.free[best])-model.InstancesPerGroup {
--- a/pkg/placer/view.go
+++ b/pkg/placer/view.go
@@ -52,7 +52,8 @@
 
 // Settings weigh the users' measures.
 type Settings struct {
-	// Spares is how many free instances to keep in each fabric domain.
+	// Spares is how many free instances to keep in each fabric domain while no
+	// group is missing.
 	Spares int
 	// RepairDelay is how long an instance must be lost before it is replaced.
 	RepairDelay time.Duration
--- /dev/null
+++ b/pkg/quarantiner/script_test.go
@@ -0,0 +1,32 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts drives a quarantine that blocks after two strikes, forgets after
+// a minute, and holds two requests. Times are in seconds.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		start := time.Now()
+		q := New(2, time.Minute, 2)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var seconds int
+			var s Strike
+			var fingerprint uint64
+			d.ScanArgs(t, "at", &seconds)
+			d.ScanArgs(t, "request", &fingerprint)
+			d.MaybeScanArgs(t, "site", &s.Site)
+			s.Fingerprint = Fingerprint(fingerprint)
+			now := start.Add(time.Duration(seconds) * time.Second)
+			if d.Cmd == "strike" {
+				return fmt.Sprintf("new: %t\n", q.Strike(now, s))
+			}
+			return fmt.Sprintf("blocked: %t, strikes: %d\n", q.Blocked(now, s.Fingerprint), len(q.Strikes(now, s.Fingerprint)))
+		})
+	})
+}
