Tell an expired request as expired, and test what callers get wrong

Cause (TestBadInput/past_a_deadline): a try that broke because the deadline had passed was answered 502 backend_failed; the machine ended it without saying that the deadline decided. Before: 502; after: 504 deadline_exceeded.

--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -72,9 +72,7 @@
 	services   int
 	engineArgs []string
 	config     string
-	// entrySettings is added to the [entry] section of each entry instance.
-	entrySettings string
-	listLag       time.Duration
+	listLag    time.Duration
 }
 
 // cluster is a whole system of real processes.
@@ -193,15 +191,16 @@
 data_centre = hall-a
 address = %s
 keep_answer = 1s
-%s
 [platform]
 address = %s
 [peers]
 address = %s
 heartbeat_interval = 200ms
 seeds = %s
+%s
 [operator]
 address = %s
+%s
 `
 
 // startEntry starts an entry instance; one that was there before comes back
@@ -212,6 +211,14 @@
 		c.callers[id], c.operators[id], c.peers[id] = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
 		c.links[id] = c.proxy(id+"-platform", c.platform)
 	}
+	c.run(id, "waxwingd", "--settings", c.writeSettings(id, "", ""))
+	awaitPort(c.t, c.callers[id])
+}
+
+// writeSettings writes the settings of an entry instance, with keys added to
+// the sections of operators and of peers.
+func (c *cluster) writeSettings(id, operatorKeys, peerKeys string) string {
+	c.t.Helper()
 	var seeds []string
 	for _, seed := range c.peers {
 		seeds = append(seeds, seed.String())
@@ -219,10 +226,9 @@
 	link, err := netip.ParseAddrPort(c.links[id].Listen)
 	assert.NilError(c.t, err)
 	path := filepath.Join(c.dir, id+".ini")
-	text := fmt.Sprintf(entryFile, id, c.callers[id], c.plan.entrySettings, link, c.peers[id], strings.Join(seeds, ", "), c.operators[id])
+	text := fmt.Sprintf(entryFile, id, c.callers[id], link, c.peers[id], strings.Join(seeds, ", "), peerKeys, c.operators[id], operatorKeys)
 	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o644))
-	c.run(id, "waxwingd", "--settings", path)
-	awaitPort(c.t, c.callers[id])
+	return path
 }
 
 // proxy puts a fault-injecting proxy before an address.
--- /dev/null
+++ b/pkg/configurer/check_test.go
@@ -0,0 +1,67 @@
+package configurer
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+)
+
+// TestMistakes checks each testdata/*.ini and compares what is wrong with the
+// file of the same name that ends in .golden. Update with -update.
+func TestMistakes(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.ini")
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) > 0)
+	for _, path := range paths {
+		name := filepath.Base(path)
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			_, err = Check(decoder.Source{Name: name, Data: data})
+			assert.Assert(t, err != nil, "the file is accepted")
+			golden.Assert(t, err.Error()+"\n", strings.TrimSuffix(name, ".ini")+".golden")
+		})
+	}
+}
+
+// TestExamples demands that the example of each deployment is accepted.
+func TestExamples(t *testing.T) {
+	for _, paths := range [][]string{
+		{"../../examples/thistlegate/base.ini", "../../examples/thistlegate/scot-central.ini"},
+		{"../../examples/coastline/base.ini", "../../examples/coastline/bc-west.ini"},
+	} {
+		var sources []decoder.Source
+		for _, path := range paths {
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			sources = append(sources, decoder.Source{Name: path, Data: data})
+		}
+		config, err := Check(sources...)
+		assert.NilError(t, err)
+		assert.Equal(t, len(config.Organisations), 10)
+		for _, m := range config.Models {
+			assert.Equal(t, m.Groups, 11, "the overlay goes before the base")
+		}
+	}
+}
+
+// TestChainOnlyRises applies versions in every order of arrival.
+func TestChainOnlyRises(t *testing.T) {
+	var c Chain
+	assert.Assert(t, !c.Serving())
+	assert.Assert(t, c.Learn(Head{Version: 5}))
+	assert.Assert(t, !c.Apply(Head{Version: 4}), "a first version older than a known one")
+	assert.Assert(t, c.Apply(Head{Version: 5}))
+	assert.Assert(t, c.Serving() && !c.Behind())
+	assert.Assert(t, !c.Apply(Head{Version: 3}))
+	assert.Assert(t, !c.Apply(Head{Version: 5}))
+	assert.Assert(t, c.Learn(Head{Version: 8}) && c.Behind() && c.Serving())
+	assert.Assert(t, c.Apply(Head{Version: 7}) && c.Behind())
+	assert.Equal(t, c.Applied().Version, uint64(7))
+}
--- a/pkg/limiter/pace.go
+++ b/pkg/limiter/pace.go
@@ -7,9 +7,9 @@
 	paceWindow = time.Second
 	// paceDecay is the weight of an old window against a new one.
 	paceDecay = 0.5
-	// Bounds of an estimated wait.
-	minEstimate = 100 * time.Millisecond
-	maxEstimate = 30 * time.Second
+	// Bounds of the time after which to come back.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
 )
 
 // pace measures how fast requests are started.
@@ -35,11 +35,16 @@
 	p.count += n
 }
 
-// wait estimates the time until n more requests have been started.
+// wait estimates the time until n more requests have been started; without a
+// measured pace it is zero.
 func (p *pace) wait(n int) time.Duration {
 	if p.perSecond <= 0 {
-		return minEstimate
+		return 0
 	}
-	wait := time.Duration(float64(n) / p.perSecond * float64(time.Second))
-	return min(max(wait, minEstimate), maxEstimate)
+	return time.Duration(float64(n) / p.perSecond * float64(time.Second))
+}
+
+// retryAfter makes of an estimated wait the time after which to come back.
+func retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
--- a/pkg/limiter/queue.go
+++ b/pkg/limiter/queue.go
@@ -89,7 +89,7 @@
 	}
 	wait := q.pace.wait(q.ahead(t) + 1)
 	if now.Add(wait).After(t.Deadline) {
-		return Decision{Verdict: Refused, RetryAfter: wait}
+		return Decision{Verdict: Refused, RetryAfter: retryAfter(wait)}
 	}
 	if len(q.waiting) < q.capacity {
 		q.push(t)
@@ -97,10 +97,10 @@
 	}
 	evicted, found := q.evict(t)
 	if !found {
-		return Decision{Verdict: Refused, RetryAfter: wait}
+		return Decision{Verdict: Refused, RetryAfter: retryAfter(wait)}
 	}
 	q.push(t)
-	return Decision{Verdict: Queued, Evicted: &evicted, RetryAfter: wait}
+	return Decision{Verdict: Queued, Evicted: &evicted, RetryAfter: retryAfter(wait)}
 }
 
 // Pump returns the waiting requests that start now that free can be run.
@@ -144,7 +144,7 @@
 }
 
 // RetryAfter estimates when a request that is refused now should come back.
-func (q *Queue) RetryAfter() time.Duration { return q.pace.wait(len(q.waiting) + 1) }
+func (q *Queue) RetryAfter() time.Duration { return retryAfter(q.pace.wait(len(q.waiting) + 1)) }
 
 func (q *Queue) push(t Ticket) {
 	q.waiting = append(q.waiting, waiter{ticket: t, start: q.charge(t)})
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -140,6 +140,10 @@
 		action.Final = true
 		return action
 	}
+	return m.expired()
+}
+
+func (m *Machine) expired() Action {
 	action := m.answer(m.failure())
 	action.Expired = true
 	return action
@@ -193,7 +197,10 @@
 }
 
 func (m *Machine) again(now time.Time, event Event) Action {
-	if m.attempts >= MaxAttempts || !now.Before(m.facts.Deadline) || !m.budget.Withdraw() {
+	if !now.Before(m.facts.Deadline) {
+		return m.expired()
+	}
+	if m.attempts >= MaxAttempts || !m.budget.Withdraw() {
 		return m.answer(m.failure())
 	}
 	return m.try(event.Delivered)
--- /dev/null
+++ b/pkg/spreader/spread_test.go
@@ -0,0 +1,143 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// mesh is a number of members in one process that exchange in rounds.
+type mesh struct {
+	now     time.Time
+	members []*Spreader
+	frozen  map[string]bool
+}
+
+const (
+	testInterval = 200 * time.Millisecond
+	testExpiry   = 6 * testInterval
+)
+
+func newMesh(n, degree int) *mesh {
+	m := &mesh{now: time.Now(), frozen: make(map[string]bool)}
+	for i := range n {
+		self := Member{ID: fmt.Sprintf("entry-%03d", i), Epoch: 1}
+		s := New(self, Settings{Expiry: testExpiry, Degree: degree})
+		s.Seed(Member{ID: fmt.Sprintf("entry-%03d", (i+1)%n)})
+		m.members = append(m.members, s)
+	}
+	return m
+}
+
+func (m *mesh) byID(id string) *Spreader {
+	for _, s := range m.members {
+		if s.Self().ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// round lets every member that is not frozen exchange with its contacts.
+func (m *mesh) round() {
+	m.now = m.now.Add(testInterval)
+	for _, s := range m.members {
+		if m.frozen[s.Self().ID] {
+			continue
+		}
+		for _, contact := range s.Tick(m.now) {
+			other := m.byID(contact.ID)
+			if m.frozen[contact.ID] {
+				continue
+			}
+			reply := other.Answer(m.now, s.Digest())
+			s.Merge(m.now, reply)
+			if supply, wanted := s.Supply(reply); wanted {
+				other.Merge(m.now, supply)
+			}
+		}
+	}
+}
+
+// knowing counts the members that are not frozen and know the configuration
+// version of the first member.
+func (m *mesh) knowing(version uint64) int {
+	count := 0
+	for _, s := range m.members {
+		if m.frozen[s.Self().ID] {
+			continue
+		}
+		if k, known := s.known["entry-000"]; known && k.member.ConfigVersion == version {
+			count++
+		}
+	}
+	return count
+}
+
+// TestSpread joins many members over a sparse graph, freezes a tenth, and
+// counts the rounds until all others know a change and nobody takes a frozen
+// member for live.
+func TestSpread(t *testing.T) {
+	const (
+		members   = 90
+		degree    = 4
+		mostRound = 12
+	)
+	m := newMesh(members, degree)
+	for range 40 {
+		m.round()
+	}
+	for _, s := range m.members {
+		assert.Equal(t, len(s.Live(m.now)), members)
+	}
+	for i := 5; i < members; i += 10 {
+		m.frozen[fmt.Sprintf("entry-%03d", i)] = true
+	}
+	m.members[0].Update(func(self *Member) { self.ConfigVersion = 7 })
+	rounds := 0
+	for m.knowing(7) < members-len(m.frozen) {
+		m.round()
+		rounds++
+		assert.Assert(t, rounds <= mostRound, "%d of %d know after %d rounds", m.knowing(7), members-len(m.frozen), rounds)
+	}
+	for range 20 {
+		m.round()
+	}
+	for _, s := range m.members {
+		if !m.frozen[s.Self().ID] {
+			assert.Equal(t, len(s.Live(m.now)), members-len(m.frozen))
+		}
+	}
+}
+
+// TestNeighboursAreMutual demands that the graph is the same from both ends,
+// and has the degree that was asked for.
+func TestNeighboursAreMutual(t *testing.T) {
+	for _, n := range []int{2, 5, 9, 30, 390} {
+		edges := make(map[[2]int]bool)
+		for self := range n {
+			neighbours := Neighbours(n, self, 4)
+			assert.Assert(t, len(neighbours) <= 4 && len(neighbours) >= 1, "%d of %d has %v", self, n, neighbours)
+			for _, other := range neighbours {
+				edges[[2]int{self, other}] = true
+			}
+		}
+		for edge := range edges {
+			assert.Assert(t, edges[[2]int{edge[1], edge[0]}], "edge %v of %d is not mutual", edge, n)
+		}
+	}
+}
+
+// TestRestartReplacesTheOldEpoch demands that a late record of an earlier
+// process of the same name changes nothing.
+func TestRestartReplacesTheOldEpoch(t *testing.T) {
+	now := time.Now()
+	s := New(Member{ID: "self", Epoch: 1}, Settings{Expiry: testExpiry, Degree: 4})
+	s.Merge(now, Digest{Records: []Member{{ID: "other", Epoch: 2, ConfigVersion: 5}}})
+	s.Merge(now, Digest{Records: []Member{{ID: "other", Epoch: 1, Revision: 9, ConfigVersion: 8}}})
+	assert.Equal(t, s.known["other"].member.ConfigVersion, uint64(5))
+	s.Merge(now, Digest{Records: []Member{{ID: "self", Epoch: 9, Leaving: true}}})
+	assert.Equal(t, s.Self().Leaving, false)
+}
