Add the routing experiment; give the gate's test teeth

Cause: with the gate taken out (Check returns Open), TestNoGroupServes... still passed: the control loop disbanded the broken group within the bound. The test now turns the control loop off before the loss.

--- /dev/null
+++ b/internal/commander/experiment.go
@@ -0,0 +1,49 @@
+package commander
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/waxwingmount/waxwingmount/internal/experimenter"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/router"
+)
+
+func init() {
+	register(verb{name: "experiment", help: "Compare the routing policies on modelled engines in virtual time.", flags: experiment})
+}
+
+func experiment(sub *flaggy.Subcommand) func(*session) error {
+	seeds := 3
+	sub.Int(&seeds, "", "seeds", "How many seeds, from 1 on.")
+	return func(s *session) error {
+		var results []experimenter.Result
+		for _, scenario := range experimenter.Scenarios {
+			for _, policy := range router.Policies.Names() {
+				for seed := range seeds {
+					result, err := experimenter.Run(scenario, policy, uint64(seed+1))
+					if err != nil {
+						return faulter.New("experiment", KindFailed, err)
+					}
+					results = append(results, result)
+				}
+			}
+		}
+		return s.print(results, func() [][]string { return experimentRows(results) })
+	}
+}
+
+func experimentRows(results []experimenter.Result) [][]string {
+	rows := [][]string{{"SCENARIO", "POLICY", "SEED", "REQUESTS", "CACHE HITS", "URGENT P50", "URGENT P95", "OTHER P95", "GAP P95"}}
+	for _, r := range results {
+		rows = append(rows, []string{
+			r.Scenario, r.Policy, strconv.FormatUint(r.Seed, 10), strconv.Itoa(r.Requests), fmt.Sprintf("%.3f", r.HitRatio),
+			milliseconds(r.UrgentP50), milliseconds(r.UrgentP95), milliseconds(r.OtherP95), milliseconds(r.GapP95),
+		})
+	}
+	return rows
+}
+
+func milliseconds(ms int64) string { return strconv.FormatInt(ms, 10) + " ms" }
--- /dev/null
+++ b/internal/experimenter/events.go
@@ -0,0 +1,46 @@
+package experimenter
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a moment of virtual time.
+type event struct {
+	at    time.Duration
+	order int
+	do    func(now time.Duration)
+}
+
+// eventQueue holds events by time, and by order of planning within one time.
+type eventQueue []event
+
+// Len implements [heap.Interface].
+func (q eventQueue) Len() int { return len(q) }
+
+// Less implements [heap.Interface].
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+
+// Swap implements [heap.Interface].
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements [heap.Interface].
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements [heap.Interface].
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// at plans an event.
+func (r *run) at(at time.Duration, do func(time.Duration)) {
+	r.order++
+	heap.Push(&r.events, event{at: at, order: r.order, do: do})
+}
--- a/internal/integration/gate_test.go
+++ b/internal/integration/gate_test.go
@@ -74,6 +74,8 @@
 			})
 			groups := c.awaitOpen("entry-0", 2)
 			c.awaitOpen("entry-1", 2)
+			// Without the control loop nobody takes the broken group away.
+			c.awaitVersion(c.apply("entry-0", c.fullConfig()+"\n[capacity]\ncontrol = false\n"))
 			l := c.startLoad(gateTestLoad, 3)
 			c.await("load", func() bool { return l.count() > loadBefore })
 			test.lose(c, groups[0])
