--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -24,6 +24,8 @@
 	Path        string
 	ContentType string
 	Body        []byte
+	// Prompt is the text of a completion's prompt, on which caches depend.
+	Prompt []byte
 	// Key is the caller's idempotency key, or empty.
 	Key string
 	// Idempotent says that the request may be run more than once.
@@ -37,7 +39,7 @@
 	// prefixBlock is the size of the steps by which prefixes grow.
 	prefixBlock = 256
 	// maxPrefixes bounds how many prefixes of one request are looked at.
-	maxPrefixes = 32
+	maxPrefixes = 8
 	// maxQueueWait bounds how long a request waits for a back end.
 	maxQueueWait = 5 * time.Second
 )
@@ -60,17 +62,22 @@
 
 // routing returns what a policy may know of the request.
 func (r Request) routing() router.Request {
-	return router.Request{Prefixes: Prefixes(r.Organisation.Name, r.Body)}
+	return router.Request{Prefixes: Prefixes(r.Organisation.Name, r.Prompt)}
 }
 
-// Prefixes hashes growing prefixes of a prompt, shortest first. Prompts of
-// different organisations never share one.
-func Prefixes(organisation string, body []byte) []uint64 {
+// Prefixes hashes growing prefixes of a prompt, shortest first; a prompt of
+// less than a block has one. Prompts of different organisations never share
+// any.
+func Prefixes(organisation string, prompt []byte) []uint64 {
 	digest := xxhash.New()
 	digest.WriteString(organisation + "\x00")
+	if len(prompt) < prefixBlock {
+		digest.Write(prompt)
+		return []uint64{digest.Sum64()}
+	}
 	var prefixes []uint64
-	for start := 0; start+prefixBlock <= len(body) && len(prefixes) < maxPrefixes; start += prefixBlock {
-		digest.Write(body[start : start+prefixBlock])
+	for start := 0; start+prefixBlock <= len(prompt) && len(prefixes) < maxPrefixes; start += prefixBlock {
+		digest.Write(prompt[start : start+prefixBlock])
 		prefixes = append(prefixes, digest.Sum64())
 	}
 	return prefixes
--- a/internal/engineemulator/completion.go
+++ b/internal/engineemulator/completion.go
@@ -150,11 +150,12 @@
 	if !sleep(r.Context(), e.settings.firstToken) {
 		return
 	}
+	formation := e.currentFormation()
 	pace := time.NewTicker(max(e.settings.tokenInterval, time.Microsecond))
 	defer pace.Stop()
 	controller := http.NewResponseController(w)
 	for i := resumeFrom; i <= tokens; i++ {
-		if !e.step(r.Context(), pace) {
+		if !e.step(r.Context(), pace, formation) {
 			return
 		}
 		last := i == tokens
@@ -170,8 +171,9 @@
 }
 
 // step waits for the time of the next token and reports whether the caller is
-// still there. While a member is lost it makes no progress.
-func (e *Engine) step(ctx context.Context, pace *time.Ticker) bool {
+// still there and the engine still in the same formation. While a member is
+// lost it makes no progress.
+func (e *Engine) step(ctx context.Context, pace *time.Ticker, formation int) bool {
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,13 +182,23 @@
 		}
 		e.mu.Lock()
 		lost := e.memberLost
+		same := e.formation == formation
 		e.mu.Unlock()
+		if !same {
+			return false
+		}
 		if !lost {
 			return true
 		}
 	}
 }
 
+func (e *Engine) currentFormation() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.formation
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
--- a/internal/engineemulator/engine.go
+++ b/internal/engineemulator/engine.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex
 	report  orderer.Report
 	members []grouper.Member
+	// formation counts the orders obeyed; a new one ends what runs.
+	formation int
 	// memberLost is set on a head while one of its members does not answer.
 	memberLost bool
 }
--- a/internal/engineemulator/orders.go
+++ b/internal/engineemulator/orders.go
@@ -49,6 +49,7 @@
 	if order.Action == orderer.ActionForm && same {
 		return true
 	}
+	e.formation++
 	e.report.Fence = order.Fence
 	e.report.Group = order.Group
 	e.report.Model = order.Model
--- a/internal/integration/groups_test.go
+++ b/internal/integration/groups_test.go
@@ -155,10 +155,12 @@
 	c := start(t, plan{
 		entries: 3,
 		domains: map[string]int{"fabric-a": 4, "fabric-b": 4},
-		config:  fmt.Sprintf(assistModel, 2),
+		// Engines that cannot resume show each request that is cut off.
+		engineArgs: []string{"--cannot-resume", "--token-interval", "5ms"},
+		config:     fmt.Sprintf(assistModel, 2),
 	})
 	c.awaitOpen("entry-0", 2)
-	l := c.startLoad(8, 100)
+	l := c.startLoad(8, 300)
 	c.await("load", func() bool { return l.count() > loadBefore })
 	c.apply("entry-0", strings.Replace(c.fullConfig(), "version = 1", "version = 2", 1))
 	c.await("both groups carry the new version", func() bool {
--- a/internal/receiver/decode.go
+++ b/internal/receiver/decode.go
@@ -42,8 +42,18 @@
 
 // completionBody is the part of a completion that the entry instance reads.
 type completionBody struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+// prompt returns the text on which the engines' prefix caches depend.
+func (b completionBody) prompt() []byte {
+	if len(b.Messages) > 0 {
+		return b.Messages
+	}
+	return b.Prompt
 }
 
 func (r *Receiver) decodeNothing(_ context.Context, _ *http.Request) (any, error) { return nil, nil }
@@ -69,6 +79,7 @@
 			}
 		}
 		base.Model = body.Model
+		base.Prompt = body.prompt()
 		base.Buffered = !body.Stream
 		base.Idempotent = base.Key == "" && request.Header.Get(headerIdempotent) != "false"
 		return &completion{Request: base, shape: s, stream: body.Stream}, nil
--- a/pkg/router/policy.go
+++ b/pkg/router/policy.go
@@ -34,8 +34,7 @@
 }
 
 // Policy picks one of the candidates, of which there is at least one, and
-// returns its index. It may remember what it picked. It need not be safe for
-// concurrent use.
+// returns its index. It need not be safe for concurrent use.
 type Policy interface {
 	Pick(request Request, candidates []Candidate, random *rand.Rand) int
 }
