Exchange with one neighbour in turn; measure the spread

Cause: with every neighbour in each round one member of 390 sends 70,960 bytes a round; the budget is 11 KB/s for all control.

One change: each round goes to the neighbour whose turn it is (and to members only heard of). A member is live for 10 intervals without a heartbeat, not 6.

--- /dev/null
+++ b/internal/commander/spread.go
@@ -0,0 +1,44 @@
+package commander
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/waxwingmount/waxwingmount/internal/experimenter"
+)
+
+func init() {
+	register(verb{name: "spread", help: "Measure what it costs to keep entry instances in touch, many in one process.", flags: spread})
+}
+
+// spreadSizes are the numbers of members that are measured.
+var spreadSizes = []int{3, 9, 30, 90, 390}
+
+func spread(sub *flaggy.Subcommand) func(*session) error {
+	degree, meshUpTo := 4, 30
+	sub.Int(&degree, "", "degree", "Neighbours of each member in the sparse graph.")
+	sub.Int(&meshUpTo, "", "mesh-up-to", "The largest size at which the full mesh is measured too.")
+	return func(s *session) error {
+		var results []experimenter.Spread
+		for _, members := range spreadSizes {
+			results = append(results, experimenter.MeasureSpread(members, degree))
+			if members <= meshUpTo {
+				results = append(results, experimenter.MeasureSpread(members, members-1))
+			}
+		}
+		return s.print(results, func() [][]string { return spreadRows(results) })
+	}
+}
+
+func spreadRows(results []experimenter.Spread) [][]string {
+	rows := [][]string{{"MEMBERS", "DEGREE", "BYTES/ROUND", "MESSAGES/ROUND", "CPU/ROUND", "MEMORY", "ROUNDS TO ALL"}}
+	for _, r := range results {
+		rows = append(rows, []string{
+			strconv.Itoa(r.Members), strconv.Itoa(r.Degree), fmt.Sprintf("%.0f", r.BytesPerRound),
+			fmt.Sprintf("%.1f", r.MessagesPerRound), r.CPUPerRound.String(), fmt.Sprintf("%.0f B", r.BytesOfMemory), strconv.Itoa(r.RoundsToAll),
+		})
+	}
+	return rows
+}
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -26,7 +26,7 @@
 
 const (
 	// expiryBeats is how many heartbeats a live member may miss.
-	expiryBeats = 6
+	expiryBeats = 10
 	// rowInterval is the time between two visits to the table.
 	rowInterval = 5 * time.Second
 	// firstRowInterval is that time until the first visit succeeds.
@@ -132,7 +132,7 @@
 	ticker := time.NewTicker(in.interval)
 	defer ticker.Stop()
 	for {
-		in.exchangeAll(ctx)
+		in.exchangeNext(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -141,11 +141,16 @@
 	}
 }
 
-func (in *Introducer) exchangeAll(ctx context.Context) {
+// exchangeNext exchanges with the neighbour whose turn it is.
+func (in *Introducer) exchangeNext(ctx context.Context) {
 	in.mu.Lock()
 	contacts := in.spreader.Tick(time.Now())
 	in.spreader.Forget(time.Now())
 	in.mu.Unlock()
+	in.exchangeWith(ctx, contacts)
+}
+
+func (in *Introducer) exchangeWith(ctx context.Context, contacts []spreader.Member) {
 	var calls sync.WaitGroup
 	for _, contact := range contacts {
 		calls.Go(func() { in.exchange(ctx, contact) })
@@ -229,7 +234,10 @@
 
 // Publish tells the neighbours and the table of a change at once.
 func (in *Introducer) Publish(ctx context.Context) {
-	in.exchangeAll(ctx)
+	in.mu.Lock()
+	contacts := in.spreader.Contacts(time.Now())
+	in.mu.Unlock()
+	in.exchangeWith(ctx, contacts)
 	if err := in.writeRow(ctx, in.Self()); err != nil {
 		log.WithError(err).Warn("entry row not written")
 	}
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -1,13 +1,13 @@
 // Package spreader spreads what each entry instance tells of itself to all
 // others over a sparse random regular graph. Each instance exchanges
-// digests with a few neighbours; a heartbeat is a number in the digest, and
-// the content of a record travels only when it has changed.
+// digests with a few neighbours in turn; a heartbeat is a number in the
+// digest, and the content of a record travels only when it has changed.
 //
 // # Usage
 //
 //	s := spreader.New(self, spreader.Settings{Expiry: 3 * time.Second, Degree: 4})
-//	for _, neighbour := range s.Tick(now) {
-//		reply := call(neighbour, s.Digest())
+//	for _, contact := range s.Tick(now) {
+//		reply := call(contact, s.Digest())
 //		s.Merge(now, reply)
 //	}
 //
@@ -46,6 +46,8 @@
 	self     Member
 	known    map[string]*knowledge
 	seeds    map[string]Member
+	// turn counts the ticks; it decides whose turn it is.
+	turn int
 }
 
 // knowledge is what is known of one member.
@@ -92,12 +94,17 @@
 	}
 }
 
-// Tick raises the own heartbeat and returns the members to exchange with.
+// Tick raises the own heartbeat and returns the members to exchange with: the
+// neighbour whose turn it is, and members that have only been heard of.
 func (s *Spreader) Tick(now time.Time) []Member {
 	own := s.known[s.self.ID]
 	own.version.Beat++
 	own.heard = now
-	contacts := s.neighbours(now)
+	s.turn++
+	var contacts []Member
+	if neighbours := s.Contacts(now); len(neighbours) > 0 {
+		contacts = append(contacts, neighbours[s.turn%len(neighbours)])
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.seeds)) {
 		if _, known := s.known[id]; !known {
 			contacts = append(contacts, s.seeds[id])
