--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -87,6 +88,9 @@
 	domainOf  map[string]string
 	services  []netip.AddrPort
 	toxics    *toxiproxy.ApiServer
+	// address is the cluster's own loopback address.
+	address  netip.Addr
+	nextPort uint16
 }
 
 const baseConfig = `
@@ -107,7 +111,7 @@
 func start(t *testing.T, p plan) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, dir: t.TempDir(), plan: p,
+		t: t, dir: t.TempDir(), plan: p, address: newAddress(),
 		links:     make(map[string]*toxiproxy.Proxy),
 		processes: make(map[string]*process),
 		callers:   make(map[string]netip.AddrPort),
@@ -118,7 +122,7 @@
 		toxics:    toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 	}
 	t.Cleanup(c.stopAll)
-	c.platform = freeAddress(t)
+	c.platform = c.freeAddress()
 	c.run("platform", "waxwing-standin", "platform", "--address", c.platform.String(), "--list-lag", p.listLag.String())
 	awaitPort(t, c.platform)
 	for domain, count := range p.domains {
@@ -127,7 +131,7 @@
 		}
 	}
 	for i := range p.services {
-		address := freeAddress(t)
+		address := c.freeAddress()
 		c.services = append(c.services, address)
 		name := fmt.Sprintf("service-%d", i)
 		c.run(name, "waxwing-standin", "service", "--id", name, "--address", address.String(), "--record", c.recordPath(name))
@@ -158,7 +162,7 @@
 func (c *cluster) startEngine(id, domain string) {
 	address, known := c.engines[id]
 	if !known {
-		address = freeAddress(c.t)
+		address = c.freeAddress()
 	}
 	c.engines[id], c.domainOf[id] = address, domain
 	arguments := []string{"engine", "--id", id, "--address", address.String(), "--record", c.recordPath(id)}
@@ -204,7 +208,7 @@
 func (c *cluster) startEntry(id string) {
 	c.t.Helper()
 	if _, known := c.callers[id]; !known {
-		c.callers[id], c.operators[id], c.peers[id] = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+		c.callers[id], c.operators[id], c.peers[id] = c.freeAddress(), c.freeAddress(), c.freeAddress()
 		c.links[id] = c.proxy(id+"-platform", c.platform)
 	}
 	c.run(id, "waxwingd", "--settings", c.writeSettings(id, "", ""))
@@ -229,7 +233,7 @@
 
 // proxy puts a fault-injecting proxy before an address.
 func (c *cluster) proxy(name string, upstream netip.AddrPort) *toxiproxy.Proxy {
-	p := toxiproxy.NewProxy(c.toxics, name, freeAddress(c.t).String(), upstream.String())
+	p := toxiproxy.NewProxy(c.toxics, name, c.freeAddress().String(), upstream.String())
 	assert.NilError(c.t, p.Start())
 	c.t.Cleanup(p.Stop)
 	return p
@@ -319,12 +323,27 @@
 
 func (c *cluster) recordPath(name string) string { return filepath.Join(c.dir, name+".record") }
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// clusters counts the clusters of this test process.
+var clusters atomic.Int32
+
+const (
+	firstPort = 20000
+	// Each test process has a loopback network of its own, and each cluster an
+	// address in it, so that no two ever want the same port.
+	firstNetwork = 10
+	networks     = 200
+)
+
+// newAddress returns the loopback address of a new cluster.
+func newAddress() netip.Addr {
+	network := byte(firstNetwork + os.Getpid()%networks)
+	return netip.AddrFrom4([4]byte{127, network, byte(clusters.Add(1)), 1})
+}
+
+// freeAddress returns an address and port that nothing else uses.
+func (c *cluster) freeAddress() netip.AddrPort {
+	c.nextPort++
+	return netip.AddrPortFrom(c.address, firstPort+c.nextPort)
 }
 
 func awaitPort(t *testing.T, address netip.AddrPort) {
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -46,7 +46,12 @@
 	Lost   bool
 }
 
-// EvidenceReply is all the evidence from a peer's own probes.
+// EvidenceArguments names the groups for whose members evidence is wanted.
+type EvidenceArguments struct {
+	Groups []string
+}
+
+// EvidenceReply is the evidence from a peer's own probes of those members.
 type EvidenceReply struct {
 	Evidence []RelayedEvidence
 }
--- a/internal/prober/loops.go
+++ b/internal/prober/loops.go
@@ -130,21 +130,22 @@
 	sources := p.sources(members, config.Gate.Watchers)
 	var calls sync.WaitGroup
 	for _, m := range members {
-		if sources[m.ID] {
-			calls.Go(func() { p.relay(ctx, m.Peer) })
+		if groups := sources[m.ID]; len(groups) > 0 {
+			calls.Go(func() { p.relay(ctx, m.Peer, groups) })
 		}
 	}
 	calls.Wait()
 }
 
-// sources returns the peers that watch the groups which this one does not.
-func (p *Prober) sources(members []spreader.Member, watchers int) map[string]bool {
+// sources returns, by peer, the groups that it watches and this one does not.
+func (p *Prober) sources(members []spreader.Member, watchers int) map[string][]string {
 	live := entryIDs(members)
 	self := p.members.Self().ID
-	sources := make(map[string]bool)
+	sources := make(map[string][]string)
 	for id := range p.configs.Groups().Groups {
 		if !watcher.Watches(id, self, live, watchers) {
-			sources[watcher.Assign(id, live, 1)[0]] = true
+			first := watcher.Assign(id, live, 1)[0]
+			sources[first] = append(sources[first], id)
 		}
 	}
 	return sources
@@ -152,12 +153,13 @@
 
 // relay asks one peer. Its evidence is dated from the sending of the
 // question, so that no delay can make it look younger than it is.
-func (p *Prober) relay(ctx context.Context, peer netip.AddrPort) {
+func (p *Prober) relay(ctx context.Context, peer netip.AddrPort, groups []string) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	sent := time.Now()
+	arguments := messenger.EvidenceArguments{Groups: groups}
 	var reply messenger.EvidenceReply
-	if err := p.pool.Call(ctx, peer, messenger.MethodEvidence, &messenger.Nothing{}, &reply); err != nil {
+	if err := p.pool.Call(ctx, peer, messenger.MethodEvidence, &arguments, &reply); err != nil {
 		return
 	}
 	for _, r := range reply.Evidence {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -150,18 +150,26 @@
 	p.extra = instances
 }
 
-// Relay returns the evidence from this instance's own probes, for a peer.
-func (p *Prober) Relay() messenger.EvidenceReply {
+// Relay returns the evidence from this instance's own probes of the members of
+// these groups, for a peer.
+func (p *Prober) Relay(groups []string) messenger.EvidenceReply {
 	now := time.Now()
+	snapshot := p.configs.Groups()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var reply messenger.EvidenceReply
-	for _, e := range p.own {
-		reply.Evidence = append(reply.Evidence, messenger.RelayedEvidence{
-			Report: e.Report,
-			Age:    now.Sub(e.ObservedAt),
-			Lost:   e.Lost,
-		})
+	for _, id := range groups {
+		for _, m := range snapshot.Groups[id].Members {
+			e, probed := p.own[m.Instance]
+			if !probed {
+				continue
+			}
+			reply.Evidence = append(reply.Evidence, messenger.RelayedEvidence{
+				Report: e.Report,
+				Age:    now.Sub(e.ObservedAt),
+				Lost:   e.Lost,
+			})
+		}
 	}
 	return reply
 }
--- a/internal/starter/peer.go
+++ b/internal/starter/peer.go
@@ -31,8 +31,8 @@
 }
 
 // Evidence returns the evidence from this instance's own probes.
-func (p *Peer) Evidence(_ messenger.Nothing, reply *messenger.EvidenceReply) error {
-	*reply = p.prober.Relay()
+func (p *Peer) Evidence(arguments messenger.EvidenceArguments, reply *messenger.EvidenceReply) error {
+	*reply = p.prober.Relay(arguments.Groups)
 	return nil
 }
 
