Start only what can end in time, and give up the rest at once

One change: the queue learns how long requests take (mean and deviation), refuses what it could start but not end in time, and looks again at what waits each time it is pumped.

Also: the content's hashes are computed once a request, and that for claims only where there is a key.

--- /dev/null
+++ b/internal/commander/overload.go
@@ -0,0 +1,42 @@
+package commander
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/waxwingmount/waxwingmount/internal/experimenter"
+)
+
+func init() {
+	register(verb{name: "overload", help: "Compare goodput under overload with and without the limits, in virtual time.", flags: overload})
+}
+
+// overloadLoads are the multiples of the capacity that are measured.
+var overloadLoads = []float64{0.8, 1, 1.2, 1.5, 2, 3}
+
+func overload(sub *flaggy.Subcommand) func(*session) error {
+	seed := 1
+	sub.Int(&seed, "", "seed", "The seed.")
+	return func(s *session) error {
+		var results []experimenter.Overload
+		for _, limited := range []bool{false, true} {
+			for _, load := range overloadLoads {
+				results = append(results, experimenter.MeasureOverload(load, limited, uint64(seed)))
+			}
+		}
+		return s.print(results, func() [][]string { return overloadRows(results) })
+	}
+}
+
+func overloadRows(results []experimenter.Overload) [][]string {
+	rows := [][]string{{"LOAD", "LIMITS", "GOODPUT", "SMALL SERVED", "LARGE SERVED", "REFUSED", "LONGEST REFUSAL"}}
+	for _, r := range results {
+		rows = append(rows, []string{
+			fmt.Sprintf("%.1f", r.Load), strconv.FormatBool(r.Limited), fmt.Sprintf("%.3f", r.Goodput),
+			fmt.Sprintf("%.3f", r.SmallServed), fmt.Sprintf("%.3f", r.LargeServed), fmt.Sprintf("%.3f", r.Refused), r.LongestRefusal.String(),
+		})
+	}
+	return rows
+}
--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -37,7 +37,18 @@
 			return nil, refusal
 		}
 	}
-	return func() { d.leave(r) }, nil
+	began := time.Now()
+	return func() { d.finished(r, time.Since(began)) }, nil
+}
+
+// finished counts the end of a request that was started.
+func (d *Dispatcher) finished(r Request, took time.Duration) {
+	if r.Service == "" {
+		d.mu.Lock()
+		d.queues[r.Model].Finished(took)
+		d.mu.Unlock()
+	}
+	d.leave(r)
 }
 
 // offer asks the limits; it returns a channel when the request has to wait.
@@ -60,7 +71,8 @@
 		Organisation: r.Organisation.Name,
 		Weight:       r.Organisation.Weight,
 		Priority:     r.Class.Priority,
-		Deadline:     earlier(r.Deadline, now.Add(maxQueueWait)),
+		Deadline:     r.Deadline,
+		StartBy:      now.Add(maxQueueWait),
 	}, free)
 	if decision.Evicted != nil {
 		d.tell(decision.Evicted.ID, overloaded(decision.RetryAfter))
@@ -82,7 +94,7 @@
 	if d.leaving {
 		return &Error{Op: "admit", Kind: KindLeaving, Outcome: retrier.NotRun, RetryAfter: leavingRetry}
 	}
-	if d.quarantine.Blocked(now, r.fingerprint()) {
+	if d.quarantine.Blocked(now, r.fingerprint) {
 		return &Error{Op: "admit", Kind: KindQuarantined, Outcome: retrier.NotRun}
 	}
 	limit := d.rate(r.Organisation)
@@ -203,10 +215,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/dispatcher/claims.go
+++ b/internal/dispatcher/claims.go
@@ -46,10 +46,10 @@
 // claim claims the request's key. When the key has been used before it returns
 // the recorded answer or the error that tells how the other run stands.
 func (d *Dispatcher) claim(ctx context.Context, r Request) (*claim, *Answer, error) {
-	c := &claim{claims: d.claims, digest: r.digest()}
 	if r.Key == "" {
-		return c, nil, nil
+		return &claim{}, nil, nil
 	}
+	c := &claim{claims: d.claims, digest: r.digest()}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	row := claimer.RowKey(r.Organisation.Name, r.Key)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -33,6 +33,9 @@
 	// Buffered says that the caller sees nothing before the end.
 	Buffered bool
 	Deadline time.Time
+
+	// fingerprint identifies the content; the dispatcher fills it in.
+	fingerprint quarantiner.Fingerprint
 }
 
 const (
@@ -53,11 +56,13 @@
 	}
 }
 
-func (r Request) fingerprint() quarantiner.Fingerprint {
+// identified returns the request with its fingerprint.
+func (r Request) identified() Request {
 	digest := xxhash.New()
 	digest.WriteString(r.Organisation.Name + "\x00" + r.Method + "\x00" + r.Path + "\x00")
 	digest.Write(r.Body)
-	return quarantiner.Fingerprint(digest.Sum64())
+	r.fingerprint = quarantiner.Fingerprint(digest.Sum64())
+	return r
 }
 
 // routing returns what a policy may know of the request.
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -76,6 +76,7 @@
 // begin admits and claims a request. It returns the recorded answer when the
 // request has been run before.
 func (d *Dispatcher) begin(ctx context.Context, r Request) (*Stream, *Answer, error) {
+	r = r.identified()
 	leave, refusal := d.admit(ctx, r)
 	if refusal != nil {
 		return nil, nil, refusal
@@ -224,7 +225,7 @@
 		return action
 	}
 	switch {
-	case s.dispatcher.quarantine.Blocked(now, s.request.fingerprint()):
+	case s.dispatcher.quarantine.Blocked(now, s.request.fingerprint):
 		return s.machine.Step(now, retrier.Event{Kind: retrier.Blocked})
 	case s.ctx.Err() != nil:
 		return s.machine.Step(now, retrier.Event{Kind: retrier.Expired})
@@ -311,7 +312,7 @@
 	if s.ctx.Err() != nil || !s.dispatcher.crashed(b, err) {
 		return
 	}
-	strike := quarantiner.Strike{Fingerprint: s.request.fingerprint(), Site: b.site}
+	strike := quarantiner.Strike{Fingerprint: s.request.fingerprint, Site: b.site}
 	known := s.dispatcher.Strike([]quarantiner.Strike{strike})
 	ctx, cancel := context.WithTimeout(s.ctx, strikeTimeout)
 	defer cancel()
--- a/internal/experimenter/events.go
+++ b/internal/experimenter/events.go
@@ -39,8 +39,22 @@
 	return last
 }
 
+// timeline plays events in virtual time.
+type timeline struct {
+	events eventQueue
+	order  int
+}
+
 // at plans an event.
-func (r *run) at(at time.Duration, do func(time.Duration)) {
-	r.order++
-	heap.Push(&r.events, event{at: at, order: r.order, do: do})
+func (t *timeline) at(at time.Duration, do func(time.Duration)) {
+	t.order++
+	heap.Push(&t.events, event{at: at, order: t.order, do: do})
+}
+
+// play plays all events, and those that they plan.
+func (t *timeline) play() {
+	for len(t.events) > 0 {
+		e := heap.Pop(&t.events).(event)
+		e.do(e.at)
+	}
 }
--- a/internal/experimenter/experiment.go
+++ b/internal/experimenter/experiment.go
@@ -9,7 +9,6 @@
 package experimenter
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -80,13 +79,12 @@
 
 // run is one experiment under way.
 type run struct {
+	timeline
 	scenario Scenario
 	random   *rand.Rand
 	workload *workload
 	engines  []*engine
 	entries  []*entry
-	events   eventQueue
-	order    int
 	epoch    time.Time
 
 	requests, blocks, cached int
@@ -112,10 +110,7 @@
 	r.at(reportInterval, r.report)
 	r.at(middleBegin, func(time.Duration) { r.disturb(true) })
 	r.at(middleEnd, func(time.Duration) { r.disturb(false) })
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
-		e.do(e.at)
-	}
+	r.play()
 	return r.result(policy, seed), nil
 }
 
--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -35,3 +35,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, first, second)
 }
+
+const (
+	// goodputGoal is the share of the peak that is kept at twice the capacity.
+	goodputGoal = 0.95
+	// fairServed is the share of small organisations' requests that are served
+	// while a large one sends more than the capacity.
+	fairServed = 0.95
+)
+
+// TestOverloadKeepsGoodput offers up to three times the capacity.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	peak := 0.0
+	for _, load := range []float64{0.8, 1, 1.5, 2, 3} {
+		o := MeasureOverload(load, true, 1)
+		peak = max(peak, o.Goodput)
+		if load >= 2 {
+			assert.Assert(t, o.Goodput >= goodputGoal*peak, "load %.1f: goodput %.3f of peak %.3f", load, o.Goodput, peak)
+		}
+		assert.Assert(t, o.SmallServed >= fairServed, "load %.1f: %.3f of the small organisations' requests", load, o.SmallServed)
+	}
+}
--- a/pkg/limiter/queue.go
+++ b/pkg/limiter/queue.go
@@ -13,6 +13,7 @@
 package limiter
 
 import (
+	"slices"
 	"time"
 )
 
@@ -39,8 +40,10 @@
 	Weight int
 	// Priority orders classes; the lowest number goes first.
 	Priority int
-	// Deadline is when the request is of no more use.
+	// Deadline is when the answer must be whole.
 	Deadline time.Time
+	// StartBy is when the request must be started at the latest, if it is set.
+	StartBy time.Time
 }
 
 // Decision is the answer to an offer.
@@ -58,9 +61,10 @@
 	capacity int
 	waiting  []waiter
 	// finish holds each organisation's virtual time of service.
-	finish map[string]float64
-	clock  float64
-	pace   pace
+	finish  map[string]float64
+	clock   float64
+	pace    pace
+	service service
 }
 
 // waiter is a ticket with its virtual time of service.
@@ -88,7 +92,7 @@
 		return Decision{Verdict: Admitted}
 	}
 	wait := q.pace.wait(q.ahead(t) + 1)
-	if now.Add(wait).After(t.Deadline) {
+	if now.Add(wait).After(q.latestStart(t)) {
 		return Decision{Verdict: Refused, RetryAfter: retryAfter(wait)}
 	}
 	if len(q.waiting) < q.capacity {
@@ -121,17 +125,45 @@
 	return started
 }
 
-// Expire removes and returns the waiting requests whose deadline has passed.
+// Expire removes and returns the waiting requests that will not be started in
+// time, as far as can be told now; they are given up at once and not when
+// their time is over.
 func (q *Queue) Expire(now time.Time) []Ticket {
+	slices.SortStableFunc(q.waiting, func(a, b waiter) int {
+		switch {
+		case before(a, b):
+			return -1
+		case before(b, a):
+			return 1
+		}
+		return 0
+	})
 	var expired []Ticket
-	for i := len(q.waiting) - 1; i >= 0; i-- {
-		if !now.Before(q.waiting[i].ticket.Deadline) {
-			expired = append(expired, q.remove(i).ticket)
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		start := now.Add(q.pace.wait(len(kept)))
+		if start.Before(q.latestStart(w.ticket)) {
+			kept = append(kept, w)
+		} else {
+			expired = append(expired, w.ticket)
 		}
 	}
+	q.waiting = kept
 	return expired
 }
 
+// Finished takes in how long a request took from its start to its end.
+func (q *Queue) Finished(took time.Duration) { q.service.record(took) }
+
+// latestStart returns when a request must be started to end in time.
+func (q *Queue) latestStart(t Ticket) time.Time {
+	latest := t.Deadline.Add(-q.service.estimate())
+	if !t.StartBy.IsZero() && t.StartBy.Before(latest) {
+		return t.StartBy
+	}
+	return latest
+}
+
 // Cancel removes a waiting request whose caller has gone.
 func (q *Queue) Cancel(id uint64) bool {
 	for i := range q.waiting {
--- a/pkg/limiter/script_test.go
+++ b/pkg/limiter/script_test.go
@@ -35,6 +35,11 @@
 				}
 				names[ticket.ID] = name
 				return showDecision(q.Offer(now, ticket, free), names)
+			case "finished":
+				took := 0
+				d.ScanArgs(t, "took", &took)
+				q.Finished(time.Duration(took) * time.Millisecond)
+				return ""
 			case "pump":
 				return showTickets(q.Pump(now, free), names)
 			default:
