--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/follower"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
 	"github.com/waxwingmount/waxwingmount/pkg/leaser"
 	"github.com/waxwingmount/waxwingmount/pkg/placer"
@@ -113,16 +114,9 @@
 func (c *Controller) mayOrder() bool { return c.remaining() > orderFlight }
 
 func (c *Controller) leaseLoop(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
+	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
 		c.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // driveLease steps the lease's machine until it rests.
@@ -158,21 +152,16 @@
 }
 
 func (c *Controller) listLoop(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		if instances, err := c.Platform.ListInstances(ctx); err == nil {
-			c.mu.Lock()
-			c.listed = instances
-			c.mu.Unlock()
-			c.Prober.SetLeaving(leaving(instances))
-		}
-		select {
-		case <-ctx.Done():
+	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
+		instances, err := c.Platform.ListInstances(ctx)
+		if err != nil {
 			return
-		case <-ticker.C:
 		}
-	}
+		c.mu.Lock()
+		c.listed = instances
+		c.mu.Unlock()
+		c.Prober.SetLeaving(leaving(instances))
+	})
 }
 
 // leaving returns the instances that are about to stop.
@@ -187,22 +176,15 @@
 }
 
 func (c *Controller) loop(ctx context.Context) {
-	ticker := time.NewTicker(passInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pacer.Repeat(ctx, passInterval, func(ctx context.Context) {
 		if !c.mayOrder() {
 			c.Prober.Watch(nil)
-			continue
+			return
 		}
 		if err := c.pass(ctx); err != nil {
 			log.WithError(err).Warn("control pass ended early")
 		}
-	}
+	})
 }
 
 // pass looks at the groups that are followed, commits what the placer decides,
--- a/internal/engineemulator/engine.go
+++ b/internal/engineemulator/engine.go
@@ -20,6 +20,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/grouper"
 	"github.com/waxwingmount/waxwingmount/pkg/orderer"
 )
@@ -172,16 +173,7 @@
 // run checks the members of the group that this engine heads: a head whose
 // member is gone makes no more tokens, as with a stuck collective operation.
 func (e *Engine) run(ctx context.Context) {
-	ticker := time.NewTicker(memberCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.checkMembers(ctx)
-		}
-	}
+	pacer.Repeat(ctx, memberCheckInterval, e.checkMembers)
 }
 
 // Start begins the engine's own duties; they end with ctx.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,6 +23,7 @@
 	"github.com/apex/log"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/grouper"
@@ -143,18 +144,11 @@
 }
 
 func (f *Follower) loop(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	pacer.Repeat(ctx, pollInterval, func(ctx context.Context) {
 		if err := f.Refresh(ctx); err != nil {
 			log.WithError(err).Debug("table not read")
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // hintLoop follows the peers' hints. It does not wait for the table.
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/spreader"
 )
@@ -129,16 +130,7 @@
 
 // loop exchanges digests with the neighbours.
 func (in *Introducer) loop(ctx context.Context) {
-	ticker := time.NewTicker(in.interval)
-	defer ticker.Stop()
-	for {
-		in.exchangeNext(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	pacer.Repeat(ctx, in.interval, in.exchangeNext)
 }
 
 // exchangeNext exchanges with the neighbour whose turn it is.
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -33,7 +33,8 @@
 	Seeds []netip.AddrPort
 	// KeepAnswer is how long callers keep the answer with the addresses.
 	KeepAnswer time.Duration
-	// DrainTimeout bounds how long a stop waits for requests in progress.
+	// DrainTimeout bounds how long a stop waits for requests in progress; the
+	// default is the longest deadline that a class may have.
 	DrainTimeout time.Duration
 	// HeartbeatInterval is the time between two exchanges with the peers.
 	HeartbeatInterval time.Duration
@@ -65,7 +66,7 @@
 	return Settings{
 		Platform:          "http",
 		KeepAnswer:        5 * time.Second,
-		DrainTimeout:      time.Minute,
+		DrainTimeout:      time.Hour,
 		HeartbeatInterval: 500 * time.Millisecond,
 		Degree:            4,
 		LogLevel:          "info",
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -25,7 +25,7 @@
 
 const (
 	// probeWorkers is how many probes run at once.
-	probeWorkers = 32
+	probeWorkers = 128
 	// probeCapacity bounds the probes that wait for a worker.
 	probeCapacity = 4096
 	// relayTimeout bounds one question to a peer.
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/spreader"
@@ -100,18 +101,7 @@
 	return messenger.AllotReply{PerSecond: allotment.PerSecond, TTL: allotment.Expiry.Sub(now)}
 }
 
-func (s *Sharer) loop(ctx context.Context) {
-	ticker := time.NewTicker(askInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.askAll(ctx)
-	}
-}
+func (s *Sharer) loop(ctx context.Context) { pacer.Repeat(ctx, askInterval, s.askAll) }
 
 func (s *Sharer) askAll(ctx context.Context) {
 	config := s.configs.Config()
