Read events of any length; forget what nothing asks for

Cause (found by reading as a newcomer): an event longer than the 8 KiB buffer of a stream ended it as if the engine had broken, with a strike against the request and a doubt about the group.

Before: TestReadLine fails with 'bufio: buffer full' on ReadSlice alone; after: passes. A field and two methods that nothing used are gone.

--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +52,12 @@
 	if config == nil {
 		return
 	}
+	groups := d.configs.Groups().Groups
 	d.mu.Lock()
+	d.tracker.Keep(func(name string) bool {
+		_, known := groups[name]
+		return known || strings.Contains(name, serviceMark)
+	})
 	flights := make([]*flight, 0, len(d.flights))
 	for f := range d.flights {
 		flights = append(flights, f)
--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -16,6 +16,10 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// serviceMark stands in the names of services' back ends, between the service
+// and its address.
+const serviceMark = "@"
+
 // backends returns where a request may be sent now.
 func (d *Dispatcher) backends(r Request) []backend {
 	if r.Service != "" {
@@ -31,7 +35,7 @@
 		return nil
 	}
 	for _, address := range config.Services[name].Addresses {
-		site := name + "@" + address.String()
+		site := name + serviceMark + address.String()
 		found = append(found, backend{name: site, site: site, address: address})
 	}
 	return found
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -22,6 +22,8 @@
 
 const (
 	streamBuffer = 8192
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 4 << 20
 	// strikeTimeout bounds how long a retry waits for the peers' word.
 	strikeTimeout = 150 * time.Millisecond
 )
@@ -50,8 +52,6 @@
 	failure   error
 	// failed holds the back ends that this request has failed at.
 	failed map[string]bool
-	// whole says that the terminal mark has come.
-	whole  bool
 	closed bool
 }
 
@@ -104,12 +104,6 @@
 // Status returns the back end's HTTP status.
 func (s *Stream) Status() int { return s.status }
 
-// Whole reports whether the terminal mark has come.
-func (s *Stream) Whole() bool { return s.whole }
-
-// Attempts returns how often the request has been tried.
-func (s *Stream) Attempts() int { return s.machine.Attempts() }
-
 // Restarted reports, once, that all events returned so far must be thrown
 // away. It happens to Buffered requests only.
 func (s *Stream) Restarted() bool {
@@ -123,7 +117,7 @@
 // bytes are valid until the next call.
 func (s *Stream) Next() ([]byte, error) {
 	for {
-		line, err := s.reader.ReadSlice('\n')
+		line, err := readLine(s.reader)
 		if err != nil {
 			if err := s.broke(err); err != nil {
 				return nil, err
@@ -144,6 +138,21 @@
 	}
 }
 
+// readLine returns the next line, however long it is. The bytes of a line that
+// fits the reader's buffer are valid until the next call.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for err == bufio.ErrBufferFull && len(long) <= maxLineBytes {
+		line, err = reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
 // touch notes that the stream makes progress.
 func (s *Stream) touch() {
 	if s.current != nil && s.current.flight != nil {
@@ -160,7 +169,6 @@
 
 // completed notes that the whole stream has come.
 func (s *Stream) completed() {
-	s.whole = true
 	if s.current == nil {
 		return
 	}
@@ -175,8 +183,8 @@
 	if err != nil {
 		return nil, s.refusal(retrier.Action{Outcome: retrier.MayHaveRun}, err)
 	}
-	s.whole = true
 	if s.current != nil {
+		s.current.whole = true
 		s.claim.finished(&Answer{Status: s.status, Header: s.current.response.Header, Body: body})
 	}
 	return body, nil
--- /dev/null
+++ b/internal/dispatcher/stream_test.go
@@ -0,0 +1,27 @@
+package dispatcher
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReadLine reads lines that are shorter, as long and longer than the
+// reader's buffer, and a last one that breaks off.
+func TestReadLine(t *testing.T) {
+	lines := []string{"short\n"}
+	for _, length := range []int{streamBuffer - 1, streamBuffer, 5 * streamBuffer} {
+		lines = append(lines, strings.Repeat("x", length)+"\n")
+	}
+	reader := bufio.NewReaderSize(strings.NewReader(strings.Join(lines, "")+"broken"), streamBuffer)
+	for _, want := range lines {
+		got, err := readLine(reader)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), want)
+	}
+	_, err := readLine(reader)
+	assert.Equal(t, err, io.EOF)
+}
--- a/internal/prober/loops.go
+++ b/internal/prober/loops.go
@@ -74,6 +74,7 @@
 			delete(p.own, instance)
 		}
 	}
+	p.forgetLocked()
 	for instance, address := range due {
 		if p.probing[instance] {
 			continue
@@ -87,6 +88,15 @@
 	}
 }
 
+// forgetLocked drops the evidence for instances that nothing asks for any more.
+func (p *Prober) forgetLocked() {
+	groups := p.configs.Groups()
+	p.keeper.Forget(func(instance string) bool {
+		_, extra := p.extra[instance]
+		return extra || groups.GroupOf(instance) != ""
+	})
+}
+
 // due returns the instances to probe now.
 func (p *Prober) due(watchers int, ttl time.Duration) map[string]netip.AddrPort {
 	live := entryIDs(p.members.Live())
--- a/pkg/router/policy.go
+++ b/pkg/router/policy.go
@@ -29,8 +29,6 @@
 	Group string
 	// Load estimates how many requests the group has, from all entries.
 	Load float64
-	// DataCentreLocal says that the group is in the entry's data centre.
-	DataCentreLocal bool
 }
 
 // Policy picks one of the candidates, of which there is at least one, and
