--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -89,7 +89,8 @@
 	if err != nil {
 		return s, err
 	}
-	return s, document.Decode(s.schema, "[entry], [platform], [peers], [tls], [operator]")
+	return s, document.Decode(s.schema, "[entry], [platform], [peers], [tls], [operator]",
+		"entry", "platform", "peers", "operator")
 }
 
 func (s *Settings) schema(section *decoder.Section) ([]decoder.Field, bool) {
--- a/pkg/configurer/check.go
+++ b/pkg/configurer/check.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/pkg/decoder"
-	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 )
 
@@ -36,7 +35,7 @@
 		return nil, err
 	}
 	c := &checker{config: defaults()}
-	if err := document.Decode(c.schema, sectionsAccepted); err != nil {
+	if err := document.Decode(c.schema, sectionsAccepted, "system"); err != nil {
 		return nil, err
 	}
 	if err := c.finish(); err != nil {
@@ -207,9 +206,6 @@
 
 // finish stores the named sections and runs the checks between them.
 func (c *checker) finish() error {
-	if c.config.Deployment == "" {
-		return faulter.Newf("check settings", decoder.KindMistakes, "section [system] with the key \"deployment\" is missing")
-	}
 	for _, commit := range c.commits {
 		commit()
 	}
--- a/pkg/decoder/document.go
+++ b/pkg/decoder/document.go
@@ -28,7 +28,7 @@
 	Data []byte `json:"data"`
 }
 
-// Position is where a key stands.
+// Position is where a key stands; line zero is the file as a whole.
 type Position struct {
 	File string
 	Line int
@@ -54,6 +54,8 @@
 
 // Document is the merge of all sources.
 type Document struct {
+	// name is that of the first source.
+	name     string
 	sections []*Section
 }
 
@@ -62,6 +64,9 @@
 func Parse(sources ...Source) (*Document, error) {
 	d := &Document{}
 	for _, source := range sources {
+		if d.name == "" {
+			d.name = source.Name
+		}
 		if err := d.merge(source); err != nil {
 			return nil, err
 		}
--- a/pkg/decoder/errors.go
+++ b/pkg/decoder/errors.go
@@ -33,9 +33,17 @@
 	Accepted string
 }
 
+// String returns "file:line", or the file alone.
+func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d", p.File, p.Line)
+}
+
 // String returns the mistake as one line.
 func (m Mistake) String() string {
-	text := fmt.Sprintf("%s:%d: section [%s]", m.Position.File, m.Position.Line, m.Section)
+	text := fmt.Sprintf("%s: section [%s]", m.Position, m.Section)
 	if m.Key != "" {
 		text += fmt.Sprintf(": key %q", m.Key)
 	}
--- a/pkg/decoder/field.go
+++ b/pkg/decoder/field.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,9 +23,10 @@
 // Schema returns the fields of a section, or false for an unknown section.
 type Schema func(section *Section) ([]Field, bool)
 
-// Decode checks every section against the schema and stores all values.
-func (d *Document) Decode(schema Schema, accepted string) error {
-	var mistakes Mistakes
+// Decode checks every section against the schema and stores all values. The
+// required sections must be there.
+func (d *Document) Decode(schema Schema, accepted string, required ...string) error {
+	mistakes := d.missing(required)
 	for _, section := range d.sections {
 		fields, known := schema(section)
 		if !known {
@@ -39,6 +41,18 @@
 	return nil
 }
 
+// missing returns a mistake for each required section that is not there.
+func (d *Document) missing(required []string) Mistakes {
+	var mistakes Mistakes
+	for _, name := range required {
+		found := slices.ContainsFunc(d.sections, func(s *Section) bool { return s.title() == name })
+		if !found {
+			mistakes = append(mistakes, Mistake{Position: Position{File: d.name}, Section: name, Problem: "missing section"})
+		}
+	}
+	return mistakes
+}
+
 func (s *Section) decode(fields []Field) Mistakes {
 	var mistakes Mistakes
 	known := make(map[string]Field, len(fields))
