--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -104,6 +104,7 @@
 		return execute(c, action, out, errOut)
 	}
 	parser.ShowHelp()
+	fmt.Fprintln(errOut, "waxwing: no verb given, or none of that name")
 	return int(KindUsage)
 }
 
