Let the gate's test live on relayed evidence

Cause: with three entries and three watchers a group every entry watched all, and no test with real processes ever used evidence from a peer.

--- a/internal/integration/gate_test.go
+++ b/internal/integration/gate_test.go
@@ -70,7 +70,8 @@
 				entries:    3,
 				domains:    map[string]int{"fabric-a": 4, "fabric-b": 4},
 				engineArgs: []string{"--ignore-fence"},
-				config:     fmt.Sprintf(assistModel, 2),
+				// With one watcher a group, the others live on relayed evidence.
+				config: fmt.Sprintf(assistModel, 2) + "\n[gate]\nwatchers = 1\n",
 			})
 			groups := c.awaitOpen("entry-0", 2)
 			c.awaitOpen("entry-1", 2)
