Drop a metrics scope that the dispatcher never used

Found by reading the whole change: the field was set and never read. Behaviour is as before; requests are counted by the receiver. Measured: linters clean; tests of the dispatcher and the starter, the whole path, refusals, streams and at-most-once pass.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,7 +22,6 @@
 	"sync"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
@@ -76,7 +75,6 @@
 	gates       Gates
 	broadcaster Broadcaster
 	claims      Claims
-	scope       tally.Scope
 	tracer      trace.Tracer
 	transport   *http.Transport
 
@@ -101,7 +99,6 @@
 	Gates       Gates
 	Broadcaster Broadcaster
 	Claims      Claims
-	Scope       tally.Scope
 	Tracer      trace.Tracer
 	// Seed starts the random numbers.
 	Seed uint64
@@ -114,7 +111,6 @@
 		gates:       d.Gates,
 		broadcaster: d.Broadcaster,
 		claims:      d.Claims,
-		scope:       d.Scope,
 		tracer:      d.Tracer,
 		transport:   newTransport(),
 		random:      rand.New(rand.NewPCG(d.Seed, 0)),
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -142,7 +142,6 @@
 		Gates:       n.prober,
 		Broadcaster: n.strikes,
 		Claims:      n.claims,
-		Scope:       scope,
 		Tracer:      tracer,
 		Seed:        self.Epoch,
 	})
