--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -3,37 +3,60 @@
 // # Usage
 //
 //	waxwingd --settings entry.ini
+//	waxwingd --hosted
+//
+// With --hosted the process takes its settings from the users' platform and
+// serves there; without it, from an INI file.
 package main
 
 import (
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
+	"github.com/waxwingmount/waxwingmount/internal/hoster"
 	"github.com/waxwingmount/waxwingmount/internal/loader"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/starter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/platform"
 )
 
 func main() {
-	path := ""
+	path, hosted := "", false
 	flaggy.SetName("waxwingd")
 	flaggy.SetDescription("Runs one entry instance of waxwingmount.")
 	flaggy.String(&path, "s", "settings", "The INI file with this instance's settings.")
+	flaggy.Bool(&hosted, "", "hosted", "Take the settings from the users' platform and serve there.")
 	flaggy.Parse()
-	log.SetHandler(json.New(os.Stderr))
-	if err := run(path); err != nil {
+	if err := start(path, hosted); err != nil {
+		log.SetHandler(json.New(os.Stderr))
 		log.WithError(err).Error("entry instance ended")
 		os.Exit(1)
 	}
 }
 
-func run(path string) error {
+func start(path string, hosted bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	lines, end := context.WithCancel(context.Background())
+	defer end()
+	writer := logger.New(os.Stdout)
+	writer.Start(lines)
+	log.SetHandler(json.New(writer))
+	if hosted {
+		return runHosted(ctx)
+	}
+	return run(ctx, path)
+}
+
+func run(ctx context.Context, path string) error {
 	settings, err := loader.Load(path)
 	if err != nil {
 		return err
@@ -47,7 +70,38 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	return node.Run(ctx)
+}
+
+const (
+	// memoryShare is the part of the instance's memory that the collector
+	// aims to stay under; the rest is for stacks and sockets.
+	memoryShare = 0.6
+	// collectPercent trades memory for processor time.
+	collectPercent = 200
+)
+
+func runHosted(ctx context.Context) error {
+	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	if settings.Hosted.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Hosted.MemoryBytes)))
+	}
+	debug.SetGCPercent(collectPercent)
+	client := platform.NewClient(settings.Store)
+	node, err := hoster.New(settings.Hosted, hoster.Platform{
+		Table:     client,
+		Source:    client,
+		Prober:    client,
+		Orderer:   client,
+		Codec:     platform.Headers{},
+		Directory: platform.Directory,
+		Readiness: platform.Readiness,
+	})
+	if err != nil {
+		return err
+	}
 	return node.Run(ctx)
 }
--- a/internal/dispatcher/stream_test.go
+++ b/internal/dispatcher/stream_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,24 +25,3 @@
 	_, err := readLine(reader)
 	assert.Equal(t, err, io.EOF)
 }
-
-// TestGatedBody closes the gate before and after the first byte of a body. A
-// body whose gate is closed before counts as never sent.
-func TestGatedBody(t *testing.T) {
-	var open, sent atomic.Bool
-	body := &gatedBody{reader: bytes.NewReader([]byte("body")), open: open.Load, sent: &sent}
-	_, err := body.Read(make([]byte, 2))
-	assert.Equal(t, err, errGateClosed)
-	assert.Assert(t, !sent.Load())
-
-	open.Store(true)
-	n, err := body.Read(make([]byte, 2))
-	assert.NilError(t, err)
-	assert.Equal(t, n, 2)
-	assert.Assert(t, sent.Load())
-
-	open.Store(false)
-	rest, err := io.ReadAll(body)
-	assert.NilError(t, err)
-	assert.Equal(t, string(rest), "dy")
-}
--- a/internal/dispatcher/try.go
+++ b/internal/dispatcher/try.go
@@ -1,13 +1,11 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +13,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/waxwingmount/waxwingmount/internal/gater"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -29,38 +28,12 @@
 	headerKey          = "Idempotency-Key"
 )
 
-var errGateClosed = errors.New("the gate closed before the request was sent")
-
-// gatedBody is a request body that asks the gate again at the moment at which
-// its first byte is about to leave. A body that was never read proves that
-// the back end cannot have begun. It has no way to be read twice, so that the
-// transport can never send it again by itself.
-type gatedBody struct {
-	reader *bytes.Reader
-	open   func() bool
-	sent   *atomic.Bool
-}
-
-// Read implements [io.Reader].
-func (b *gatedBody) Read(p []byte) (int, error) {
-	if !b.sent.Load() {
-		if !b.open() {
-			return 0, errGateClosed
-		}
-		b.sent.Store(true)
-	}
-	return b.reader.Read(p)
-}
-
-// Close implements [io.Closer].
-func (b *gatedBody) Close() error { return nil }
-
 // try is one sending of a request to one back end.
 type try struct {
 	backend  backend
 	flight   *flight
 	response *http.Response
-	sent     atomic.Bool
+	body     *gater.Body
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	span     trace.Span
@@ -101,7 +74,7 @@
 // failure sorts a try without a response: a body that was never read cannot
 // have begun.
 func (t *try) failure() retrier.EventKind {
-	if t.sent.Load() {
+	if t.body != nil && t.body.Sent() {
 		return retrier.Broke
 	}
 	return retrier.NotSent
@@ -126,18 +99,17 @@
 	if err != nil {
 		return nil, err
 	}
-	body := &gatedBody{reader: bytes.NewReader(r.Body), open: func() bool { return d.stillOpen(t.backend) }, sent: &t.sent}
-	request, err := http.NewRequestWithContext(t.ctx, r.Method, target.String(), body)
+	t.body = gater.New(r.Body, func() bool { return d.stillOpen(t.backend) })
+	request, err := http.NewRequestWithContext(t.ctx, r.Method, target.String(), t.body)
 	if err != nil {
 		return nil, err
 	}
 	request.ContentLength = int64(len(r.Body))
 	if len(r.Body) == 0 {
 		// An empty body is never read, so that the gate is asked here.
-		if !d.stillOpen(t.backend) {
-			return nil, errGateClosed
+		if !t.body.Pass() {
+			return nil, gater.ErrClosed
 		}
-		t.sent.Store(true)
 	}
 	setHeaders(request.Header, t.backend, r, resumeFrom)
 	propagation.TraceContext{}.Inject(t.ctx, propagation.HeaderCarrier(request.Header))
--- /dev/null
+++ b/internal/forwarder/admission.go
@@ -0,0 +1,129 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+const (
+	// maxQueueWait bounds how long a request waits for a free place, and
+	// waitShare the part of its time.
+	maxQueueWait = 2 * time.Second
+	waitShare    = 0.3
+	// soonRetry is when to come back to a system that lacks servers, or whose
+	// view is too old, for a moment.
+	soonRetry = 500 * time.Millisecond
+	// retryJitter spreads the callers that come back.
+	retryJitter = 0.5
+	// priorityRanks is how many ranks of routes there are; an organisation's
+	// rank goes before the route's.
+	priorityRanks = 100
+)
+
+// admit waits until a request may be sent to its pool.
+func (f *Forwarder) admit(ctx context.Context, x *exchange) *Refusal {
+	now := clocker.Now()
+	free := f.free(x.config, x.pool)
+	f.mu.Lock()
+	p := f.poolFor(x.pool)
+	f.nextTicket++
+	ticket := limiter.Ticket{
+		ID:           f.nextTicket,
+		Organisation: x.organisation.Name,
+		Priority:     x.organisation.Priority*priorityRanks + x.route.Priority,
+		Deadline:     x.deadline,
+		StartBy:      x.queueUntil,
+	}
+	decision := p.queue.Offer(now, ticket, free)
+	if decision.Evicted != nil {
+		p.tell(decision.Evicted.ID, overloaded(decision.RetryAfter))
+	}
+	if decision.Verdict == limiter.Refused {
+		f.mu.Unlock()
+		return overloaded(decision.RetryAfter)
+	}
+	if decision.Verdict == limiter.Admitted {
+		f.mu.Unlock()
+		return nil
+	}
+	told := make(chan *Refusal, 1)
+	p.waiting[ticket.ID] = told
+	f.mu.Unlock()
+	select {
+	case refusal := <-told:
+		return refusal
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.queue.Cancel(ticket.ID)
+	delete(p.waiting, ticket.ID)
+	return &Refusal{Op: "admit", Kind: KindExpired, Outcome: retrier.NotRun, Err: ctx.Err()}
+}
+
+func (f *Forwarder) poolFor(key poolKey) *pool {
+	p, found := f.pools[key]
+	if !found {
+		p = &pool{queue: limiter.NewQueue(queueLength), waiting: make(map[uint64]chan *Refusal)}
+		f.pools[key] = p
+	}
+	return p
+}
+
+// tell wakes a waiting request.
+func (p *pool) tell(ticket uint64, refusal *Refusal) {
+	if told, found := p.waiting[ticket]; found {
+		delete(p.waiting, ticket)
+		told <- refusal
+	}
+}
+
+// pumpAll starts the waiting requests of all pools for which there is room,
+// and gives up those that cannot be started in time.
+func (f *Forwarder) pumpAll() {
+	config := f.Observer.Config()
+	if config == nil {
+		return
+	}
+	f.mu.Lock()
+	f.budget.SetReserve(f.RetrySlack * budgetShare / float64(max(1, f.Peers.Count())))
+	var waiting []poolKey
+	for key, p := range f.pools {
+		if p.queue.Len() > 0 {
+			waiting = append(waiting, key)
+		}
+	}
+	f.mu.Unlock()
+	for _, key := range waiting {
+		f.pump(config, key)
+	}
+}
+
+func (f *Forwarder) pump(config *mapper.Map, key poolKey) {
+	now := clocker.Now()
+	free := f.free(config, key)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.poolFor(key)
+	for _, t := range p.queue.Expire(now) {
+		p.tell(t.ID, overloaded(p.queue.RetryAfter()))
+	}
+	for _, t := range p.queue.Pump(now, free) {
+		p.tell(t.ID, nil)
+	}
+}
+
+func overloaded(wait time.Duration) *Refusal {
+	return &Refusal{Op: "admit", Kind: KindOverloaded, Outcome: retrier.NotRun, RetryAfter: jitter(wait)}
+}
+
+// jitter spreads d over half to one and a half of it.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+}
--- /dev/null
+++ b/internal/forwarder/exchange.go
@@ -0,0 +1,271 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+// Causes for which a try is ended from here.
+var (
+	errLost    = errors.New("a member of the lane is lost")
+	errStalled = errors.New("all streams of the lane stand still")
+)
+
+const (
+	// answerMargin is how much before the end of the time a request is given
+	// up, so that its answer arrives in time.
+	answerMargin = 100 * time.Millisecond
+	// keyMargin is how much before the end of their life keys stop counting:
+	// a send and its way to the server.
+	keyMargin = 800 * time.Millisecond
+)
+
+// exchange is one request with all of its tries.
+type exchange struct {
+	f            *Forwarder
+	request      *Request
+	config       *mapper.Map
+	route        mapper.Route
+	organisation mapper.Organisation
+	pool         poolKey
+	deadline     time.Time
+	queueUntil   time.Time
+	fingerprint  quarantiner.Fingerprint
+	machine      *retrier.Machine
+	ctx          context.Context
+	cancel       context.CancelFunc
+
+	current *try
+	// began says that the caller has been sent the header.
+	began bool
+	// lastID is the id of the last event that the caller has been sent.
+	lastID    string
+	delivered int
+	// failed holds the lanes that failed this request.
+	failed map[string]bool
+	// spare is the answer of a server that failed, told if there is no better.
+	spare   *Answer
+	failure error
+}
+
+// Answer is what a caller is sent.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// stream is set when events follow.
+	stream *exchange
+}
+
+// Forward takes a request on. It returns once the whole answer is there, or
+// the first event of a stream.
+func (f *Forwarder) Forward(ctx context.Context, r *Request) (*Answer, error) {
+	x, refusal := f.begin(ctx, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	f.mu.Lock()
+	f.live++
+	f.mu.Unlock()
+	if refusal := f.admit(x.ctx, x); refusal != nil {
+		x.close()
+		return nil, refusal
+	}
+	answer, err := x.advance(retrier.Event{Kind: retrier.Started})
+	if err != nil || answer.stream == nil {
+		x.close()
+	}
+	return answer, err
+}
+
+// begin finds out what a request is and whether it may be taken on.
+func (f *Forwarder) begin(ctx context.Context, r *Request) (*exchange, *Refusal) {
+	config := f.Observer.Config()
+	if config == nil {
+		return nil, &Refusal{Op: "begin", Kind: KindUnready, Outcome: retrier.NotRun, RetryAfter: jitter(soonRetry)}
+	}
+	x := &exchange{f: f, request: r, failed: make(map[string]bool)}
+	if refusal := x.authorise(config); refusal != nil {
+		return nil, refusal
+	}
+	f.mu.Lock()
+	x.pool = poolKey{service: x.route.Choose(f.random), model: r.Model}
+	f.mu.Unlock()
+	timeout := x.route.Timeout
+	if r.Timeout > 0 && (timeout <= 0 || r.Timeout < timeout) {
+		timeout = r.Timeout
+	}
+	x.deadline = r.Arrived.Add(timeout - answerMargin)
+	x.queueUntil = r.Arrived.Add(min(maxQueueWait, time.Duration(float64(timeout)*waitShare)))
+	x.fingerprint = r.fingerprint(x.organisation)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.quarantine.Blocked(clocker.Now(), x.fingerprint) {
+		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun}
+	}
+	x.machine = retrier.New(retrier.Facts{
+		Idempotent:  x.route.Repeatable(),
+		Deadline:    x.deadline,
+		QueueUntil:  x.queueUntil,
+		MaxAttempts: max(1, x.route.MaxAttempts),
+	}, f.budget)
+	x.ctx, x.cancel = context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
+	return x, nil
+}
+
+// authorise finds the route and the organisation in a configuration. It is
+// asked again before every send, since keys and routes may have gone.
+func (x *exchange) authorise(config *mapper.Map) *Refusal {
+	route, found := config.Route(x.request.Host, x.request.Path)
+	if !found {
+		return &Refusal{Op: "authorise", Kind: KindNoRoute, Outcome: retrier.NotRun}
+	}
+	x.config, x.route = config, route
+	if route.Anonymous || !config.Keyed() {
+		return nil
+	}
+	if x.f.Observer.ConfigAge() > x.f.KeyTTL-keyMargin {
+		return &Refusal{Op: "authorise", Kind: KindStale, Outcome: retrier.NotRun, RetryAfter: jitter(soonRetry)}
+	}
+	organisation, found := config.Organisation(x.request.Key)
+	if !found {
+		return &Refusal{Op: "authorise", Kind: KindNoKey, Outcome: retrier.NotRun}
+	}
+	x.organisation = organisation
+	return nil
+}
+
+// mayRun reports whether the configuration still allows the request to be sent
+// to the service that was chosen.
+func (x *exchange) mayRun() bool {
+	config := x.f.Observer.Config()
+	if config != x.config {
+		if x.authorise(config) != nil || !x.route.Allows(x.pool.service) {
+			return false
+		}
+	}
+	return x.route.Anonymous || !config.Keyed() || x.f.Observer.ConfigAge() <= x.f.KeyTTL-keyMargin
+}
+
+// close ends what the exchange holds.
+func (x *exchange) close() {
+	x.drop(false)
+	x.cancel()
+	x.f.mu.Lock()
+	x.f.live--
+	x.f.mu.Unlock()
+}
+
+// drop ends the current try.
+func (x *exchange) drop(failed bool) {
+	if x.current != nil {
+		x.f.finish(x.current, failed)
+		x.current = nil
+	}
+}
+
+// step passes an event to the machine. The budget is shared, so that the
+// forwarder's lock is held.
+func (x *exchange) step(event retrier.Event) retrier.Action {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	now := clocker.Now()
+	event.Delivered = x.delivered
+	action := x.machine.Step(now, event)
+	if action.Kind == retrier.Answer {
+		return action
+	}
+	switch {
+	case x.f.quarantine.Blocked(now, x.fingerprint):
+		return x.machine.Step(now, retrier.Event{Kind: retrier.Blocked})
+	case x.ctx.Err() != nil:
+		return x.machine.Step(now, retrier.Event{Kind: retrier.Expired})
+	}
+	return action
+}
+
+// advance carries out what the machine says until there is an answer or the
+// request is given up.
+func (x *exchange) advance(event retrier.Event) (*Answer, error) {
+	for {
+		action := x.step(event)
+		switch action.Kind {
+		case retrier.Answer:
+			if x.spare != nil && !x.began {
+				return x.spare, nil
+			}
+			return nil, x.refusal(action)
+		case retrier.Wait:
+			x.wait(action.For)
+			event = retrier.Event{Kind: retrier.Waited}
+		case retrier.Try:
+			answer, next := x.try()
+			if answer != nil {
+				return answer, nil
+			}
+			event = next
+		}
+	}
+}
+
+func (x *exchange) wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-x.ctx.Done():
+	}
+}
+
+// refusal builds the error for a request without an answer.
+func (x *exchange) refusal(action retrier.Action) *Refusal {
+	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(soonRetry), Err: x.failure}
+	switch {
+	case action.Final:
+		refusal.Kind, refusal.RetryAfter = KindQuarantined, 0
+	case action.Expired:
+		refusal.Kind = KindExpired
+	case x.machine.Attempts() == 0:
+		refusal.Kind = KindNoServer
+	}
+	return refusal
+}
+
+// blame keeps this request off a lane that failed it, has the members checked,
+// and counts a strike if the head has crashed.
+func (x *exchange) blame(l *lane, err error) retrier.Event {
+	event := retrier.Event{Kind: retrier.Broke}
+	if x.ctx.Err() != nil {
+		return event
+	}
+	x.failed[l.name] = true
+	x.failure = err
+	event.Excused = errors.IsAny(err, errLost, errStalled)
+	if !event.Excused {
+		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.members)
+	}
+	log.WithFields(log.Fields{
+		"request": x.request.ID, "lane": l.name, "instance": l.head().ID, "delivered": x.delivered, "sent": true,
+	}).WithError(err).Info("try broke")
+	return event
+}
+
+// strike counts a crash of a head against the request that it ran.
+func (x *exchange) strike(l *lane) {
+	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: l.head().ID + "/" + l.head().Incarnation}
+	x.f.mu.Lock()
+	news := x.f.quarantine.Strike(clocker.Now(), strike)
+	x.f.mu.Unlock()
+	if news {
+		x.f.Peers.TellStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
+	}
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,213 @@
+// Package forwarder carries opaque requests to replica groups and plain
+// servers and back. It knows of a request only what its headers tell; the body
+// and the answer pass unchanged. It wires the decision machines of pkg/
+// (mapper, surveyor, limiter, router, retrier, quarantiner) to connections.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.Dependencies{...})
+//	f.Start(ctx)
+//	http.Serve(listener, f.Handler())
+//
+// A request that has not run is refused with 503 and the time to come back. A
+// request that may have run and may not run twice ends with 502 or 504. A
+// stream that breaks goes on elsewhere after its last whole event, where the
+// route allows it, and otherwise ends visibly broken.
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sys/unix"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+	"github.com/waxwingmount/waxwingmount/pkg/router"
+)
+
+// Peers are the other entry instances, as far as requests concern them.
+type Peers interface {
+	// Count returns how many entry instances share the work, this one included.
+	Count() int
+	// TellStrikes tells all peers of requests that crash backend servers.
+	TellStrikes(ctx context.Context, strikes []quarantiner.Strike)
+}
+
+const (
+	// sweepInterval is the time between two looks at what is under way: a
+	// third of the shortest silence that matters.
+	sweepInterval = 50 * time.Millisecond
+	dialTimeout   = 400 * time.Millisecond
+	// deadAfter is how long sent bytes may stay unacknowledged before the
+	// kernel gives a connection up.
+	deadAfter = 3 * time.Second
+	// idleTimeout is how long a connection to a backend server is kept idle.
+	idleTimeout = 10 * time.Second
+	// idlePerServer is how many idle connections to keep to one server.
+	idlePerServer = 16
+
+	// strikeLimit is how many servers a request may crash: the users' pages
+	// allow three.
+	strikeLimit    = 3
+	strikeExpiry   = 5 * time.Minute
+	strikeCapacity = 4096
+
+	// queueLength is how many requests may wait for one pool.
+	queueLength = 256
+	// budgetShare is the part of the shared retry budget that is used, since
+	// the number of entry instances that share it is known late.
+	budgetShare = 0.6
+)
+
+// Settings are the constants of a Forwarder that come from outside.
+type Settings struct {
+	DataCentre string
+	// KeyTTL is the age of the configuration from which on no key counts.
+	KeyTTL time.Duration
+	// RetryRatio and RetrySlack bound the retries of all entry instances.
+	RetryRatio float64
+	RetrySlack float64
+}
+
+// Dependencies are what a Forwarder works with.
+type Dependencies struct {
+	Settings
+	Observer *observer.Observer
+	Codec    Codec
+	Peers    Peers
+	Tracer   trace.Tracer
+	Scope    tally.Scope
+}
+
+// Forwarder carries the requests of one entry instance.
+type Forwarder struct {
+	Dependencies
+	transport *http.Transport
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	tracker    *router.Tracker
+	lanes      map[string]*lane
+	peerLoads  map[string]peerLoad
+	pools      map[poolKey]*pool
+	quarantine *quarantiner.Quarantine
+	budget     *retrier.Budget
+	nextTicket uint64
+	live       int
+	leaving    bool
+}
+
+// New returns a forwarder without requests.
+func New(d Dependencies) *Forwarder {
+	return &Forwarder{
+		Dependencies: d,
+		transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idlePerServer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		tracker:    router.NewTracker(),
+		lanes:      make(map[string]*lane),
+		peerLoads:  make(map[string]peerLoad),
+		pools:      make(map[poolKey]*pool),
+		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
+		budget:     retrier.NewBudget(d.RetryRatio*budgetShare, d.RetrySlack*budgetShare),
+	}
+}
+
+// Start begins the duty; it ends with ctx.
+func (f *Forwarder) Start(ctx context.Context) { go f.loop(ctx) }
+
+// Leave tells callers from now on to use other connections.
+func (f *Forwarder) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+}
+
+// Live returns how many requests are in progress.
+func (f *Forwarder) Live() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live
+}
+
+// Strike takes in strikes from a peer.
+func (f *Forwarder) Strike(strikes []quarantiner.Strike) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range strikes {
+		f.quarantine.Strike(now, s)
+	}
+}
+
+// loop looks after what runs and what waits.
+func (f *Forwarder) loop(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-f.Observer.Changed():
+		}
+		f.sweep(ctx)
+		f.pumpAll()
+	}
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: deadAfter}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := limitSilence(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// limitSilence makes the kernel give up a connection whose peer acknowledges
+// nothing.
+func limitSilence(conn net.Conn) error {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadAfter.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// pooled names what one queue stands before.
+type poolKey struct {
+	service string
+	model   string
+}
+
+// pool is the queue before the servers of one service and model.
+type pool struct {
+	queue   *limiter.Queue
+	waiting map[uint64]chan *Refusal
+}
--- /dev/null
+++ b/internal/forwarder/handler.go
@@ -0,0 +1,129 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+// defaultBodyBytes bounds a request's body before there is a configuration.
+const defaultBodyBytes = 4 << 20
+
+// Handler returns the HTTP interface for callers.
+func (f *Forwarder) Handler() http.Handler {
+	server := kithttp.NewServer(f.endpoint, f.decode, f.encode,
+		kithttp.ServerErrorEncoder(f.encodeError),
+		kithttp.ServerBefore(withHeader))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.isLeaving() {
+			w.Header().Set("Connection", "close")
+		}
+		server.ServeHTTP(w, r)
+	})
+}
+
+func (f *Forwarder) isLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
+type headerKey struct{}
+
+// withHeader keeps the caller's header for an answer of our own.
+func withHeader(ctx context.Context, r *http.Request) context.Context {
+	return context.WithValue(ctx, headerKey{}, r.Header)
+}
+
+func (f *Forwarder) endpoint(ctx context.Context, request any) (any, error) {
+	return f.Forward(ctx, request.(*Request))
+}
+
+// decode reads a whole request.
+func (f *Forwarder) decode(_ context.Context, r *http.Request) (any, error) {
+	limit := int64(defaultBodyBytes)
+	if config := f.Observer.Config(); config != nil && config.Limits.BodyBytes > 0 {
+		limit = config.Limits.BodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	if err != nil {
+		kind := KindMalformed
+		if errors.HasType(err, (*http.MaxBytesError)(nil)) {
+			kind = KindTooLarge
+		}
+		return nil, &Refusal{Op: "decode", Kind: kind, Outcome: retrier.NotRun, Err: err}
+	}
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return &Request{
+		Hints:   f.Codec.Hints(r.Header),
+		Host:    host,
+		Method:  r.Method,
+		Target:  r.RequestURI,
+		Path:    r.URL.EscapedPath(),
+		Header:  r.Header,
+		Body:    body,
+		Arrived: clocker.Now(),
+	}, nil
+}
+
+// encode sends an answer.
+func (f *Forwarder) encode(_ context.Context, w http.ResponseWriter, response any) error {
+	answer := response.(*Answer)
+	header := w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	if answer.stream == nil {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		w.WriteHeader(answer.Status)
+		_, err := w.Write(answer.Body)
+		return nilIfGone(err)
+	}
+	w.WriteHeader(answer.Status)
+	return nilIfGone(answer.relay(w))
+}
+
+// nilIfGone swallows the failure to write to a caller: the caller has gone,
+// and nothing more can be told.
+func nilIfGone(err error) error {
+	if err != nil {
+		log.WithError(err).Debug("caller gone")
+	}
+	return nil
+}
+
+// encodeError sends a refusal.
+func (f *Forwarder) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &Refusal{Op: "forward", Kind: KindFailed, Outcome: retrier.MayHaveRun, Err: err}
+	}
+	id := ""
+	if header, found := ctx.Value(headerKey{}).(http.Header); found {
+		id = f.Codec.Hints(header).ID
+		f.Codec.Echo(w.Header(), id)
+	}
+	status := refusal.Status()
+	f.Scope.Tagged(map[string]string{"kind": refusal.Kind.String(), "outcome": refusal.Outcome.String()}).Counter("refusals").Inc(1)
+	log.WithFields(log.Fields{
+		"request": id, "kind": refusal.Kind.String(), "outcome": refusal.Outcome.String(), "status": status,
+		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
+	}).WithError(refusal.Err).Info("request refused")
+	if refusal.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/internal/forwarder/lane.go
@@ -0,0 +1,181 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
+)
+
+// lane is one place that requests are sent to: a replica group or a server.
+type lane struct {
+	name    string
+	members []provider.Instance
+	slots   int
+	// group is nil for a plain server.
+	group *surveyor.Group
+	// quiet is how long all streams may pause together before the members
+	// are checked; stalled is when they are moved whatever the check says.
+	quiet   time.Duration
+	stalled time.Duration
+
+	flights map[*flight]struct{}
+	// progress is when the lane last sent anything, or got work after none.
+	progress time.Time
+	// shunned is until when no new request goes there.
+	shunned time.Time
+}
+
+// head returns the instance that takes the lane's requests.
+func (l *lane) head() provider.Instance { return l.members[0] }
+
+// flight is one try under way.
+type flight struct {
+	lane   *lane
+	cancel context.CancelCauseFunc
+	// streaming says that events have come.
+	streaming bool
+}
+
+const (
+	// quietPasses is how many passes' time a healthy head may be silent.
+	quietPasses = 2
+	// minQuiet covers the reading of other requests' prompts and the links.
+	minQuiet = 170 * time.Millisecond
+	// plainQuiet is how long a plain server may take before it is checked.
+	plainQuiet = 600 * time.Millisecond
+	// firstQuiet is how long a head may take to a first event before it is
+	// checked.
+	firstQuiet = 350 * time.Millisecond
+	// stallQuiets is how many times the quiet time means a stall.
+	stallQuiets = 4
+	// stallShun is how long a stalled lane gets no new requests: the rest of
+	// the time after which the engine itself gives up.
+	stallShun = 4 * time.Second
+)
+
+// quietTime returns how long the streams of a group may pause together: some
+// passes with a full batch, and as many whole chunks of prompts read between.
+func quietTime(e *mapper.Engine, model string) time.Duration {
+	if e == nil {
+		return plainQuiet
+	}
+	m, _ := e.Model(model)
+	step := e.Step + time.Duration(e.Slots)*e.StepPerRequest
+	pass := time.Duration(e.Stride) * step
+	read := time.Duration(float64(e.Chunk) / max(1, e.ReadPerSecond) * float64(time.Second))
+	return max(minQuiet, time.Duration(float64(quietPasses*(pass+read))*max(m.Pace, 0.1)))
+}
+
+// laneFor returns the lane of that name, made anew if its members changed.
+func (f *Forwarder) laneFor(name string, members []provider.Instance, group *surveyor.Group, e *mapper.Engine) *lane {
+	l, found := f.lanes[name]
+	if !found || l.members[0].Incarnation != members[0].Incarnation || l.members[0].Address != members[0].Address {
+		l = &lane{name: name, flights: make(map[*flight]struct{})}
+		f.lanes[name] = l
+	}
+	l.members, l.group, l.slots = members, group, members[0].Slots
+	model := ""
+	if group != nil {
+		model = group.Model
+	}
+	l.quiet = quietTime(e, model)
+	l.stalled = stallQuiets * l.quiet
+	return l
+}
+
+// takeOff notes a try that begins.
+func (f *Forwarder) takeOff(fl *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(fl.lane.flights) == 0 {
+		fl.lane.progress = clocker.Now()
+	}
+	fl.lane.flights[fl] = struct{}{}
+}
+
+// land notes the end of a try, and whether the lane failed it.
+func (f *Forwarder) land(fl *flight, failed bool) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(fl.lane.flights, fl)
+	f.tracker.End(now, fl.lane.name, failed)
+}
+
+// progressed notes that a lane has sent something.
+func (f *Forwarder) progressed(fl *flight) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fl.lane.progress = now
+	fl.streaming = true
+}
+
+// shun keeps new requests off a lane for a while.
+func (f *Forwarder) shun(l *lane, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.shunned = clocker.Now().Add(d)
+}
+
+// sweep ends the tries on lanes with a lost member, checks the lanes that are
+// silent, and ends the tries on those that are silent for too long.
+func (f *Forwarder) sweep(ctx context.Context) {
+	now := clocker.Now()
+	var doubtful, stalled, busy []*lane
+	f.mu.Lock()
+	for name, l := range f.lanes {
+		if len(l.flights) == 0 {
+			if now.After(l.shunned) && now.Sub(l.progress) > time.Minute {
+				delete(f.lanes, name)
+			}
+			continue
+		}
+		busy = append(busy, l)
+		silence := now.Sub(l.progress)
+		quiet := l.quiet
+		if !l.anyStreaming() && l.group != nil {
+			quiet = max(quiet, firstQuiet)
+		}
+		if silence > quiet {
+			doubtful = append(doubtful, l)
+		}
+		if l.group != nil && l.anyStreaming() && silence > l.stalled {
+			stalled = append(stalled, l)
+		}
+	}
+	f.mu.Unlock()
+	for _, l := range doubtful {
+		f.Observer.Doubt(ctx, l.members)
+	}
+	for _, l := range stalled {
+		f.shun(l, stallShun)
+		f.cancelAll(l, errStalled)
+	}
+	for _, l := range busy {
+		if f.Observer.Gone(l.members) {
+			f.cancelAll(l, errLost)
+		}
+	}
+}
+
+func (l *lane) anyStreaming() bool {
+	for fl := range l.flights {
+		if fl.streaming {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Forwarder) cancelAll(l *lane, cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for fl := range l.flights {
+		fl.cancel(cause)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/refusal.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind sorts the reasons for which a request has no answer of a server.
+type Kind int
+
+// Kinds of refusal.
+const (
+	// KindUnready says that there is no configuration yet.
+	KindUnready Kind = iota // unready
+	// KindNoRoute says that no route matches.
+	KindNoRoute // no_route
+	// KindNoKey says that the key is missing or unknown.
+	KindNoKey // no_key
+	// KindStale says that the keys cannot be proved to be current.
+	KindStale // stale_keys
+	// KindTooLarge says that the body is longer than the limit.
+	KindTooLarge // too_large
+	// KindMalformed says that the request could not be read.
+	KindMalformed // malformed
+	// KindOverloaded says that too many requests wait.
+	KindOverloaded // overloaded
+	// KindNoServer says that no server may be sent the request.
+	KindNoServer // no_server
+	// KindQuarantined says that the request crashes servers.
+	KindQuarantined // quarantined
+	// KindFailed says that the servers that were tried failed.
+	KindFailed // failed
+	// KindExpired says that the time is over.
+	KindExpired // expired
+)
+
+// Refusal is the error type of this package: a request without a server's
+// answer, and what its caller is told.
+type Refusal struct {
+	// Op is the operation that failed.
+	Op      string
+	Kind    Kind
+	Outcome retrier.Outcome
+	// RetryAfter says when to come back; zero says nothing.
+	RetryAfter time.Duration
+	// Err is the cause, or nil.
+	Err error
+}
+
+// Error returns "op: kind (outcome): cause".
+func (r *Refusal) Error() string {
+	text := fmt.Sprintf("%s: %s (%s)", r.Op, r.Kind, r.Outcome)
+	if r.Err != nil {
+		text += ": " + r.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// Status returns the HTTP status. 503 promises that the request has not run.
+func (r *Refusal) Status() int {
+	switch r.Kind {
+	case KindNoRoute:
+		return http.StatusNotFound
+	case KindNoKey:
+		return http.StatusUnauthorized
+	case KindTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KindMalformed:
+		return http.StatusBadRequest
+	}
+	switch {
+	case r.Outcome == retrier.NotRun:
+		return http.StatusServiceUnavailable
+	case r.Kind == KindExpired:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func splitList(text string) []string {
+	var names []string
+	for name := range strings.SplitSeq(text, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/forwarder/request.go
@@ -0,0 +1,108 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+)
+
+// Hints is what the headers of a request tell of it.
+type Hints struct {
+	// ID is the caller's name for this attempt.
+	ID string
+	// Key is the caller's credential, or empty.
+	Key string
+	// Timeout is how long the caller waits; zero says nothing.
+	Timeout time.Duration
+	// Model is set for requests to model engines.
+	Model           string
+	PromptTokens    int
+	MaxAnswerTokens int
+	// LengthHint is the caller's guess of the answer's tokens.
+	LengthHint int
+	// Subject names what the request is about; requests of one subject share
+	// the beginning of their prompts.
+	Subject string
+}
+
+// Send is what a backend server is told with a request.
+type Send struct {
+	// Instance is the only instance that may run the request.
+	Instance     string
+	Organisation string
+	// Left is the time in which the answer is wanted.
+	Left time.Duration
+}
+
+// Verdict is what the header of an answer tells.
+type Verdict struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// NotRun proves that the server did not run the request.
+	NotRun bool
+	// Proved says that the answer bears a server's proof of having made it.
+	Proved bool
+	// Replaced says that the server is not the one that was meant, or that
+	// it is not the head of the group.
+	Replaced bool
+	// Culprit names the instance for which the server could not serve.
+	Culprit string
+}
+
+// Codec translates the headers of requests and answers.
+type Codec interface {
+	// Hints reads a caller's request.
+	Hints(header http.Header) Hints
+	// Address changes a request's header into the one for a server.
+	Address(header http.Header, send Send)
+	// Verdict reads the header of a server's answer.
+	Verdict(status int, header http.Header) Verdict
+	// Echo marks an answer of our own with the request's name.
+	Echo(header http.Header, id string)
+}
+
+// Request is one attempt of a caller.
+type Request struct {
+	Hints
+	Host   string
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Arrived is when the request was read.
+	Arrived time.Time
+}
+
+// fingerprint identifies the content of a request.
+func (r *Request) fingerprint(o mapper.Organisation) quarantiner.Fingerprint {
+	digest := xxhash.New()
+	digest.WriteString(o.Name + "\x00" + r.Method + "\x00" + r.Target + "\x00")
+	digest.Write(r.Body)
+	return quarantiner.Fingerprint(digest.Sum64())
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy of a header without what concerns one connection.
+func endToEnd(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, names := range header.Values("Connection") {
+		for _, name := range splitList(names) {
+			kept.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/hoster/node.go
@@ -0,0 +1,241 @@
+// Package hoster joins the parts of an entry instance that runs on a platform
+// of its users: it observes the platform, forwards opaque requests, tells
+// callers where to connect, and takes its turn in control. It wires; it
+// decides nothing.
+//
+// # Usage
+//
+//	node, err := hoster.New(settings, hoster.Platform{...})
+//	err = node.Run(ctx)
+//
+// When ctx ends the node tells everyone that it leaves, serves on while callers
+// may still hold its address, finishes what runs, and returns.
+package hoster
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"github.com/waxwingmount/waxwingmount/internal/forwarder"
+	"github.com/waxwingmount/waxwingmount/internal/introducer"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/internal/organiser"
+	"github.com/waxwingmount/waxwingmount/internal/tracer"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
+)
+
+// Settings are what one process is told at its start.
+type Settings struct {
+	// ID names the entry instance.
+	ID         string
+	DataCentre string
+	// Caller, Ready, Peer, Directory and Metrics are the addresses to listen
+	// on; Metrics may be left out.
+	Caller    netip.AddrPort
+	Ready     netip.AddrPort
+	Peer      netip.AddrPort
+	Directory netip.AddrPort
+	Metrics   netip.AddrPort
+	// Seeds are peer addresses to ask while the table does not answer.
+	Seeds []netip.AddrPort
+	// MemoryBytes bounds the process's memory; zero says nothing.
+	MemoryBytes int64
+	// KeyTTL is the age of the configuration from which on no key counts.
+	KeyTTL time.Duration
+	// StopTimeout is how long a stop may take.
+	StopTimeout time.Duration
+	// RetryRatio and RetrySlack bound the retries of all entry instances.
+	RetryRatio float64
+	RetrySlack float64
+	// KeepAnswer is the longest time that callers keep an answer of the
+	// directory.
+	KeepAnswer time.Duration
+}
+
+// Platform is what the users' platform offers, in this project's terms.
+type Platform struct {
+	Table   provider.Table
+	Source  observer.Source
+	Prober  observer.Prober
+	Orderer organiser.Orderer
+	Codec   forwarder.Codec
+	// Directory and Readiness make the handlers for two of the addresses.
+	Directory func(Directory) http.Handler
+	Readiness func(ready func() bool) http.Handler
+}
+
+const (
+	// heartbeatInterval is the time between two exchanges with the peers.
+	heartbeatInterval = 250 * time.Millisecond
+	// peerDegree is how many neighbours each entry instance has.
+	peerDegree = 4
+	// keepAnswer is how long callers are told to keep an answer.
+	keepAnswer = 2 * time.Second
+	// staleShare is the part of the keys' life after which an instance without
+	// the store no longer offers itself.
+	staleShare = 0.5
+	// stopMargin is left of the stop's time for the last answers.
+	stopMargin = 700 * time.Millisecond
+	// leaveShare is the part of the stop's time in which the instance still
+	// takes new connections.
+	leaveShare = 0.6
+
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+	metricInterval    = time.Second
+	withdrawTime      = time.Second
+)
+
+// Node is one entry instance.
+type Node struct {
+	settings   Settings
+	platform   Platform
+	registry   *prometheus.Registry
+	traces     *sdktrace.TracerProvider
+	pool       *messenger.Pool
+	introducer *introducer.Introducer
+	observer   *observer.Observer
+	forwarder  *forwarder.Forwarder
+	organiser  *organiser.Organiser
+	peers      *peers
+}
+
+// New joins the parts of an entry instance.
+func New(s Settings, p Platform) (*Node, error) {
+	n := &Node{settings: s, platform: p, registry: prometheus.NewRegistry()}
+	var err error
+	if n.traces, err = tracer.Open("", s.ID); err != nil {
+		return nil, err
+	}
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: n.registry, Gatherer: n.registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "waxwing",
+		Tags:           map[string]string{"entry": s.ID},
+		CachedReporter: reporter,
+		Separator:      tallyprometheus.DefaultSeparator,
+	}, metricInterval)
+	epoch := uint64(time.Now().UnixNano())
+	n.pool = messenger.NewPool(messenger.Security{})
+	n.peers = &peers{node: n}
+	n.introducer = introducer.New(introducer.Settings{
+		Self:     spreader.Member{ID: s.ID, Epoch: epoch, Caller: s.Caller, Peer: s.Peer, DataCentre: s.DataCentre},
+		Seeds:    s.Seeds,
+		Interval: heartbeatInterval,
+		Degree:   peerDegree,
+	}, p.Table, n.pool, n.peers)
+	n.observer = observer.New(observer.Dependencies{Source: p.Source, Prober: p.Prober, Announcer: n.peers})
+	n.forwarder = forwarder.New(forwarder.Dependencies{
+		Settings: forwarder.Settings{DataCentre: s.DataCentre, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack},
+		Observer: n.observer,
+		Codec:    p.Codec,
+		Peers:    n.peers,
+		Tracer:   n.traces.Tracer("waxwingmount"),
+		Scope:    scope,
+	})
+	n.organiser = organiser.New(organiser.Dependencies{
+		Holder:   s.ID + "/" + strconv.FormatUint(epoch, 10),
+		Table:    p.Table,
+		Observer: n.observer,
+		Orderer:  p.Orderer,
+		Demand:   n.forwarder,
+	})
+	return n, nil
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	listener, err := net.Listen("tcp", n.settings.Peer.String())
+	if err != nil {
+		return err
+	}
+	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read)
+	if err != nil {
+		return err
+	}
+	go server.Serve(duties, listener)
+	callers, err := n.serve(n.settings.Caller, n.forwarder.Handler())
+	if err != nil {
+		return err
+	}
+	for address, handler := range map[netip.AddrPort]http.Handler{
+		n.settings.Ready:     n.platform.Readiness(n.ready),
+		n.settings.Directory: n.platform.Directory(n),
+		n.settings.Metrics:   n.metrics(),
+	} {
+		if !address.IsValid() {
+			continue
+		}
+		if _, err := n.serve(address, handler); err != nil {
+			return err
+		}
+	}
+	n.observer.Start(duties)
+	n.introducer.Start(duties)
+	n.forwarder.Start(duties)
+	n.organiser.Start(duties)
+	go n.peers.loop(duties)
+	go n.memberLoop(duties)
+	log.WithFields(log.Fields{"entry": n.settings.ID, "data_centre": n.settings.DataCentre}).Info("entry instance serves")
+	<-ctx.Done()
+	return n.stop(callers)
+}
+
+// stop tells everyone that the node leaves, serves on while callers may hold
+// its address, finishes what runs, and closes.
+func (n *Node) stop(callers *http.Server) error {
+	began := time.Now()
+	log.WithField("entry", n.settings.ID).Info("entry instance leaves")
+	n.introducer.Update(func(m *spreader.Member) { m.Leaving = true })
+	n.forwarder.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTime)
+	defer cancel()
+	go n.runResign(ctx)
+	n.introducer.Publish(ctx)
+	time.Sleep(time.Duration(leaveShare*float64(n.settings.StopTimeout)) - time.Since(began))
+	drain, cancelDrain := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-time.Since(began))
+	defer cancelDrain()
+	err := callers.Shutdown(drain)
+	n.pool.Close()
+	log.WithFields(log.Fields{"entry": n.settings.ID, "live": n.forwarder.Live()}).Info("entry instance has left")
+	return err
+}
+
+func (n *Node) runResign(ctx context.Context) { n.organiser.Resign(ctx) }
+
+// serve serves a handler at an address in the background.
+func (n *Node) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	go n.run(server, listener)
+	return server, nil
+}
+
+func (n *Node) run(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		log.WithError(err).Error("listener ended")
+	}
+}
--- /dev/null
+++ b/internal/hoster/peers.go
@@ -0,0 +1,97 @@
+package hoster
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+)
+
+const (
+	// loadInterval is the time between two messages with this instance's load.
+	loadInterval = 200 * time.Millisecond
+	// tellTimeout bounds one message to one peer.
+	tellTimeout = 300 * time.Millisecond
+)
+
+// peers are the other entry instances as the parts of a node see them.
+type peers struct {
+	node *Node
+}
+
+// Newest implements [introducer.Newest]; what is shared lives with the platform.
+func (p *peers) Newest(*messenger.ExchangeMessage) {}
+
+// Learn implements [introducer.Newest].
+func (p *peers) Learn(netip.AddrPort, messenger.ExchangeMessage) {}
+
+// Count implements [forwarder.Peers].
+func (p *peers) Count() int { return len(p.node.introducer.Live()) }
+
+// TellStrikes implements [forwarder.Peers].
+func (p *peers) TellStrikes(ctx context.Context, strikes []quarantiner.Strike) {
+	go p.runTell(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes})
+}
+
+// AnnounceLosses implements [observer.Announcer].
+func (p *peers) AnnounceLosses(ctx context.Context, losses []messenger.Loss) {
+	p.runTell(ctx, messenger.MethodLosses, &messenger.LossesMessage{Losses: losses})
+}
+
+// loop tells the peers what this instance has under way.
+func (p *peers) loop(ctx context.Context) {
+	pacer.Repeat(ctx, loadInterval, func(ctx context.Context) {
+		p.runTell(ctx, messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Counts: p.node.forwarder.Load()})
+	})
+}
+
+// runTell sends a message to all peers. A peer that does not answer in time
+// goes without it.
+func (p *peers) runTell(ctx context.Context, method string, message any) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, peer := range p.node.introducer.Peers() {
+		calls.Go(func() {
+			if err := p.node.pool.Call(ctx, peer.Peer, method, message, &messenger.Nothing{}); err != nil {
+				log.WithFields(log.Fields{"peer": peer.ID, "method": method}).WithError(err).Debug("peer not told")
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// peerService is what an entry instance offers to the others over net/rpc.
+type peerService struct {
+	node *Node
+}
+
+// Exchange answers a peer's digest.
+func (s *peerService) Exchange(arguments messenger.ExchangeMessage, reply *messenger.ExchangeMessage) error {
+	*reply = s.node.introducer.Answer(arguments)
+	return nil
+}
+
+// Load takes in what a peer has under way.
+func (s *peerService) Load(arguments messenger.LoadMessage, _ *messenger.Nothing) error {
+	s.node.forwarder.LearnLoad(arguments.From, arguments.Counts)
+	return nil
+}
+
+// Losses takes in instances that a peer found gone.
+func (s *peerService) Losses(arguments messenger.LossesMessage, _ *messenger.Nothing) error {
+	s.node.observer.Learn(arguments.Losses)
+	return nil
+}
+
+// Strike takes in requests that crash backend servers.
+func (s *peerService) Strike(arguments messenger.StrikeMessage, _ *messenger.Nothing) error {
+	s.node.forwarder.Strike(arguments.Strikes)
+	return nil
+}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -24,6 +24,8 @@
 	MethodAllot    = PeerService + ".Allot"
 	MethodStrikes  = PeerService + ".Strikes"
 	MethodLeave    = PeerService + ".Leave"
+	MethodLoad     = PeerService + ".Load"
+	MethodLosses   = PeerService + ".Losses"
 )
 
 // Nothing is an empty argument.
@@ -84,3 +86,21 @@
 	PerSecond float64
 	TTL       time.Duration
 }
+
+// LoadMessage tells what its sender has under way.
+type LoadMessage struct {
+	From string
+	// Counts holds the requests under way, by the name of where they run.
+	Counts map[string]int
+}
+
+// Loss names one run of an instance that is gone.
+type Loss struct {
+	Instance    string
+	Incarnation string
+}
+
+// LossesMessage tells of instances that are gone.
+type LossesMessage struct {
+	Losses []Loss
+}
--- /dev/null
+++ b/internal/observer/observer.go
@@ -0,0 +1,372 @@
+// Package observer keeps what one entry instance knows of the platform: the
+// operator's configuration, with the age of its last proof, and the backend
+// servers, with evidence of losses from probes and from peers.
+//
+// # Usage
+//
+//	o := observer.New(observer.Dependencies{Source: client, Prober: client, Announcer: peers})
+//	o.Start(ctx)
+//	groups := o.Groups("service", "model")
+//	o.Doubt(ctx, group.Members)
+package observer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
+)
+
+// Source is where the platform publishes what it knows.
+type Source interface {
+	provider.Lister
+	// ReadConfig returns the operator's newest configuration, or nil.
+	ReadConfig(ctx context.Context) (*mapper.Map, error)
+}
+
+// Prober asks one instance for a sign of life.
+type Prober interface {
+	Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error
+}
+
+// Announcer tells the peers of losses.
+type Announcer interface {
+	AnnounceLosses(ctx context.Context, losses []messenger.Loss)
+}
+
+const (
+	// listInterval is the time between two looks at the list of instances:
+	// less than half of the two seconds after which a leaving instance must
+	// get no new request.
+	listInterval = 700 * time.Millisecond
+	// configInterval is the time between two looks at the configuration: less
+	// than half of the two seconds within which it must be in force.
+	configInterval = 800 * time.Millisecond
+	// retryInterval is that time while the store does not answer.
+	retryInterval = 200 * time.Millisecond
+	// probeTimeout bounds one probe: a live instance answers in 3 to 5 ms.
+	probeTimeout = 80 * time.Millisecond
+	// probeTries is how many probes in a row must fail.
+	probeTries = 2
+	// doubtInterval is the least time between two checks of one instance.
+	doubtInterval = 400 * time.Millisecond
+	// recheckInterval is the time between two probes of instances held for lost.
+	recheckInterval = 500 * time.Millisecond
+)
+
+// Dependencies are what an Observer works with.
+type Dependencies struct {
+	Source    Source
+	Prober    Prober
+	Announcer Announcer
+}
+
+// Observer holds one entry instance's view. It is safe for concurrent use.
+type Observer struct {
+	Dependencies
+
+	mu     sync.Mutex
+	survey *surveyor.Survey
+	config *mapper.Map
+	// proved is when the call began that last showed the configuration.
+	proved time.Time
+	// doubted is when an instance was last checked.
+	doubted map[string]time.Time
+	pace    time.Duration
+	// reachable says whether the store answered the last call.
+	reachable bool
+	changed   chan struct{}
+}
+
+// New returns an observer that knows of nothing.
+func New(d Dependencies) *Observer {
+	return &Observer{
+		Dependencies: d,
+		survey:       surveyor.New(),
+		doubted:      make(map[string]time.Time),
+		pace:         listInterval,
+		changed:      make(chan struct{}, 1),
+	}
+}
+
+// Start begins the duties; they end with ctx.
+func (o *Observer) Start(ctx context.Context) {
+	go o.configLoop(ctx)
+	go o.listLoop(ctx)
+	go o.recheckLoop(ctx)
+}
+
+// Config returns the configuration in force, or nil before there is one.
+func (o *Observer) Config() *mapper.Map {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.config
+}
+
+// ConfigAge returns how long ago the configuration was last proved newest.
+func (o *Observer) ConfigAge() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return clocker.Since(o.proved)
+}
+
+// Changed gets a value after the view has changed.
+func (o *Observer) Changed() <-chan struct{} { return o.changed }
+
+// SetPace sets the time between two looks at the list; zero is the default.
+func (o *Observer) SetPace(pace time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if pace == 0 {
+		pace = listInterval
+	}
+	o.pace = pace
+}
+
+// With calls do with the survey, which must not be kept.
+func (o *Observer) With(do func(*surveyor.Survey)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	do(o.survey)
+}
+
+// Groups returns the groups of a service and model that may be sent requests.
+func (o *Observer) Groups(service, model string) []surveyor.Group {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.survey.Groups(service, model)
+}
+
+// Servers returns the instances of a plain service that may be sent requests.
+func (o *Observer) Servers(service string) []provider.Instance {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var found []provider.Instance
+	for _, in := range o.survey.Servers(service) {
+		if !o.survey.Lost(in.ID) {
+			found = append(found, in)
+		}
+	}
+	return found
+}
+
+// Serves reports whether a group may still be sent requests.
+func (o *Observer) Serves(g surveyor.Group) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.survey.Serves(g)
+}
+
+// ServesAlone reports whether a plain server may still be sent requests.
+func (o *Observer) ServesAlone(in provider.Instance) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.survey.ServesAlone(in)
+}
+
+// Gone reports whether one of these instances is lost or has started anew.
+func (o *Observer) Gone(members []provider.Instance) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, in := range members {
+		if o.survey.Lost(in.ID) {
+			return true
+		}
+		if now, listed := o.survey.Instance(in.ID); listed && now.Incarnation != in.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Learn takes in losses that a peer has found.
+func (o *Observer) Learn(losses []messenger.Loss) {
+	now := clocker.Now()
+	o.mu.Lock()
+	news := false
+	for _, l := range losses {
+		news = o.survey.Lose(now, l.Instance, l.Incarnation) || news
+	}
+	o.mu.Unlock()
+	if news {
+		o.signal()
+	}
+}
+
+func (o *Observer) signal() {
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Doubt probes instances, since their work stands still, and holds those that
+// do not answer for lost. It returns at once.
+func (o *Observer) Doubt(ctx context.Context, members []provider.Instance) {
+	now := clocker.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, in := range members {
+		if o.survey.Lost(in.ID) || now.Sub(o.doubted[in.ID]) < doubtInterval {
+			continue
+		}
+		o.doubted[in.ID] = now
+		go o.runCheck(ctx, in)
+	}
+}
+
+// runCheck probes one instance and tells everyone if it is lost.
+func (o *Observer) runCheck(ctx context.Context, in provider.Instance) {
+	var err error
+	for range probeTries {
+		if err = o.Prober.Probe(ctx, in, probeTimeout); err == nil {
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	o.mu.Lock()
+	news := o.survey.Lose(clocker.Now(), in.ID, in.Incarnation)
+	o.mu.Unlock()
+	if !news {
+		return
+	}
+	log.WithFields(log.Fields{"instance": in.ID, "incarnation": in.Incarnation, "group": in.Membership.Group}).
+		WithError(err).Warn("instance held for lost")
+	o.signal()
+	o.Announcer.AnnounceLosses(ctx, []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}})
+}
+
+// recheckLoop takes back losses that were none.
+func (o *Observer) recheckLoop(ctx context.Context) {
+	for sleep(ctx, recheckInterval) {
+		o.mu.Lock()
+		lost := o.survey.LostInstances()
+		o.mu.Unlock()
+		for _, in := range lost {
+			if o.Prober.Probe(ctx, in, probeTimeout) != nil {
+				continue
+			}
+			o.mu.Lock()
+			o.survey.Find(in.ID)
+			o.mu.Unlock()
+			log.WithField("instance", in.ID).Info("instance answers again")
+			o.signal()
+		}
+	}
+}
+
+func (o *Observer) listLoop(ctx context.Context) {
+	for {
+		wait := o.list(ctx)
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// list reads the list once and returns when to read it again.
+func (o *Observer) list(ctx context.Context) time.Duration {
+	began := clocker.Now()
+	instances, err := o.Source.ListInstances(ctx)
+	if err != nil {
+		o.answered(false, err)
+		return retryInterval
+	}
+	o.mu.Lock()
+	o.survey.Update(began, instances)
+	for id, at := range o.doubted {
+		if began.Sub(at) > time.Minute {
+			delete(o.doubted, id)
+		}
+	}
+	pace := o.pace
+	o.mu.Unlock()
+	o.answered(true, nil)
+	o.signal()
+	return pace
+}
+
+// answered notes whether the store answers, and logs each change of that.
+func (o *Observer) answered(reachable bool, err error) {
+	o.mu.Lock()
+	changed := o.reachable != reachable
+	o.reachable = reachable
+	o.mu.Unlock()
+	switch {
+	case !changed:
+	case reachable:
+		log.Info("store regained")
+	default:
+		log.WithError(err).Warn("store lost")
+	}
+}
+
+func (o *Observer) configLoop(ctx context.Context) {
+	for {
+		wait := o.readConfig(ctx)
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (o *Observer) readConfig(ctx context.Context) time.Duration {
+	began := clocker.Now()
+	config, err := o.Source.ReadConfig(ctx)
+	if err != nil {
+		log.WithError(err).Debug("configuration not read")
+		return retryInterval
+	}
+	if config == nil {
+		return retryInterval
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.config != nil && config.Version < o.config.Version {
+		log.WithFields(log.Fields{"version": config.Version, "in_force": o.config.Version}).Warn("older configuration ignored")
+		return configInterval
+	}
+	o.proved = began
+	if o.config == config {
+		return configInterval
+	}
+	o.config = config
+	o.survey.SetSizes(sizes(config))
+	log.WithField("version", config.Version).Info("configuration in force")
+	return configInterval
+}
+
+// sizes returns the members of a group of each model.
+func sizes(config *mapper.Map) map[string]int {
+	found := make(map[string]int)
+	for _, s := range config.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			found[m.Name] = m.Size
+		}
+	}
+	return found
+}
+
+// sleep waits, or reports false when ctx ends.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/former/former.go
@@ -0,0 +1,373 @@
+// Package former decides which instances form which replica groups and what to
+// order them. It wants every instance to work: groups are formed inside one
+// fabric domain, of the model that lacks capacity most, rather from instances
+// that already hold its weights. It keeps no group that misses a member.
+//
+// # Usage
+//
+//	f := former.New(epochBase)
+//	for _, order := range f.Step(now, view) { send(order) }
+//	f.Settled(order, accepted)
+//
+// The instances' own reports are the only record: a former that takes over
+// adopts the groups that it finds whole, and dissolves the others. Orders are
+// sent again until the reports show their effect.
+package former
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
+)
+
+//go:generate stringer -type=OrderKind -linecomment -output=order_kind_string.go
+
+// OrderKind is what an instance is told to do.
+type OrderKind int
+
+// Kinds of order.
+const (
+	// Join makes the instance a member of a group.
+	Join OrderKind = iota // join
+	// Open makes the head of a group take requests.
+	Open // open
+	// Close makes the head take no more requests and end those it has.
+	Close // close
+	// Leave makes the instance leave its group at once.
+	Leave // leave
+)
+
+// Order is one order to one instance.
+type Order struct {
+	Kind     OrderKind
+	Instance provider.Instance
+	Group    string
+	Epoch    uint64
+	Model    string
+	// Members are the ids of the group's members, the head first.
+	Members []string
+}
+
+const (
+	// resendTime is how long an order may show no effect before it is sent
+	// again: the reports' lag and a look at the list, twice.
+	resendTime = 900 * time.Millisecond
+	// stallTime is how long a head that cannot be reached may still count as
+	// holding its group: the engines' stall time and a margin for reports.
+	stallTime = 5500 * time.Millisecond
+	// drainTime is how long a closing group may take to end its requests;
+	// after it the members leave all the same.
+	drainTime = 6 * time.Second
+	// joinSlack is added to the time that a join may take.
+	joinSlack = 8 * time.Second
+	// coldPenalty is by how much better filled a model may be and still be
+	// formed first because its weights are at hand.
+	coldPenalty = 1.5
+)
+
+// View is what a Former looks at.
+type View struct {
+	Survey *surveyor.Survey
+	Engine *mapper.Engine
+	// Service is the service whose instances are formed to groups.
+	Service string
+	// Demand is the part of the work of each model, by name; the sum is one.
+	Demand map[string]float64
+	// Adopting says that the view may be older than the last holder's orders.
+	Adopting bool
+}
+
+// group is one replica group as this former wants it.
+type group struct {
+	name    string
+	epoch   uint64
+	model   mapper.Model
+	members []provider.Instance
+	born    time.Time
+	opened  bool
+	// closedAt is when the group was told to end its work.
+	closedAt time.Time
+	// brokenAt is when a member was first missed.
+	brokenAt time.Time
+	// released says that the head no longer holds the group.
+	released bool
+}
+
+// Former is the state of one holder of control. It does no I/O and is not safe
+// for concurrent use.
+type Former struct {
+	base   uint64
+	next   uint64
+	groups map[string]*group
+	// held says until when an instance may not join another group.
+	held map[string]time.Time
+	// sent holds when an order was last sent.
+	sent map[sentKey]time.Time
+	// last is the model that an instance held last, as seen by this former.
+	last  map[string]string
+	loads bucket
+	// loading holds the instances that load from the weight store, with the
+	// time at which that must be over.
+	loading map[string]time.Time
+}
+
+type sentKey struct {
+	kind     OrderKind
+	instance string
+	group    string
+}
+
+// New returns a former whose epochs are above base.
+func New(base uint64) *Former {
+	return &Former{
+		base:    base,
+		groups:  make(map[string]*group),
+		held:    make(map[string]time.Time),
+		sent:    make(map[sentKey]time.Time),
+		last:    make(map[string]string),
+		loading: make(map[string]time.Time),
+	}
+}
+
+// Step returns the orders to send now.
+func (f *Former) Step(now time.Time, v View) []Order {
+	if v.Engine == nil {
+		return nil
+	}
+	f.adopt(now, v)
+	var orders []Order
+	for _, name := range slices.Sorted(maps.Keys(f.groups)) {
+		orders = append(orders, f.tend(now, v, f.groups[name])...)
+	}
+	orders = append(orders, f.strays(now, v)...)
+	f.endLoads(now, v)
+	orders = append(orders, f.form(now, v)...)
+	f.forget(now, v)
+	return orders
+}
+
+// adopt takes over the groups that the instances report and nobody here formed.
+func (f *Former) adopt(now time.Time, v View) {
+	found := make(map[string][]provider.Instance)
+	for _, in := range v.Survey.Instances() {
+		m := in.Membership
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached {
+			continue
+		}
+		if f.groups[m.Group] == nil {
+			found[m.Group] = append(found[m.Group], in)
+		}
+	}
+	for name, members := range found {
+		model, known := v.Engine.Model(surveyor.ModelOf(name))
+		if !known || len(members) != model.Size || !ranked(members) {
+			continue
+		}
+		f.groups[name] = &group{name: name, epoch: members[0].Membership.Epoch, model: model, members: members, born: now}
+	}
+}
+
+// ranked sorts members by rank and reports whether all ranks of one epoch are there.
+func ranked(members []provider.Instance) bool {
+	slices.SortFunc(members, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
+	for rank, in := range members {
+		if in.Membership.Rank != rank || in.Membership.Epoch != members[0].Membership.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// tend looks after one group.
+func (f *Former) tend(now time.Time, v View, g *group) []Order {
+	head, headThere := f.current(v, g.members[0])
+	switch {
+	case f.broken(v, g):
+		if g.brokenAt.IsZero() {
+			g.brokenAt = now
+		}
+		return f.dissolve(now, v, g, head, headThere)
+	case !g.closedAt.IsZero() || f.leaving(v, g):
+		return f.drain(now, v, g, head)
+	}
+	if head.Membership.State == provider.Serving && f.reports(head, g, 0) {
+		g.opened = true
+		return nil
+	}
+	ready := true
+	var orders []Order
+	for rank, member := range g.members {
+		in, _ := f.current(v, member)
+		if f.reports(in, g, rank) && (in.Membership.State == provider.MemberReady || in.Membership.State == provider.Serving) {
+			continue
+		}
+		ready = false
+		if !f.reports(in, g, rank) {
+			orders = append(orders, f.once(now, f.order(Join, in, g))...)
+		}
+	}
+	if ready {
+		return f.once(now, f.order(Open, head, g))
+	}
+	if now.Sub(g.born) > g.model.Load*2+joinSlack {
+		g.brokenAt = now
+		return f.dissolve(now, v, g, head, headThere)
+	}
+	return orders
+}
+
+// reports reports whether an instance says that it has this rank in the group.
+func (f *Former) reports(in provider.Instance, g *group, rank int) bool {
+	m := in.Membership
+	return m.Group == g.name && m.Epoch == g.epoch && m.Rank == rank && m.State != provider.Unattached
+}
+
+// current returns an instance as it is listed now, if it is the same run and
+// not held for lost.
+func (f *Former) current(v View, member provider.Instance) (provider.Instance, bool) {
+	in, listed := v.Survey.Instance(member.ID)
+	if !listed || in.Incarnation != member.Incarnation || v.Survey.Lost(member.ID) {
+		return member, false
+	}
+	return in, true
+}
+
+// broken reports whether a member is missing, or the head has given up.
+func (f *Former) broken(v View, g *group) bool {
+	if !g.brokenAt.IsZero() {
+		return true
+	}
+	for rank, member := range g.members {
+		in, there := f.current(v, member)
+		if !there || rank == 0 && f.reports(in, g, 0) && in.Membership.State == provider.Broken {
+			return true
+		}
+		if g.opened && !f.reports(in, g, rank) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Former) leaving(v View, g *group) bool {
+	for _, member := range g.members {
+		if in, there := f.current(v, member); there && in.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// drain ends a group whose member is about to go: first its work, then itself.
+func (f *Former) drain(now time.Time, v View, g *group, head provider.Instance) []Order {
+	if g.closedAt.IsZero() {
+		g.closedAt = now
+	}
+	state := head.Membership.State
+	if now.Sub(g.closedAt) > drainTime || state != provider.Serving && state != provider.Closing {
+		g.brokenAt = now
+		return f.dissolve(now, v, g, head, true)
+	}
+	if state == provider.Serving {
+		return f.once(now, f.order(Close, head, g))
+	}
+	return nil
+}
+
+// dissolve frees the members of a group. No member may join another group
+// while the head may still hold this one: the head leaves first, and a head
+// that cannot be reached is waited for until its engine must have given up.
+func (f *Former) dissolve(now time.Time, v View, g *group, head provider.Instance, headThere bool) []Order {
+	if !g.released && headThere && f.reports(head, g, 0) {
+		return f.once(now, f.order(Leave, head, g))
+	}
+	if !headThere && !g.released {
+		for _, member := range g.members {
+			f.held[member.ID] = g.brokenAt.Add(stallTime)
+		}
+	}
+	delete(f.groups, g.name)
+	return nil
+}
+
+// Settled takes in whether an instance carried an order out.
+func (f *Former) Settled(now time.Time, o Order, accepted bool) {
+	if !accepted {
+		return
+	}
+	g := f.groups[o.Group]
+	if g != nil && o.Kind == Leave && len(g.members) > 0 && o.Instance.ID == g.members[0].ID {
+		g.released = true
+	}
+}
+
+// strays tells instances to leave groups that nobody looks after.
+func (f *Former) strays(now time.Time, v View) []Order {
+	var orders []Order
+	for _, in := range v.Survey.Instances() {
+		m := in.Membership
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil {
+			continue
+		}
+		f.last[in.ID] = surveyor.ModelOf(m.Group)
+		if v.Survey.Lost(in.ID) || m.State != provider.Serving && m.State != provider.Closing && m.State != provider.Broken {
+			continue
+		}
+		f.held[in.ID] = now.Add(resendTime)
+		stray := &group{name: m.Group, epoch: m.Epoch}
+		orders = append(orders, f.once(now, f.order(Leave, in, stray))...)
+	}
+	return orders
+}
+
+// order builds an order for one member of a group.
+func (f *Former) order(kind OrderKind, in provider.Instance, g *group) Order {
+	o := Order{Kind: kind, Instance: in, Group: g.name, Epoch: g.epoch}
+	if kind == Join {
+		o.Model = g.model.Name
+		for _, member := range g.members {
+			o.Members = append(o.Members, member.ID)
+		}
+	}
+	return o
+}
+
+// once returns the order unless it was sent a short while ago.
+func (f *Former) once(now time.Time, o Order) []Order {
+	key := sentKey{o.Kind, o.Instance.ID, o.Group}
+	if at, found := f.sent[key]; found && now.Sub(at) < resendTime {
+		return nil
+	}
+	f.sent[key] = now
+	return []Order{o}
+}
+
+// forget drops what is known of instances that are gone and of old orders.
+func (f *Former) forget(now time.Time, v View) {
+	for key, at := range f.sent {
+		if now.Sub(at) > drainTime {
+			delete(f.sent, key)
+		}
+	}
+	for id, until := range f.held {
+		if now.After(until) {
+			delete(f.held, id)
+		}
+	}
+	for id := range f.last {
+		if _, listed := v.Survey.Instance(id); !listed {
+			delete(f.last, id)
+		}
+	}
+}
+
+func (f *Former) newName(model string) (string, uint64) {
+	f.next++
+	epoch := f.base + f.next
+	return surveyor.GroupName(model, strconv.FormatUint(epoch, 10)), epoch
+}
--- /dev/null
+++ b/pkg/mapper/map.go
@@ -0,0 +1,101 @@
+package mapper
+
+import (
+	"math/rand/v2"
+	"strings"
+)
+
+// Map answers questions about one configuration. It is safe for concurrent use.
+type Map struct {
+	Config
+	routes   map[site]Route
+	services map[string]Service
+	keys     map[string]Organisation
+}
+
+// site is what selects a route.
+type site struct {
+	host   string
+	prefix string
+}
+
+// New returns the map of a configuration.
+func New(config Config) *Map {
+	m := &Map{
+		Config:   config,
+		routes:   make(map[site]Route, len(config.Routes)),
+		services: make(map[string]Service, len(config.Services)),
+		keys:     make(map[string]Organisation),
+	}
+	for _, r := range config.Routes {
+		m.routes[site{r.Host, r.Prefix}] = r
+	}
+	for _, s := range config.Services {
+		m.services[s.Name] = s
+	}
+	for _, o := range config.Organisations {
+		for _, key := range o.Keys {
+			m.keys[key] = o
+		}
+	}
+	return m
+}
+
+// Route returns the route with the longest prefix of the path. Prefixes begin
+// and end with a slash.
+func (m *Map) Route(host, path string) (Route, bool) {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, found := m.routes[site{host, path[:end+1]}]; found {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Organisation returns the holder of a key.
+func (m *Map) Organisation(key string) (Organisation, bool) {
+	o, found := m.keys[key]
+	return o, found
+}
+
+// Service returns the service of that name.
+func (m *Map) Service(name string) (Service, bool) {
+	s, found := m.services[name]
+	return s, found
+}
+
+// Keyed reports whether requests must carry keys.
+func (m *Map) Keyed() bool { return len(m.Organisations) > 0 }
+
+// Choose returns one of the route's services, by weight.
+func (r Route) Choose(random *rand.Rand) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	draw := random.IntN(total)
+	for _, t := range r.Targets {
+		if draw -= t.Weight; draw < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Allows reports whether the route may send requests to a service.
+func (r Route) Allows(service string) bool {
+	for _, t := range r.Targets {
+		if t.Service == service && t.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Repeatable reports whether a request may run again after a run that failed.
+func (r Route) Repeatable() bool {
+	return r.Repeat == Idempotent || r.Repeat == Streaming && r.Resumable
+}
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -16,7 +16,7 @@
 
 //go:generate stringer -type=EventKind,ActionKind -linecomment -output=enum_string.go
 
-// MaxAttempts bounds how often one request is sent.
+// MaxAttempts bounds how often one request is sent where its facts do not say.
 const MaxAttempts = 4
 
 // Waiting times between tries that found no back end.
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// QueueUntil is how long the request may wait for a back end to appear.
 	QueueUntil time.Time
+	// MaxAttempts bounds how often the request is sent; zero is the default.
+	MaxAttempts int
 }
 
 // EventKind is what happened to a request.
@@ -68,6 +70,9 @@
 	Kind EventKind
 	// Delivered counts the events of the stream that the caller has been sent.
 	Delivered int
+	// Excused says that the back end of the failed try is gone, so that the
+	// try does not count against the attempts.
+	Excused bool
 }
 
 // ActionKind is what to do next.
@@ -111,6 +116,9 @@
 
 // New returns the machine of a request that draws its retries from budget.
 func New(facts Facts, budget *Budget) *Machine {
+	if facts.MaxAttempts <= 0 {
+		facts.MaxAttempts = MaxAttempts
+	}
 	return &Machine{facts: facts, budget: budget}
 }
 
@@ -200,7 +208,10 @@
 	if !now.Before(m.facts.Deadline) {
 		return m.expired()
 	}
-	if m.attempts >= MaxAttempts || !m.budget.Withdraw() {
+	if event.Excused {
+		m.attempts = max(0, m.attempts-1)
+	}
+	if m.attempts >= m.facts.MaxAttempts || !m.budget.Withdraw() {
 		return m.answer(m.failure())
 	}
 	return m.try(event.Delivered)
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -17,6 +17,12 @@
 // SetRatio changes how many retries each request allows.
 func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
 
+// SetReserve changes how many retries may be made at once.
+func (b *Budget) SetReserve(reserve float64) {
+	b.reserve = reserve
+	b.balance = min(b.balance, reserve)
+}
+
 // Deposit counts a new request.
 func (b *Budget) Deposit() { b.balance = min(b.balance+b.ratio, b.reserve) }
 
