Let the model that is wanted most wait for its turn to load

Ruled out: refused joins (129 orders, none refused). Change: the best group by score waits for its loads; loads before the first request are bounded by concurrency only.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,8 @@
 // Settings are the constants of a Forwarder that come from outside.
 type Settings struct {
 	DataCentre string
+	// FirstStart says that the system has never had a request.
+	FirstStart bool
 	// KeyTTL is the age of the configuration from which on no key counts.
 	KeyTTL time.Duration
 	// RetryRatio and RetrySlack bound the retries of all entry instances.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -23,6 +23,21 @@
 	counts map[string]int
 }
 
+// Idle reports whether this instance and its peers have had no request yet.
+func (f *Forwarder) Idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.FirstStart || f.nextTicket > 0 {
+		return false
+	}
+	for _, load := range f.peerLoads {
+		if len(load.counts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Load returns how many requests are under way, by lane, to tell the peers.
 func (f *Forwarder) Load() map[string]int {
 	f.mu.Lock()
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -42,6 +42,8 @@
 	// ID names the entry instance.
 	ID         string
 	DataCentre string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Caller, Ready, Peer, Directory and Metrics are the addresses to listen
 	// on; Metrics may be left out.
 	Caller    netip.AddrPort
@@ -139,7 +141,7 @@
 	}, p.Table, n.pool, n.peers)
 	n.observer = observer.New(observer.Dependencies{Source: p.Source, Prober: p.Prober, Announcer: n.peers})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
-		Settings: forwarder.Settings{DataCentre: s.DataCentre, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack},
+		Settings: forwarder.Settings{DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack},
 		Observer: n.observer,
 		Codec:    p.Codec,
 		Peers:    n.peers,
@@ -152,6 +154,7 @@
 		Observer: n.observer,
 		Orderer:  p.Orderer,
 		Demand:   n.forwarder,
+		Idler:    n.forwarder,
 	})
 	return n, nil
 }
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -35,6 +35,8 @@
 	leaseTerm = 2400 * time.Millisecond
 	// renewInterval is the time between two looks at the lease.
 	renewInterval = 800 * time.Millisecond
+	// firstInterval is that time while nobody is known to hold the lease.
+	firstInterval = 150 * time.Millisecond
 	// orderFlight is the longest time from the check of the lease to the end
 	// of an order's delivery.
 	orderFlight = 500 * time.Millisecond
@@ -66,6 +68,11 @@
 	Demand(service string) map[string]float64
 }
 
+// Idler tells whether the system has had no request yet.
+type Idler interface {
+	Idle() bool
+}
+
 // Dependencies are what an Organiser works with.
 type Dependencies struct {
 	// Holder names this process; a restart has another name.
@@ -74,6 +81,7 @@
 	Observer *observer.Observer
 	Orderer  Orderer
 	Demand   Demand
+	Idler    Idler
 }
 
 // Organiser is the control loop of one entry instance.
@@ -108,9 +116,25 @@
 }
 
 func (o *Organiser) leaseLoop(ctx context.Context) {
-	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
+	for {
 		o.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
-	})
+		wait := renewInterval
+		if o.holder() == "" {
+			wait = firstInterval
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// holder returns who held the lease when it was last read.
+func (o *Organiser) holder() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lease.Holder()
 }
 
 // driveLease steps the lease's machine until it rests.
@@ -190,9 +214,10 @@
 		o.formers[service.Name] = f
 	}
 	demand := o.Demand.Demand(service.Name)
+	idle := o.Idler.Idle()
 	var orders []former.Order
 	o.Observer.With(func(s *surveyor.Survey) {
-		orders = f.Step(clocker.Now(), former.View{Survey: s, Engine: service.Engine, Service: service.Name, Demand: demand})
+		orders = f.Step(clocker.Now(), former.View{Survey: s, Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle})
 	})
 	if len(orders) > 0 {
 		o.send(ctx, f, term, orders)
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -54,7 +54,9 @@
 		domain := g.members[0].FabricDomain
 		for _, member := range g.members {
 			if !f.holds(member, g.model.Name) {
-				f.loads.tokens--
+				if !v.Idle {
+					f.loads.tokens--
+				}
 				f.loading[member.ID] = now.Add(g.model.Load*2 + joinSlack)
 			}
 			free[domain] = slices.DeleteFunc(free[domain], func(in provider.Instance) bool { return in.ID == member.ID })
@@ -96,7 +98,7 @@
 func (f *Former) best(v View, free map[string][]provider.Instance, filled map[string]float64) *group {
 	var best []provider.Instance
 	var model mapper.Model
-	bestScore := math.Inf(1)
+	bestScore, bestCold := math.Inf(1), 0
 	for _, m := range v.Engine.Models {
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			if len(free[domain]) < m.Size {
@@ -104,17 +106,16 @@
 			}
 			members := f.choose(free[domain], m)
 			cold := f.coldCount(members, m.Name)
-			if cold > 0 && (f.loads.tokens < float64(cold) || len(f.loading) > 0 && len(f.loading)+cold > v.Engine.LoadsAtOnce+m.Size) {
-				continue
-			}
 			score := (filled[m.Name] + float64(m.Size)) / max(v.Demand[m.Name], 0.01)
 			score *= 1 + (coldPenalty-1)*float64(cold)/float64(m.Size)
 			if score < bestScore {
-				best, model, bestScore = members, m, score
+				best, model, bestScore, bestCold = members, m, score, cold
 			}
 		}
 	}
-	if best == nil {
+	if best == nil || !f.mayLoad(v, bestCold) {
+		// What is wanted most waits for its turn to load, and nothing that is
+		// wanted less takes that turn.
 		return nil
 	}
 	g := &group{model: model, members: best}
@@ -122,6 +123,17 @@
 	return g
 }
 
+// mayLoad reports whether so many loads may begin now.
+func (f *Former) mayLoad(v View, cold int) bool {
+	switch {
+	case cold == 0 || len(f.loading) == 0 && v.Idle:
+		return true
+	case len(f.loading)+cold > v.Engine.LoadsAtOnce+loadsAhead:
+		return false
+	}
+	return v.Idle || f.loads.tokens >= float64(cold)
+}
+
 // choose returns the instances of one domain that can begin soonest.
 func (f *Former) choose(free []provider.Instance, m mapper.Model) []provider.Instance {
 	sorted := slices.Clone(free)
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -68,6 +68,9 @@
 	// coldPenalty is by how much better filled a model may be and still be
 	// formed first because its weights are at hand.
 	coldPenalty = 1.5
+	// loadsAhead is how many loads more than run at full speed may be under
+	// way, so that the next begin as soon as the reports show an end.
+	loadsAhead = 4
 )
 
 // View is what a Former looks at.
@@ -78,8 +81,9 @@
 	Service string
 	// Demand is the part of the work of each model, by name; the sum is one.
 	Demand map[string]float64
-	// Adopting says that the view may be older than the last holder's orders.
-	Adopting bool
+	// Idle says that the system has had no request yet, so that loads are
+	// cheap and do not count against the rate.
+	Idle bool
 }
 
 // group is one replica group as this former wants it.
