Load weights alone and group warm instances, across domains when need be

Cause: groups formed of survivors and empty newcomers waited 17 s for the newcomer's load, and warm instances were reloaded with the other model; from 6 large groups 1 was left after 30 s. Ruled out: late detection (0.3 s after each loss). Change: an instance loads alone in a group that is never opened; warm ones are grouped at once, in their domain if it has enough.

--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -94,12 +95,15 @@
 	formers map[string]*former.Former
 	// ordered is when the last order was sent.
 	ordered time.Time
+	// tallies holds what was last logged of each service.
+	tallies map[string]map[string]former.Tally
 }
 
 // New returns an organiser that does not hold the lease.
 func New(d Dependencies) *Organiser {
 	return &Organiser{
 		Dependencies: d,
+		tallies:      make(map[string]map[string]former.Tally),
 		lease: leaser.New(leaser.Settings{
 			Key:    leaseKey,
 			Holder: d.Holder,
@@ -219,11 +223,23 @@
 	o.Observer.With(func(s *surveyor.Survey) {
 		orders = f.Step(clocker.Now(), former.View{Survey: s, Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle})
 	})
+	o.logTallies(service.Name, f.Tallies())
 	if len(orders) > 0 {
 		o.send(ctx, f, term, orders)
 	}
 }
 
+// logTallies logs how many groups there are of each model, when that changes.
+func (o *Organiser) logTallies(service string, tallies map[string]former.Tally) {
+	if maps.Equal(tallies, o.tallies[service]) {
+		return
+	}
+	o.tallies[service] = tallies
+	for model, t := range tallies {
+		log.WithFields(log.Fields{"service": service, "model": model, "open": t.Open, "forming": t.Forming, "ending": t.Ending}).Info("groups")
+	}
+}
+
 // send delivers orders side by side.
 func (o *Organiser) send(ctx context.Context, f *former.Former, term uint64, orders []former.Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderFlight)
@@ -236,6 +252,7 @@
 			accepted[i], err = o.Orderer.Order(ctx, order, term)
 			entry := log.WithFields(log.Fields{
 				"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch, "term": term, "accepted": accepted[i],
+				"domain": order.Instance.FabricDomain, "staged": order.Instance.Staged, "loaded": order.Instance.Loaded,
 			})
 			if err != nil {
 				entry.WithError(err).Warn("order not carried out")
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -1,7 +1,6 @@
 package former
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -12,6 +11,19 @@
 	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
 )
 
+const (
+	// completeFactor favours the model of which a domain has an incomplete
+	// group's worth of instances.
+	completeFactor = 0.6
+	// patience is how long instances wait for others of their own domain that
+	// are about to be ready, before they form a group across domains.
+	patience = 2500 * time.Millisecond
+	// idleSpeedup is how much faster weights load before the first request.
+	idleSpeedup = 10
+	// minDemand keeps a model without work from being forgotten.
+	minDemand = 0.02
+)
+
 // bucket bounds how many loads from the weight store begin.
 type bucket struct {
 	tokens  float64
@@ -27,156 +39,288 @@
 	b.updated = now
 }
 
-// endLoads notes which instances have ended their loads.
-func (f *Former) endLoads(now time.Time, v View) {
-	f.loads.fill(now, v.Engine.LoadsPerSecond)
-	for id, until := range f.loading {
-		in, listed := v.Survey.Instance(id)
-		if !listed || now.After(until) || in.Membership.State == provider.MemberReady || in.Membership.State == provider.Serving {
-			delete(f.loading, id)
-		}
+// stock is what the free instances of a service hold, worked out once a step.
+type stock struct {
+	// ready holds the free instances with loaded weights, by model.
+	ready map[string][]provider.Instance
+	// cold holds the free instances without, in order of their names.
+	cold []provider.Instance
+	// coming says when the instances that load now are expected, by model and
+	// domain.
+	coming map[string]map[string][]time.Time
+	// held counts the instances with or on the way to the weights, by model
+	// and domain, also those in groups.
+	held map[string]map[string]int
+}
+
+func newStock() stock {
+	return stock{
+		ready:  make(map[string][]provider.Instance),
+		coming: make(map[string]map[string][]time.Time),
+		held:   make(map[string]map[string]int),
 	}
 }
 
-// form makes new groups of the free instances of each fabric domain.
-func (f *Former) form(now time.Time, v View) []Order {
-	free := f.free(now, v)
-	filled := f.filled(v)
-	var orders []Order
-	for {
-		g := f.best(v, free, filled)
-		if g == nil {
-			return orders
-		}
-		f.groups[g.name] = g
-		g.born = now
-		filled[g.model.Name] += float64(g.model.Size)
-		domain := g.members[0].FabricDomain
-		for _, member := range g.members {
-			if !f.holds(member, g.model.Name) {
-				if !v.Idle {
-					f.loads.tokens--
-				}
-				f.loading[member.ID] = now.Add(g.model.Load*2 + joinSlack)
-			}
-			free[domain] = slices.DeleteFunc(free[domain], func(in provider.Instance) bool { return in.ID == member.ID })
-			orders = append(orders, f.once(now, f.order(Join, member, g))...)
-		}
+func (s stock) hold(model, domain string) {
+	if s.held[model] == nil {
+		s.held[model] = make(map[string]int)
+	}
+	s.held[model][domain]++
+}
+
+func (s stock) expect(model, domain string, at time.Time) {
+	if s.coming[model] == nil {
+		s.coming[model] = make(map[string][]time.Time)
+	}
+	s.coming[model][domain] = append(s.coming[model][domain], at)
+	s.hold(model, domain)
+}
+
+// total counts the instances with or on the way to the weights of a model.
+func (s stock) total(model string) int {
+	sum := 0
+	for _, n := range s.held[model] {
+		sum += n
 	}
+	return sum
 }
 
-// free returns the instances of each fabric domain that are in no group.
-func (f *Former) free(now time.Time, v View) map[string][]provider.Instance {
-	used := make(map[string]bool)
+// take sorts the instances by what they hold.
+func (f *Former) take(now time.Time, v View) stock {
+	s := newStock()
+	used := make(map[string]string)
 	for _, g := range f.groups {
 		for _, member := range g.members {
-			used[member.ID] = true
+			used[member.ID] = g.model.Name
 		}
 	}
-	free := make(map[string][]provider.Instance)
 	for _, in := range v.Survey.Instances() {
-		if in.Service != v.Service || used[in.ID] || in.Leaving || v.Survey.Lost(in.ID) || now.Before(f.held[in.ID]) {
+		if in.Service != v.Service || in.Leaving || v.Survey.Lost(in.ID) {
+			delete(f.loading, in.ID)
 			continue
 		}
-		free[in.FabricDomain] = append(free[in.FabricDomain], in)
+		if model, busy := used[in.ID]; busy {
+			s.hold(model, in.FabricDomain)
+			continue
+		}
+		f.sort(now, v, in, &s)
 	}
-	return free
+	return s
 }
 
-// filled returns how many instances work for each model.
-func (f *Former) filled(v View) map[string]float64 {
-	filled := make(map[string]float64)
-	for _, g := range f.groups {
-		if g.brokenAt.IsZero() && g.closedAt.IsZero() {
-			filled[g.model.Name] += float64(g.model.Size)
+// sort puts one instance that is in no group where it belongs.
+func (f *Former) sort(now time.Time, v View, in provider.Instance, s *stock) {
+	model := f.lastModel(in)
+	l, loading := f.loading[in.ID]
+	state := in.Membership.State
+	if loading && state == provider.Joining && in.Membership.Group == l.group {
+		l.seen = true
+		f.loading[in.ID] = l
+	}
+	done := loading && in.Membership.Group == l.group && state == provider.MemberReady
+	lapsed := loading && (now.After(l.until) || !l.seen && now.Sub(l.began) > joinSeen)
+	if done || lapsed || loading && l.incarnation != in.Incarnation {
+		delete(f.loading, in.ID)
+		loading = false
+	}
+	switch {
+	case now.Before(f.held[in.ID]):
+		if model != "" {
+			s.hold(model, in.FabricDomain)
 		}
+	case loading:
+		s.expect(l.model, in.FabricDomain, l.expected)
+	case state == provider.Joining && model != "":
+		s.expect(model, in.FabricDomain, now.Add(patience))
+	case model != "" && slices.Contains(in.Loaded, model):
+		s.ready[model] = append(s.ready[model], in)
+		s.hold(model, in.FabricDomain)
+	default:
+		s.cold = append(s.cold, in)
 	}
-	return filled
 }
 
-// best returns the group that is wanted most and can be formed now, or nil.
-func (f *Former) best(v View, free map[string][]provider.Instance, filled map[string]float64) *group {
-	var best []provider.Instance
-	var model mapper.Model
-	bestScore, bestCold := math.Inf(1), 0
+// joinSeen is how long a join may take to show in the reports.
+const joinSeen = 2500 * time.Millisecond
+
+// load is one instance on its way to the weights of a model.
+type load struct {
+	group       string
+	model       string
+	incarnation string
+	began       time.Time
+	expected    time.Time
+	until       time.Time
+	// cold says that the weights come from the weight store.
+	cold bool
+	// seen says that the instance has reported the join.
+	seen bool
+}
+
+// form gives the free instances weights and makes groups of those that have.
+func (f *Former) form(now time.Time, v View) []Order {
+	f.loads.fill(now, v.Engine.LoadsPerSecond)
+	s := f.take(now, v)
+	var orders []Order
 	for _, m := range v.Engine.Models {
-		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			if len(free[domain]) < m.Size {
-				continue
-			}
-			members := f.choose(free[domain], m)
-			cold := f.coldCount(members, m.Name)
-			score := (filled[m.Name] + float64(m.Size)) / max(v.Demand[m.Name], 0.01)
-			score *= 1 + (coldPenalty-1)*float64(cold)/float64(m.Size)
-			if score < bestScore {
-				best, model, bestScore, bestCold = members, m, score, cold
+		for {
+			members := f.gather(now, v, s, m)
+			if members == nil {
+				break
 			}
+			orders = append(orders, f.found(now, m, members)...)
+			s.ready[m.Name] = without(s.ready[m.Name], members)
 		}
 	}
-	if best == nil || !f.mayLoad(v, bestCold) {
-		// What is wanted most waits for its turn to load, and nothing that is
-		// wanted less takes that turn.
-		return nil
-	}
-	g := &group{model: model, members: best}
-	g.name, g.epoch = f.newName(model.Name)
-	return g
+	return append(orders, f.warm(now, v, s)...)
 }
 
-// mayLoad reports whether so many loads may begin now.
-func (f *Former) mayLoad(v View, cold int) bool {
-	switch {
-	case cold == 0 || len(f.loading) == 0 && v.Idle:
-		return true
-	case len(f.loading)+cold > v.Engine.LoadsAtOnce+loadsAhead:
-		return false
+// found makes a group of the members.
+func (f *Former) found(now time.Time, m mapper.Model, members []provider.Instance) []Order {
+	g := &group{model: m, members: members, born: now}
+	g.name, g.epoch = f.newName(m.Name)
+	f.groups[g.name] = g
+	var orders []Order
+	for _, member := range members {
+		orders = append(orders, f.once(now, f.order(Join, member, g))...)
 	}
-	return v.Idle || f.loads.tokens >= float64(cold)
+	return orders
 }
 
-// choose returns the instances of one domain that can begin soonest.
-func (f *Former) choose(free []provider.Instance, m mapper.Model) []provider.Instance {
-	sorted := slices.Clone(free)
-	slices.SortStableFunc(sorted, func(a, b provider.Instance) int {
-		if d := f.distance(a, m.Name) - f.distance(b, m.Name); d != 0 {
+// gather returns the members of a new group of a model: of one domain if there
+// are enough, else of as few as possible, unless a domain will have enough of
+// its own soon.
+func (f *Former) gather(now time.Time, v View, s stock, m mapper.Model) []provider.Instance {
+	byDomain := make(map[string][]provider.Instance)
+	var domains []string
+	for _, in := range s.ready[m.Name] {
+		if byDomain[in.FabricDomain] == nil {
+			domains = append(domains, in.FabricDomain)
+		}
+		byDomain[in.FabricDomain] = append(byDomain[in.FabricDomain], in)
+	}
+	slices.SortFunc(domains, func(a, b string) int {
+		if d := len(byDomain[b]) - len(byDomain[a]); d != 0 {
 			return d
 		}
-		return strings.Compare(a.ID, b.ID)
+		return strings.Compare(a, b)
 	})
-	return sorted[:m.Size]
+	var mixed []provider.Instance
+	for _, domain := range domains {
+		free := byDomain[domain]
+		if len(free) >= m.Size {
+			return free[:m.Size]
+		}
+		if !v.Idle && len(free)+soon(now, s.coming[m.Name][domain]) < m.Size {
+			mixed = append(mixed, free...)
+		}
+	}
+	if len(mixed) < m.Size {
+		return nil
+	}
+	return mixed[:m.Size]
 }
 
-// distance ranks how long an instance takes to hold a model.
-func (f *Former) distance(in provider.Instance, model string) int {
-	switch {
-	case f.lastModel(in) == model:
-		return 0
-	case slices.Contains(in.Staged, model):
-		return 1
+// soon counts the instances that are expected within the patience.
+func soon(now time.Time, expected []time.Time) int {
+	count := 0
+	for _, at := range expected {
+		if at.Sub(now) < patience {
+			count++
+		}
 	}
-	return 2
+	return count
 }
 
-// lastModel returns the model that an instance held last, if that is known.
-func (f *Former) lastModel(in provider.Instance) string {
-	if in.Membership.Group != "" {
-		return surveyor.ModelOf(in.Membership.Group)
-	}
-	if slices.Contains(in.Loaded, f.last[in.ID]) {
-		return f.last[in.ID]
+func without(all, gone []provider.Instance) []provider.Instance {
+	return slices.DeleteFunc(slices.Clone(all), func(in provider.Instance) bool {
+		return slices.ContainsFunc(gone, func(g provider.Instance) bool { return g.ID == in.ID })
+	})
+}
+
+// warm makes the instances without weights load some, each in a group of its
+// own that is never opened. An instance that joins another group of the same
+// model after that is ready almost at once.
+func (f *Former) warm(now time.Time, v View, s stock) []Order {
+	var orders []Order
+	for _, in := range s.cold {
+		m, cold := f.wanted(v, s, in)
+		if m.Name == "" || cold && !f.mayLoad(v) {
+			continue
+		}
+		g := &group{model: m, members: []provider.Instance{in}}
+		g.name, g.epoch = f.newName(m.Name)
+		l := load{group: g.name, model: m.Name, incarnation: in.Incarnation, began: now, cold: cold}
+		l.expected = now.Add(f.loadTime(v, m, cold))
+		l.until = now.Add(2*l.expected.Sub(now) + joinSlack)
+		f.loading[in.ID] = l
+		if cold {
+			f.loads.tokens--
+		}
+		s.expect(m.Name, in.FabricDomain, l.expected)
+		orders = append(orders, f.once(now, f.order(Join, in, g))...)
 	}
-	return ""
+	return orders
 }
 
-// holds reports whether an instance can join without a load.
-func (f *Former) holds(in provider.Instance, model string) bool { return f.distance(in, model) < 2 }
+// wanted returns the model that an instance should load, and whether that
+// takes the weight store. Weights in the host's memory go before the balance.
+func (f *Former) wanted(v View, s stock, in provider.Instance) (mapper.Model, bool) {
+	for _, m := range v.Engine.Models {
+		if slices.Contains(in.Staged, m.Name) {
+			return m, false
+		}
+	}
+	var best mapper.Model
+	bestScore := math.Inf(1)
+	for _, m := range v.Engine.Models {
+		score := float64(s.total(m.Name)+1) / max(v.Demand[m.Name], minDemand)
+		if s.held[m.Name][in.FabricDomain]%m.Size != 0 {
+			score *= completeFactor
+		}
+		if score < bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best, true
+}
 
-func (f *Former) coldCount(members []provider.Instance, model string) int {
-	cold := 0
-	for _, in := range members {
-		if !f.holds(in, model) {
-			cold++
+// coldLoads counts the loads from the weight store that are under way.
+func (f *Former) coldLoads() int {
+	count := 0
+	for _, l := range f.loading {
+		if l.cold {
+			count++
 		}
 	}
-	return cold
+	return count
+}
+
+// mayLoad reports whether a load from the weight store may begin now.
+func (f *Former) mayLoad(v View) bool {
+	return v.Idle || f.loads.tokens >= 1 && f.coldLoads() < v.Engine.LoadsAtOnce+loadsAhead
+}
+
+// loadTime estimates how long an instance takes to hold a model.
+func (f *Former) loadTime(v View, m mapper.Model, cold bool) time.Duration {
+	if !cold {
+		return m.Warm
+	}
+	crowd := max(1, float64(f.coldLoads()+1)/float64(max(1, v.Engine.LoadsAtOnce)))
+	took := time.Duration(float64(m.Load) * crowd)
+	if v.Idle {
+		took /= idleSpeedup
+	}
+	return took
+}
+
+// lastModel returns the model that an instance held last, if that is known.
+func (f *Former) lastModel(in provider.Instance) string {
+	if in.Membership.Group != "" {
+		return surveyor.ModelOf(in.Membership.Group)
+	}
+	if len(in.Loaded) > 0 {
+		return in.Loaded[0]
+	}
+	return f.last[in.ID].model(in)
 }
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -65,12 +65,9 @@
 	drainTime = 6 * time.Second
 	// joinSlack is added to the time that a join may take.
 	joinSlack = 8 * time.Second
-	// coldPenalty is by how much better filled a model may be and still be
-	// formed first because its weights are at hand.
-	coldPenalty = 1.5
 	// loadsAhead is how many loads more than run at full speed may be under
 	// way, so that the next begin as soon as the reports show an end.
-	loadsAhead = 4
+	loadsAhead = 1
 )
 
 // View is what a Former looks at.
@@ -113,11 +110,24 @@
 	// sent holds when an order was last sent.
 	sent map[sentKey]time.Time
 	// last is the model that an instance held last, as seen by this former.
-	last  map[string]string
+	last  map[string]lastModel
 	loads bucket
-	// loading holds the instances that load from the weight store, with the
-	// time at which that must be over.
-	loading map[string]time.Time
+	// loading holds the instances on their way to weights.
+	loading map[string]load
+}
+
+// lastModel is the model of the last group that one run of an instance was in.
+type lastModel struct {
+	incarnation string
+	name        string
+}
+
+// model returns the model if the instance still runs.
+func (l lastModel) model(in provider.Instance) string {
+	if l.incarnation != in.Incarnation {
+		return ""
+	}
+	return l.name
 }
 
 type sentKey struct {
@@ -133,8 +143,8 @@
 		groups:  make(map[string]*group),
 		held:    make(map[string]time.Time),
 		sent:    make(map[sentKey]time.Time),
-		last:    make(map[string]string),
-		loading: make(map[string]time.Time),
+		last:    make(map[string]lastModel),
+		loading: make(map[string]load),
 	}
 }
 
@@ -149,7 +159,6 @@
 		orders = append(orders, f.tend(now, v, f.groups[name])...)
 	}
 	orders = append(orders, f.strays(now, v)...)
-	f.endLoads(now, v)
 	orders = append(orders, f.form(now, v)...)
 	f.forget(now, v)
 	return orders
@@ -318,7 +327,7 @@
 		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil {
 			continue
 		}
-		f.last[in.ID] = surveyor.ModelOf(m.Group)
+		f.last[in.ID] = lastModel{in.Incarnation, surveyor.ModelOf(m.Group)}
 		if v.Survey.Lost(in.ID) || m.State != provider.Serving && m.State != provider.Closing && m.State != provider.Broken {
 			continue
 		}
@@ -370,6 +379,31 @@
 	}
 }
 
+// Tally counts a model's groups by how far they are.
+type Tally struct {
+	Forming int
+	Open    int
+	Ending  int
+}
+
+// Tallies counts the groups of each model.
+func (f *Former) Tallies() map[string]Tally {
+	tallies := make(map[string]Tally)
+	for _, g := range f.groups {
+		t := tallies[g.model.Name]
+		switch {
+		case !g.brokenAt.IsZero() || !g.closedAt.IsZero():
+			t.Ending++
+		case g.opened:
+			t.Open++
+		default:
+			t.Forming++
+		}
+		tallies[g.model.Name] = t
+	}
+	return tallies
+}
+
 func (f *Former) newName(model string) (string, uint64) {
 	f.next++
 	epoch := f.base + f.next
