Choose the head by the predicted first token, with what the peers have unread

Cause: the large model's first events came late since heads were chosen by the number of requests; nine instances did not know of each other's unread prompts, and groups across domains work 2.5 times slower. Change: pkg/estimator predicts the first token from the engine's figures; peers tell running requests and unread tokens every 50 ms when changed; a broken stream waits up to 1.5 s for another group.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -24,6 +24,9 @@
 	// answerMargin is how much before the end of the time a request is given
 	// up, so that its answer arrives in time.
 	answerMargin = 100 * time.Millisecond
+	// resumeWait is how long a broken request may wait for another server:
+	// callers give a stream up after a pause of two seconds.
+	resumeWait = 1500 * time.Millisecond
 	// keyMargin is how much before the end of their life keys stop counting:
 	// a send and its way to the server.
 	keyMargin = 800 * time.Millisecond
@@ -116,6 +119,7 @@
 		Idempotent:  x.route.Repeatable(),
 		Deadline:    x.deadline,
 		QueueUntil:  x.queueUntil,
+		ResumeWait:  resumeWait,
 		MaxAttempts: max(1, x.route.MaxAttempts),
 	}, f.budget)
 	x.ctx, x.cancel = context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,7 +66,7 @@
 	queueLength = 256
 	// budgetShare is the part of the shared retry budget that is used, since
 	// the number of entry instances that share it is known late.
-	budgetShare = 0.6
+	budgetShare = 0.85
 )
 
 // Settings are the constants of a Forwarder that come from outside.
--- a/internal/forwarder/lane.go
+++ b/internal/forwarder/lane.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
@@ -17,6 +18,8 @@
 	slots   int
 	// group is nil for a plain server.
 	group *surveyor.Group
+	// speed is how fast the group works.
+	speed estimator.Group
 	// quiet is how long all streams may pause together before the members
 	// are checked; stalled is when they are moved whatever the check says.
 	quiet   time.Duration
@@ -38,11 +41,11 @@
 	cancel context.CancelCauseFunc
 	// streaming says that events have come.
 	streaming bool
+	// prompt is how many tokens must be read first.
+	prompt int
 }
 
 const (
-	// quietPasses is how many passes' time a healthy head may be silent.
-	quietPasses = 2
 	// minQuiet covers the reading of other requests' prompts and the links.
 	minQuiet = 170 * time.Millisecond
 	// plainQuiet is how long a plain server may take before it is checked.
@@ -57,19 +60,6 @@
 	stallShun = 4 * time.Second
 )
 
-// quietTime returns how long the streams of a group may pause together: some
-// passes with a full batch, and as many whole chunks of prompts read between.
-func quietTime(e *mapper.Engine, model string) time.Duration {
-	if e == nil {
-		return plainQuiet
-	}
-	m, _ := e.Model(model)
-	step := e.Step + time.Duration(e.Slots)*e.StepPerRequest
-	pass := time.Duration(e.Stride) * step
-	read := time.Duration(float64(e.Chunk) / max(1, e.ReadPerSecond) * float64(time.Second))
-	return max(minQuiet, time.Duration(float64(quietPasses*(pass+read))*max(m.Pace, 0.1)))
-}
-
 // laneFor returns the lane of that name, made anew if its members changed.
 func (f *Forwarder) laneFor(name string, members []provider.Instance, group *surveyor.Group, e *mapper.Engine) *lane {
 	l, found := f.lanes[name]
@@ -78,11 +68,12 @@
 		f.lanes[name] = l
 	}
 	l.members, l.group, l.slots = members, group, members[0].Slots
-	model := ""
+	l.quiet = plainQuiet
 	if group != nil {
-		model = group.Model
+		model, _ := e.Model(group.Model)
+		l.speed = estimator.Group{Engine: e, Pace: model.Pace, Spread: group.Spread()}
+		l.quiet = max(minQuiet, l.speed.Pause())
 	}
-	l.quiet = quietTime(e, model)
 	l.stalled = stallQuiets * l.quiet
 	return l
 }
@@ -163,6 +154,17 @@
 	}
 }
 
+// work returns what this instance has under way at the lane.
+func (l *lane) work() estimator.Work {
+	w := estimator.Work{Running: len(l.flights)}
+	for fl := range l.flights {
+		if !fl.streaming {
+			w.UnreadTokens += fl.prompt
+		}
+	}
+	return w
+}
+
 func (l *lane) anyStreaming() bool {
 	for fl := range l.flights {
 		if fl.streaming {
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
@@ -13,14 +14,20 @@
 	// peerLoadTTL is how long a peer's word of its load counts: five of its
 	// messages.
 	peerLoadTTL = time.Second
-	// farLoad is the load that weighs as much as another data centre.
+	// farLoad is the load of a plain server that weighs as much as another
+	// data centre.
 	farLoad = 0.5
+	// farDelay is the delay to a head that weighs as much: four times the way.
+	farDelay = 4 * time.Millisecond
+	// runningDelay is what one more running request weighs beyond its part in
+	// each step, since it makes the batch read and write more later.
+	runningDelay = 3 * time.Millisecond
 )
 
 // peerLoad is what one peer has under way, by lane.
 type peerLoad struct {
-	at     time.Time
-	counts map[string]int
+	at    time.Time
+	works map[string]estimator.Work
 }
 
 // Idle reports whether this instance and its peers have had no request yet.
@@ -31,42 +38,44 @@
 		return false
 	}
 	for _, load := range f.peerLoads {
-		if len(load.counts) > 0 {
+		if len(load.works) > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// Load returns how many requests are under way, by lane, to tell the peers.
-func (f *Forwarder) Load() map[string]int {
+// Load returns what is under way, by lane, to tell the peers.
+func (f *Forwarder) Load() map[string]estimator.Work {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := make(map[string]int)
+	works := make(map[string]estimator.Work)
 	for name, l := range f.lanes {
-		if n := len(l.flights); n > 0 {
-			counts[name] = n
+		if len(l.flights) > 0 {
+			works[name] = l.work()
 		}
 	}
-	return counts
+	return works
 }
 
 // LearnLoad takes in what a peer has under way.
-func (f *Forwarder) LearnLoad(peer string, counts map[string]int) {
+func (f *Forwarder) LearnLoad(peer string, works map[string]estimator.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerLoads[peer] = peerLoad{at: clocker.Now(), counts: counts}
+	f.peerLoads[peer] = peerLoad{at: clocker.Now(), works: works}
 }
 
-// othersLoad sums what the peers have under way at a lane.
-func (f *Forwarder) othersLoad(now time.Time, name string) int {
-	sum := 0
+// work sums what this instance and its peers have under way at a lane.
+func (f *Forwarder) work(now time.Time, l *lane) estimator.Work {
+	sum := l.work()
 	for peer, load := range f.peerLoads {
 		if now.Sub(load.at) > peerLoadTTL {
 			delete(f.peerLoads, peer)
 			continue
 		}
-		sum += load.counts[name]
+		w := load.works[l.name]
+		sum.Running += w.Running
+		sum.UnreadTokens += w.UnreadTokens
 	}
 	return sum
 }
@@ -102,9 +111,22 @@
 	return lanes
 }
 
-// load returns all requests that a lane has, own and others'.
-func (f *Forwarder) load(now time.Time, l *lane) float64 {
-	return float64(len(l.flights) + f.othersLoad(now, l.name))
+// cost ranks a lane for a request: for a group the time to the first token in
+// milliseconds, for a plain server the requests that it has.
+func (f *Forwarder) cost(now time.Time, l *lane, promptTokens int) float64 {
+	w := f.work(now, l)
+	far := l.head().DataCentre != f.DataCentre
+	if l.group == nil {
+		if far {
+			return float64(w.Running) + farLoad
+		}
+		return float64(w.Running)
+	}
+	first := l.speed.First(w, promptTokens) + time.Duration(w.Running)*runningDelay
+	if far {
+		first += farDelay
+	}
+	return float64(first) / float64(time.Millisecond)
 }
 
 // free returns how many more requests a pool can run at once.
@@ -115,14 +137,14 @@
 	defer f.mu.Unlock()
 	free := 0
 	for _, l := range lanes {
-		free += max(0, l.slots-int(f.load(now, l)))
+		free += max(0, l.slots-f.work(now, l).Running)
 	}
 	return free
 }
 
 // pick chooses a lane for a request, rather one that has not failed it, and
 // counts the request there.
-func (f *Forwarder) pick(config *mapper.Map, key poolKey, failed map[string]bool) (*lane, bool) {
+func (f *Forwarder) pick(config *mapper.Map, key poolKey, promptTokens int, failed map[string]bool) (*lane, bool) {
 	lanes := f.candidates(config, key)
 	now := clocker.Now()
 	f.mu.Lock()
@@ -131,11 +153,7 @@
 	byName := make(map[string]*lane, len(lanes))
 	for _, l := range untried(lanes, failed) {
 		byName[l.name] = l
-		load := f.load(now, l)
-		if l.head().DataCentre != f.DataCentre {
-			load += farLoad
-		}
-		fresh = append(fresh, router.Candidate{Group: l.name, Load: load})
+		fresh = append(fresh, router.Candidate{Group: l.name, Load: f.cost(now, l, promptTokens)})
 	}
 	fresh = f.tracker.Admit(now, fresh)
 	if len(fresh) == 0 {
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -52,7 +52,7 @@
 // machine.
 func (x *exchange) try() (*Answer, retrier.Event) {
 	config := x.f.Observer.Config()
-	l, found := x.f.pick(config, x.pool, x.failed)
+	l, found := x.f.pick(config, x.pool, x.request.PromptTokens, x.failed)
 	if !found {
 		return nil, retrier.Event{Kind: retrier.NoBackend}
 	}
@@ -183,7 +183,7 @@
 func (f *Forwarder) send(x *exchange, l *lane) (*try, error) {
 	t := &try{lane: l}
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	t.flight = &flight{lane: l, cancel: cancel}
+	t.flight = &flight{lane: l, cancel: cancel, prompt: x.request.PromptTokens}
 	f.takeOff(t.flight)
 	ctx, t.span = f.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("request", x.request.ID), attribute.String("lane", l.name)))
--- a/internal/hoster/peers.go
+++ b/internal/hoster/peers.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
-	"github.com/waxwingmount/waxwingmount/internal/pacer"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
 const (
-	// loadInterval is the time between two messages with this instance's load.
-	loadInterval = 200 * time.Millisecond
+	// loadMessages bounds the messages a second with this instance's load, to
+	// all peers together; the shortest interval is minLoadInterval.
+	loadMessages    = 160
+	minLoadInterval = 40 * time.Millisecond
+	// sameInterval is the time between two messages while nothing changes: a
+	// third of the time for which a message counts.
+	sameInterval = 300 * time.Millisecond
 	// tellTimeout bounds one message to one peer.
 	tellTimeout = 300 * time.Millisecond
 )
@@ -46,9 +53,22 @@
 
 // loop tells the peers what this instance has under way.
 func (p *peers) loop(ctx context.Context) {
-	pacer.Repeat(ctx, loadInterval, func(ctx context.Context) {
-		p.runTell(ctx, messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Counts: p.node.forwarder.Load()})
-	})
+	var last map[string]estimator.Work
+	var told time.Time
+	for {
+		interval := max(minLoadInterval, time.Duration(p.Count())*time.Second/loadMessages)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		works := p.node.forwarder.Load()
+		if maps.Equal(works, last) && clocker.Since(told) < sameInterval {
+			continue
+		}
+		last, told = works, clocker.Now()
+		p.runTell(ctx, messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Works: works})
+	}
 }
 
 // runTell sends a message to all peers. A peer that does not answer in time
@@ -80,7 +100,7 @@
 
 // Load takes in what a peer has under way.
 func (s *peerService) Load(arguments messenger.LoadMessage, _ *messenger.Nothing) error {
-	s.node.forwarder.LearnLoad(arguments.From, arguments.Counts)
+	s.node.forwarder.LearnLoad(arguments.From, arguments.Works)
 	return nil
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/orderer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -90,8 +91,8 @@
 // LoadMessage tells what its sender has under way.
 type LoadMessage struct {
 	From string
-	// Counts holds the requests under way, by the name of where they run.
-	Counts map[string]int
+	// Works holds what is under way, by the name of where it runs.
+	Works map[string]estimator.Work
 }
 
 // Loss names one run of an instance that is gone.
--- a/pkg/mapper/config.go
+++ b/pkg/mapper/config.go
@@ -92,6 +92,14 @@
 	// most in a step.
 	ReadPerSecond float64
 	Chunk         int
+	// PerMillionPairs is the time to read for each million pairs of a token
+	// and one before it.
+	PerMillionPairs time.Duration
+	// SpreadFactor is how much slower a group is whose members are not all in
+	// one fabric domain.
+	SpreadFactor float64
+	// UsualAnswer is the mean length of an answer in tokens.
+	UsualAnswer int
 	// LoadsPerSecond bounds how many loads from the weight store may begin.
 	LoadsPerSecond float64
 	// LoadsAtOnce is how many loads run at full speed together.
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -36,6 +36,9 @@
 	Deadline time.Time
 	// QueueUntil is how long the request may wait for a back end to appear.
 	QueueUntil time.Time
+	// ResumeWait is how long a request that broke may wait for another back
+	// end, also after QueueUntil.
+	ResumeWait time.Duration
 	// MaxAttempts bounds how often the request is sent; zero is the default.
 	MaxAttempts int
 }
@@ -190,6 +193,9 @@
 // broke goes on where a second run, or the rest of the first, is allowed.
 func (m *Machine) broke(now time.Time, event Event) Action {
 	m.begun = true
+	if until := now.Add(m.facts.ResumeWait); until.After(m.facts.QueueUntil) {
+		m.facts.QueueUntil = until
+	}
 	if !m.facts.Idempotent {
 		return m.answer(MayHaveRun)
 	}
--- a/pkg/surveyor/survey.go
+++ b/pkg/surveyor/survey.go
@@ -59,6 +59,16 @@
 // Head returns the member that takes the group's requests.
 func (g Group) Head() provider.Instance { return g.Members[0] }
 
+// Spread reports whether the members are not all in one fabric domain.
+func (g Group) Spread() bool {
+	for _, in := range g.Members {
+		if in.FabricDomain != g.Members[0].FabricDomain {
+			return true
+		}
+	}
+	return false
+}
+
 // Survey is what one process knows. It does no I/O and is not safe for
 // concurrent use.
 type Survey struct {
