Give each fabric domain a home model, so that its groups share spares

Cause: each domain held one large group and small ones, so that the loss of a member left three survivors without a fourth in their domain; groups across domains work 2.5 times slower. Change: an instance loads its domain's home model unless that has half a domain more than its due.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// maxQueueWait bounds how long a request waits for a free place, and
-	// waitShare the part of its time.
-	maxQueueWait = 2 * time.Second
-	waitShare    = 0.3
+	// startMargin is how long before its caller leaves a request must be sent:
+	// a first token takes 0.2 to 0.4 s. waitShare bounds the part of its time.
+	startMargin = 500 * time.Millisecond
+	waitShare   = 0.5
 	// soonRetry is when to come back to a system that lacks servers, or whose
 	// view is too old, for a moment.
 	soonRetry = 500 * time.Millisecond
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -108,7 +108,7 @@
 		timeout = r.Timeout
 	}
 	x.deadline = r.Arrived.Add(timeout - answerMargin)
-	x.queueUntil = r.Arrived.Add(min(maxQueueWait, time.Duration(float64(timeout)*waitShare)))
+	x.queueUntil = r.Arrived.Add(min(x.route.Patience()-startMargin, time.Duration(float64(timeout)*waitShare)))
 	x.fingerprint = r.fingerprint(x.organisation)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
@@ -102,6 +103,7 @@
 	lanes      map[string]*lane
 	peerLoads  map[string]peerLoad
 	pools      map[poolKey]*pool
+	meters     map[string]*estimator.Meter
 	quarantine *quarantiner.Quarantine
 	budget     *retrier.Budget
 	nextTicket uint64
@@ -124,6 +126,7 @@
 		lanes:      make(map[string]*lane),
 		peerLoads:  make(map[string]peerLoad),
 		pools:      make(map[poolKey]*pool),
+		meters:     make(map[string]*estimator.Meter),
 		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
 		budget:     retrier.NewBudget(d.RetryRatio*budgetShare, d.RetrySlack*budgetShare),
 	}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -189,8 +189,17 @@
 	return others
 }
 
-// Demand implements [organiser.Demand]: the part of the work of each model, as
-// the configuration gives it for the start.
+const (
+	// demandMemory is how long a request counts towards the demand: about the
+	// time to load a model's weights.
+	demandMemory = 10 * time.Second
+	// leastWork is how many instance seconds must have been asked for before
+	// the demand is measured.
+	leastWork = 3
+)
+
+// Demand implements [organiser.Demand]: the part of the instances that each
+// model needs, as measured, or as the configuration gives it for the start.
 func (f *Forwarder) Demand(service string) map[string]float64 {
 	demand := make(map[string]float64)
 	config := f.Observer.Config()
@@ -204,5 +213,36 @@
 	for _, m := range s.Engine.Models {
 		demand[m.Name] = m.Share
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if meter := f.meters[service]; meter != nil {
+		for name, share := range meter.Shares(clocker.Now(), leastWork) {
+			demand[name] = (demand[name] + share) / 2
+		}
+	}
 	return demand
 }
+
+// observe counts a request towards the demand for its model.
+func (f *Forwarder) observe(x *exchange, l *lane) {
+	if l.group == nil || x.route.Objective <= 0 {
+		return
+	}
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	meter := f.meters[x.pool.service]
+	if meter == nil {
+		meter = estimator.NewMeter(demandMemory)
+		f.meters[x.pool.service] = meter
+	}
+	compact := l.speed
+	compact.Spread = false
+	answer := x.request.LengthHint
+	if answer <= 0 {
+		answer = l.speed.Engine.UsualAnswer
+	}
+	first := l.speed.First(f.work(now, l), x.request.PromptTokens)
+	meter.Observe(now, x.pool.model, len(l.members), compact.Cost(x.request.PromptTokens, answer),
+		float64(first)/float64(x.route.Objective))
+}
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -56,6 +56,9 @@
 	if !found {
 		return nil, retrier.Event{Kind: retrier.NoBackend}
 	}
+	if x.current == nil && x.delivered == 0 && len(x.failed) == 0 {
+		x.f.observe(x, l)
+	}
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
@@ -70,7 +73,7 @@
 			x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.members)
 		}
 		x.f.finish(t, true)
-		return nil, retrier.Event{Kind: retrier.NotSent, Excused: true}
+		return nil, retrier.Event{Kind: retrier.NotSent, Unseen: true}
 	}
 	return x.receive(t)
 }
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -1,6 +1,7 @@
 package former
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -12,9 +13,9 @@
 )
 
 const (
-	// completeFactor favours the model of which a domain has an incomplete
-	// group's worth of instances.
-	completeFactor = 0.6
+	// homeSlack is by what part of a domain's instances a model may have more
+	// than its due before its home domains take another model.
+	homeSlack = 0.5
 	// patience is how long instances wait for others of their own domain that
 	// are about to be ready, before they form a group across domains.
 	patience = 2500 * time.Millisecond
@@ -242,6 +243,7 @@
 // own that is never opened. An instance that joins another group of the same
 // model after that is ready almost at once.
 func (f *Former) warm(now time.Time, v View, s stock) []Order {
+	slices.SortStableFunc(s.cold, func(a, b provider.Instance) int { return strings.Compare(a.FabricDomain, b.FabricDomain) })
 	var orders []Order
 	for _, in := range s.cold {
 		m, cold := f.wanted(v, s, in)
@@ -271,20 +273,47 @@
 			return m, false
 		}
 	}
+	home, size := s.home(in.FabricDomain)
 	var best mapper.Model
-	bestScore := math.Inf(1)
+	bestLack := math.Inf(-1)
 	for _, m := range v.Engine.Models {
-		score := float64(s.total(m.Name)+1) / max(v.Demand[m.Name], minDemand)
-		if s.held[m.Name][in.FabricDomain]%m.Size != 0 {
-			score *= completeFactor
+		lack := s.lack(v, m.Name)
+		if m.Name == home && lack > -homeSlack*float64(size) {
+			return m, true
 		}
-		if score < bestScore {
-			best, bestScore = m, score
+		if lack > bestLack {
+			best, bestLack = m, lack
 		}
 	}
 	return best, true
 }
 
+// home returns the model that most instances of a domain hold, and how many
+// hold any. Groups of one model share their domain's spares.
+func (s stock) home(domain string) (string, int) {
+	home, most, sum := "", 0, 0
+	for _, model := range slices.Sorted(maps.Keys(s.held)) {
+		n := s.held[model][domain]
+		sum += n
+		if n > most {
+			home, most = model, n
+		}
+	}
+	return home, sum
+}
+
+// lack returns how many instances a model has less than its due.
+func (s stock) lack(v View, model string) float64 {
+	all, sum := 0, 0.0
+	for name := range s.held {
+		all += s.total(name)
+	}
+	for _, m := range v.Engine.Models {
+		sum += max(v.Demand[m.Name], minDemand)
+	}
+	return max(v.Demand[model], minDemand)/sum*float64(all+1) - float64(s.total(model))
+}
+
 // coldLoads counts the loads from the weight store that are under way.
 func (f *Former) coldLoads() int {
 	count := 0
--- a/pkg/mapper/map.go
+++ b/pkg/mapper/map.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"time"
 )
 
 // Map answers questions about one configuration. It is safe for concurrent use.
@@ -99,3 +100,16 @@
 func (r Route) Repeatable() bool {
 	return r.Repeat == Idempotent || r.Repeat == Streaming && r.Resumable
 }
+
+// Patience returns how long a caller waits for the first or the next event of
+// a stream before it leaves.
+func (r Route) Patience() time.Duration {
+	return max(minPatience, objectivePatience*r.Objective, gapPatience*r.GapObjective)
+}
+
+// The users' pages say after what pause callers leave a stream.
+const (
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -73,6 +73,9 @@
 	Kind EventKind
 	// Delivered counts the events of the stream that the caller has been sent.
 	Delivered int
+	// Unseen says that nothing of the try reached any back end, so that another
+	// costs none of the budget.
+	Unseen bool
 	// Excused says that the back end of the failed try is gone, so that the
 	// try does not count against the attempts.
 	Excused bool
@@ -112,6 +115,8 @@
 	budget   *Budget
 	attempts int
 	waits    int
+	// unseen counts the tries in a row that reached no back end.
+	unseen int
 	// begun says that some back end may have begun the request.
 	begun bool
 	done  bool
@@ -141,7 +146,7 @@
 	case Waited:
 		return m.try(event.Delivered)
 	case NotSent:
-		return m.again(now, event)
+		return m.notSent(now, event)
 	case CannotResume:
 		return m.cannotResume(now, event)
 	case Broke:
@@ -190,9 +195,30 @@
 	return Action{Kind: Wait, For: wait}
 }
 
+// maxUnseen is how many tries in a row may reach no back end before the
+// request waits.
+const maxUnseen = 3
+
+// notSent tries again at once where nothing was sent, and within the budget
+// where a back end refused.
+func (m *Machine) notSent(now time.Time, event Event) Action {
+	if !event.Unseen {
+		return m.again(now, event)
+	}
+	if m.unseen++; m.unseen > maxUnseen {
+		return m.noBackend(now)
+	}
+	if !now.Before(m.facts.Deadline) {
+		return m.expired()
+	}
+	m.attempts = max(0, m.attempts-1)
+	return m.try(event.Delivered)
+}
+
 // broke goes on where a second run, or the rest of the first, is allowed.
 func (m *Machine) broke(now time.Time, event Event) Action {
 	m.begun = true
+	m.unseen = 0
 	if until := now.Add(m.facts.ResumeWait); until.After(m.facts.QueueUntil) {
 		m.facts.QueueUntil = until
 	}
