Hold members until their head has left; count a try that ran

Change: groups that miss members are adopted as broken and dissolved head first; a try counts unless its server is gone or it was moved before its first event.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -246,15 +246,18 @@
 
 // blame keeps this request off a lane that failed it, has the members checked,
 // and counts a strike if the head has crashed.
-func (x *exchange) blame(l *lane, err error) retrier.Event {
+func (x *exchange) blame(l *lane, streamed bool, err error) retrier.Event {
 	event := retrier.Event{Kind: retrier.Broke}
 	if x.ctx.Err() != nil {
 		return event
 	}
 	x.failed[l.name] = true
 	x.failure = err
-	event.Excused = errors.IsAny(err, errLost, errStalled)
-	if !event.Excused {
+	moved := errors.IsAny(err, errLost, errStalled)
+	// A try counts against the attempts once it may have begun to run, unless
+	// the server that ran it is gone.
+	event.Excused = moved && !streamed || x.f.Observer.Gone(l.members[:1])
+	if !moved {
 		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.members)
 	}
 	log.WithFields(log.Fields{
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -125,10 +125,6 @@
 		loading = false
 	}
 	switch {
-	case now.Before(f.held[in.ID]):
-		if model != "" {
-			s.hold(model, in.FabricDomain)
-		}
 	case loading:
 		s.expect(l.model, in.FabricDomain, l.expected)
 	case state == provider.Joining && model != "":
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -97,6 +97,8 @@
 	brokenAt time.Time
 	// released says that the head no longer holds the group.
 	released bool
+	// headless says that the head of a group that was taken over is unknown.
+	headless bool
 }
 
 // Former is the state of one holder of control. It does no I/O and is not safe
@@ -105,8 +107,6 @@
 	base   uint64
 	next   uint64
 	groups map[string]*group
-	// held says until when an instance may not join another group.
-	held map[string]time.Time
 	// sent holds when an order was last sent.
 	sent map[sentKey]time.Time
 	// last is the model that an instance held last, as seen by this former.
@@ -141,7 +141,6 @@
 	return &Former{
 		base:    base,
 		groups:  make(map[string]*group),
-		held:    make(map[string]time.Time),
 		sent:    make(map[sentKey]time.Time),
 		last:    make(map[string]lastModel),
 		loading: make(map[string]load),
@@ -158,33 +157,43 @@
 	for _, name := range slices.Sorted(maps.Keys(f.groups)) {
 		orders = append(orders, f.tend(now, v, f.groups[name])...)
 	}
-	orders = append(orders, f.strays(now, v)...)
 	orders = append(orders, f.form(now, v)...)
 	f.forget(now, v)
 	return orders
 }
 
 // adopt takes over the groups that the instances report and nobody here formed.
+// Those that miss members are taken over as broken.
 func (f *Former) adopt(now time.Time, v View) {
 	found := make(map[string][]provider.Instance)
 	for _, in := range v.Survey.Instances() {
 		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached {
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil || f.alone(in) {
 			continue
 		}
-		if f.groups[m.Group] == nil {
-			found[m.Group] = append(found[m.Group], in)
-		}
+		found[m.Group] = append(found[m.Group], in)
 	}
 	for name, members := range found {
 		model, known := v.Engine.Model(surveyor.ModelOf(name))
-		if !known || len(members) != model.Size || !ranked(members) {
-			continue
+		whole := ranked(members) && known && len(members) == model.Size
+		g := &group{name: name, epoch: members[0].Membership.Epoch, model: model, members: members, born: now}
+		if !whole {
+			g.brokenAt = now
+			g.headless = members[0].Membership.Rank != 0
 		}
-		f.groups[name] = &group{name: name, epoch: members[0].Membership.Epoch, model: model, members: members, born: now}
+		f.groups[name] = g
 	}
 }
 
+// alone reports whether an instance is in a group that it only loads weights
+// in, or whose head has not opened it.
+func (f *Former) alone(in provider.Instance) bool {
+	m := in.Membership
+	l, loading := f.loading[in.ID]
+	return loading && l.group == m.Group ||
+		m.Rank == 0 && (m.State == provider.Joining || m.State == provider.MemberReady)
+}
+
 // ranked sorts members by rank and reports whether all ranks of one epoch are there.
 func ranked(members []provider.Instance) bool {
 	slices.SortFunc(members, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
@@ -293,49 +302,41 @@
 }
 
 // dissolve frees the members of a group. No member may join another group
-// while the head may still hold this one: the head leaves first, and a head
-// that cannot be reached is waited for until its engine must have given up.
+// while the head may still hold this one: the head leaves first. A head that
+// cannot be reached is waited for until its entry has lapsed and its engine
+// must have given up.
 func (f *Former) dissolve(now time.Time, v View, g *group, head provider.Instance, headThere bool) []Order {
-	if !g.released && headThere && f.reports(head, g, 0) {
-		return f.once(now, f.order(Leave, head, g))
-	}
-	if !headThere && !g.released {
-		for _, member := range g.members {
-			f.held[member.ID] = g.brokenAt.Add(stallTime)
+	listed, there := v.Survey.Instance(head.ID)
+	switch {
+	case g.released:
+	case g.headless || !there || listed.Incarnation != head.Incarnation:
+		if now.Sub(g.brokenAt) < stallTime && !(there && listed.Incarnation != head.Incarnation) {
+			return f.askToLeave(now, g, head)
 		}
+	case f.reports(listed, g, 0) && listed.Membership.State != provider.Broken:
+		return f.askToLeave(now, g, head)
+	}
+	for _, member := range g.members {
+		f.last[member.ID] = lastModel{member.Incarnation, g.model.Name}
 	}
 	delete(f.groups, g.name)
 	return nil
 }
 
-// Settled takes in whether an instance carried an order out.
-func (f *Former) Settled(now time.Time, o Order, accepted bool) {
-	if !accepted {
-		return
-	}
-	g := f.groups[o.Group]
-	if g != nil && o.Kind == Leave && len(g.members) > 0 && o.Instance.ID == g.members[0].ID {
-		g.released = true
+// askToLeave orders the head, if it is known, to leave its group.
+func (f *Former) askToLeave(now time.Time, g *group, head provider.Instance) []Order {
+	if g.headless {
+		return nil
 	}
+	return f.once(now, f.order(Leave, head, g))
 }
 
-// strays tells instances to leave groups that nobody looks after.
-func (f *Former) strays(now time.Time, v View) []Order {
-	var orders []Order
-	for _, in := range v.Survey.Instances() {
-		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil {
-			continue
-		}
-		f.last[in.ID] = lastModel{in.Incarnation, surveyor.ModelOf(m.Group)}
-		if v.Survey.Lost(in.ID) || m.State != provider.Serving && m.State != provider.Closing && m.State != provider.Broken {
-			continue
-		}
-		f.held[in.ID] = now.Add(resendTime)
-		stray := &group{name: m.Group, epoch: m.Epoch}
-		orders = append(orders, f.once(now, f.order(Leave, in, stray))...)
+// Settled takes in whether an instance carried an order out.
+func (f *Former) Settled(_ time.Time, o Order, accepted bool) {
+	g := f.groups[o.Group]
+	if accepted && g != nil && o.Kind == Leave && o.Instance.ID == g.members[0].ID {
+		g.released = true
 	}
-	return orders
 }
 
 // order builds an order for one member of a group.
@@ -367,11 +368,6 @@
 			delete(f.sent, key)
 		}
 	}
-	for id, until := range f.held {
-		if now.After(until) {
-			delete(f.held, id)
-		}
-	}
 	for id := range f.last {
 		if _, listed := v.Survey.Instance(id); !listed {
 			delete(f.last, id)
