Free survivors by their own leave, whether or not the head is reached

Ruled out: a longer wait, cuts last 10 s and more. Change: every reachable member is told to leave and is free once it has; a head without it stalls by itself.

--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -92,7 +92,9 @@
 	used := make(map[string]string)
 	for _, g := range f.groups {
 		for _, member := range g.members {
-			used[member.ID] = g.model.Name
+			if f.left[member.ID] != g.name {
+				used[member.ID] = g.model.Name
+			}
 		}
 	}
 	for _, in := range v.Survey.Instances() {
@@ -127,9 +129,9 @@
 	switch {
 	case loading:
 		s.expect(l.model, in.FabricDomain, l.expected)
-	case state == provider.Joining && model != "":
-		s.expect(model, in.FabricDomain, now.Add(patience))
-	case model != "" && slices.Contains(in.Loaded, model):
+	case state == provider.Joining && in.Membership.Group != "" && f.left[in.ID] != in.Membership.Group:
+		s.expect(surveyor.ModelOf(in.Membership.Group), in.FabricDomain, now.Add(2*patience))
+	case model != "":
 		s.ready[model] = append(s.ready[model], in)
 		s.hold(model, in.FabricDomain)
 	default:
@@ -341,10 +343,10 @@
 
 // lastModel returns the model that an instance held last, if that is known.
 func (f *Former) lastModel(in provider.Instance) string {
-	if in.Membership.Group != "" {
+	switch {
+	case in.Membership.Group != "" && in.Membership.State != provider.Joining:
 		return surveyor.ModelOf(in.Membership.Group)
-	}
-	if len(in.Loaded) > 0 {
+	case len(in.Loaded) > 0:
 		return in.Loaded[0]
 	}
 	return f.last[in.ID].model(in)
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -57,9 +57,6 @@
 	// resendTime is how long an order may show no effect before it is sent
 	// again: the reports' lag and a look at the list, twice.
 	resendTime = 900 * time.Millisecond
-	// stallTime is how long a head that cannot be reached may still count as
-	// holding its group: the engines' stall time and a margin for reports.
-	stallTime = 5500 * time.Millisecond
 	// drainTime is how long a closing group may take to end its requests;
 	// after it the members leave all the same.
 	drainTime = 6 * time.Second
@@ -95,10 +92,6 @@
 	closedAt time.Time
 	// brokenAt is when a member was first missed.
 	brokenAt time.Time
-	// released says that the head no longer holds the group.
-	released bool
-	// headless says that the head of a group that was taken over is unknown.
-	headless bool
 }
 
 // Former is the state of one holder of control. It does no I/O and is not safe
@@ -107,6 +100,8 @@
 	base   uint64
 	next   uint64
 	groups map[string]*group
+	// left is the group that an instance has left, though its reports may lag.
+	left map[string]string
 	// sent holds when an order was last sent.
 	sent map[sentKey]time.Time
 	// last is the model that an instance held last, as seen by this former.
@@ -141,6 +136,7 @@
 	return &Former{
 		base:    base,
 		groups:  make(map[string]*group),
+		left:    make(map[string]string),
 		sent:    make(map[sentKey]time.Time),
 		last:    make(map[string]lastModel),
 		loading: make(map[string]load),
@@ -168,7 +164,7 @@
 	found := make(map[string][]provider.Instance)
 	for _, in := range v.Survey.Instances() {
 		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil || f.alone(in) {
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil || f.left[in.ID] == m.Group || f.alone(in) {
 			continue
 		}
 		found[m.Group] = append(found[m.Group], in)
@@ -179,7 +175,6 @@
 		g := &group{name: name, epoch: members[0].Membership.Epoch, model: model, members: members, born: now}
 		if !whole {
 			g.brokenAt = now
-			g.headless = members[0].Membership.Rank != 0
 		}
 		f.groups[name] = g
 	}
@@ -207,13 +202,13 @@
 
 // tend looks after one group.
 func (f *Former) tend(now time.Time, v View, g *group) []Order {
-	head, headThere := f.current(v, g.members[0])
+	head, _ := f.current(v, g.members[0])
 	switch {
 	case f.broken(v, g):
 		if g.brokenAt.IsZero() {
 			g.brokenAt = now
 		}
-		return f.dissolve(now, v, g, head, headThere)
+		return f.dissolve(now, v, g)
 	case !g.closedAt.IsZero() || f.leaving(v, g):
 		return f.drain(now, v, g, head)
 	}
@@ -238,7 +233,7 @@
 	}
 	if now.Sub(g.born) > g.model.Load*2+joinSlack {
 		g.brokenAt = now
-		return f.dissolve(now, v, g, head, headThere)
+		return f.dissolve(now, v, g)
 	}
 	return orders
 }
@@ -293,7 +288,7 @@
 	state := head.Membership.State
 	if now.Sub(g.closedAt) > drainTime || state != provider.Serving && state != provider.Closing {
 		g.brokenAt = now
-		return f.dissolve(now, v, g, head, true)
+		return f.dissolve(now, v, g)
 	}
 	if state == provider.Serving {
 		return f.once(now, f.order(Close, head, g))
@@ -301,41 +296,31 @@
 	return nil
 }
 
-// dissolve frees the members of a group. No member may join another group
-// while the head may still hold this one: the head leaves first. A head that
-// cannot be reached is waited for until its entry has lapsed and its engine
-// must have given up.
-func (f *Former) dissolve(now time.Time, v View, g *group, head provider.Instance, headThere bool) []Order {
-	listed, there := v.Survey.Instance(head.ID)
-	switch {
-	case g.released:
-	case g.headless || !there || listed.Incarnation != head.Incarnation:
-		if now.Sub(g.brokenAt) < stallTime && !(there && listed.Incarnation != head.Incarnation) {
-			return f.askToLeave(now, g, head)
-		}
-	case f.reports(listed, g, 0) && listed.Membership.State != provider.Broken:
-		return f.askToLeave(now, g, head)
-	}
-	for _, member := range g.members {
+// dissolve tells every member that can be reached to leave the group. A member
+// is free once it has left: a head that lacks it stands still until its engine
+// gives the group up, and needs not be reached for that.
+func (f *Former) dissolve(now time.Time, v View, g *group) []Order {
+	var orders []Order
+	waiting := false
+	for rank, member := range g.members {
+		in, there := f.current(v, member)
 		f.last[member.ID] = lastModel{member.Incarnation, g.model.Name}
+		if !there || f.left[member.ID] == g.name || !f.reports(in, g, rank) {
+			continue
+		}
+		waiting = true
+		orders = append(orders, f.once(now, f.order(Leave, in, g))...)
 	}
-	delete(f.groups, g.name)
-	return nil
-}
-
-// askToLeave orders the head, if it is known, to leave its group.
-func (f *Former) askToLeave(now time.Time, g *group, head provider.Instance) []Order {
-	if g.headless {
-		return nil
+	if !waiting {
+		delete(f.groups, g.name)
 	}
-	return f.once(now, f.order(Leave, head, g))
+	return orders
 }
 
 // Settled takes in whether an instance carried an order out.
 func (f *Former) Settled(_ time.Time, o Order, accepted bool) {
-	g := f.groups[o.Group]
-	if accepted && g != nil && o.Kind == Leave && o.Instance.ID == g.members[0].ID {
-		g.released = true
+	if accepted && o.Kind == Leave {
+		f.left[o.Instance.ID] = o.Group
 	}
 }
 
@@ -371,6 +356,7 @@
 	for id := range f.last {
 		if _, listed := v.Survey.Instance(id); !listed {
 			delete(f.last, id)
+			delete(f.left, id)
 		}
 	}
 }
