Let epochs go on within a term, and orders go side by side

Change: epochs are kept for the term, each order has a goroutine, a refused join gives its group up.

--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -60,8 +60,8 @@
 
 // Orderer delivers orders to instances.
 type Orderer interface {
-	// Order reports whether the order was carried out or begun.
-	Order(ctx context.Context, o former.Order, fence uint64) (bool, error)
+	// Order returns what became of the order, and why if it was not accepted.
+	Order(ctx context.Context, o former.Order, fence uint64) (former.Outcome, error)
 }
 
 // Demand tells the part of the work of each model of a service.
@@ -95,6 +95,8 @@
 	formers map[string]*former.Former
 	// ordered is when the last order was sent.
 	ordered time.Time
+	// epochs holds the last group epoch of each service in this term.
+	epochs map[string]uint64
 	// tallies holds what was last logged of each service.
 	tallies map[string]map[string]former.Tally
 }
@@ -103,6 +105,8 @@
 func New(d Dependencies) *Organiser {
 	return &Organiser{
 		Dependencies: d,
+		formers:      make(map[string]*former.Former),
+		epochs:       make(map[string]uint64),
 		tallies:      make(map[string]map[string]former.Tally),
 		lease: leaser.New(leaser.Settings{
 			Key:    leaseKey,
@@ -191,41 +195,67 @@
 	config := o.Observer.Config()
 	if !held || config == nil {
 		o.Observer.SetPace(0)
-		o.formers = nil
+		o.rest()
 		return
 	}
-	if o.formers == nil || o.term != term {
-		log.WithField("term", term).Info("control taken")
-		o.term = term
-		o.formers = make(map[string]*former.Former)
-	}
+	o.take(term)
 	for _, service := range config.Services {
 		if service.Engine != nil && len(service.Engine.Models) > 0 {
 			o.passService(ctx, term, service)
 		}
 	}
-	if clocker.Since(o.ordered) < activeTime {
+	o.mu.Lock()
+	active := clocker.Since(o.ordered) < activeTime
+	o.mu.Unlock()
+	if active {
 		o.Observer.SetPace(activePace)
 	} else {
 		o.Observer.SetPace(restPace)
 	}
 }
 
+// rest drops what was decided: by the next term of control it may be wrong.
+func (o *Organiser) rest() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.formers)
+}
+
+// take begins a term of control. Epochs go on where the same term, lost for a
+// while and regained, has stopped.
+func (o *Organiser) take(term uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == term {
+		return
+	}
+	log.WithField("term", term).Info("control taken")
+	o.term = term
+	clear(o.formers)
+	clear(o.epochs)
+}
+
 func (o *Organiser) passService(ctx context.Context, term uint64, service mapper.Service) {
+	demand := o.Demand.Demand(service.Name)
+	idle := o.Idler.Idle()
+	o.mu.Lock()
 	f := o.formers[service.Name]
 	if f == nil {
-		f = former.New(term * epochsPerTerm)
+		f = former.New(max(term*epochsPerTerm, o.epochs[service.Name]))
 		o.formers[service.Name] = f
 	}
-	demand := o.Demand.Demand(service.Name)
-	idle := o.Idler.Idle()
 	var orders []former.Order
 	o.Observer.With(func(s *surveyor.Survey) {
 		orders = f.Step(clocker.Now(), former.View{Survey: s, Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle})
 	})
+	o.epochs[service.Name] = f.Epoch()
 	o.logTallies(service.Name, f.Tallies())
 	if len(orders) > 0 {
-		o.send(ctx, f, term, orders)
+		o.ordered = clocker.Now()
+	}
+	o.mu.Unlock()
+	for _, order := range orders {
+		go o.runOrder(ctx, f, term, order)
 	}
 }
 
@@ -240,31 +270,24 @@
 	}
 }
 
-// send delivers orders side by side.
-func (o *Organiser) send(ctx context.Context, f *former.Former, term uint64, orders []former.Order) {
+// runOrder delivers one order, if the lease still allows it.
+func (o *Organiser) runOrder(ctx context.Context, f *former.Former, term uint64, order former.Order) {
+	if now, held := o.held(); !held || now != term {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderFlight)
 	defer cancel()
-	accepted := make([]bool, len(orders))
-	var calls sync.WaitGroup
-	for i, order := range orders {
-		calls.Go(func() {
-			var err error
-			accepted[i], err = o.Orderer.Order(ctx, order, term)
-			entry := log.WithFields(log.Fields{
-				"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch, "term": term, "accepted": accepted[i],
-				"domain": order.Instance.FabricDomain, "staged": order.Instance.Staged, "loaded": order.Instance.Loaded,
-			})
-			if err != nil {
-				entry.WithError(err).Warn("order not carried out")
-				return
-			}
-			entry.Info("order sent")
-		})
-	}
-	calls.Wait()
-	now := clocker.Now()
-	o.ordered = now
-	for i, order := range orders {
-		f.Settled(now, order, accepted[i])
+	outcome, err := o.Orderer.Order(ctx, order, term)
+	entry := log.WithFields(log.Fields{
+		"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch, "term": term,
+		"outcome": outcome.String(), "domain": order.Instance.FabricDomain, "staged": order.Instance.Staged,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("order not carried out")
+	} else {
+		entry.Info("order sent")
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f.Settled(clocker.Now(), order, outcome)
 }
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -7,7 +7,7 @@
 //
 //	f := former.New(epochBase)
 //	for _, order := range f.Step(now, view) { send(order) }
-//	f.Settled(order, accepted)
+//	f.Settled(now, order, former.Accepted)
 //
 // The instances' own reports are the only record: a former that takes over
 // adopts the groups that it finds whole, and dissolves the others. Orders are
@@ -25,7 +25,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
 )
 
-//go:generate stringer -type=OrderKind -linecomment -output=order_kind_string.go
+//go:generate stringer -type=OrderKind,Outcome -linecomment -output=enum_string.go
 
 // OrderKind is what an instance is told to do.
 type OrderKind int
@@ -42,6 +42,19 @@
 	Leave // leave
 )
 
+// Outcome is what became of an order.
+type Outcome int
+
+// Outcomes of an order.
+const (
+	// Unknown says that no answer came; the order may still be carried out.
+	Unknown Outcome = iota // unknown
+	// Accepted says that the order has begun or is done.
+	Accepted // accepted
+	// Refused says that the instance will not carry the order out.
+	Refused // refused
+)
+
 // Order is one order to one instance.
 type Order struct {
 	Kind     OrderKind
@@ -317,13 +330,25 @@
 	return orders
 }
 
-// Settled takes in whether an instance carried an order out.
-func (f *Former) Settled(_ time.Time, o Order, accepted bool) {
-	if accepted && o.Kind == Leave {
+// Settled takes in what became of an order. A group that an instance refuses
+// to join is given up; the next has a higher epoch.
+func (f *Former) Settled(now time.Time, o Order, outcome Outcome) {
+	switch {
+	case o.Kind == Leave && outcome == Accepted:
 		f.left[o.Instance.ID] = o.Group
+	case o.Kind == Join && outcome == Refused:
+		if g := f.groups[o.Group]; g != nil && g.brokenAt.IsZero() {
+			g.brokenAt = now
+		}
+		if l := f.loading[o.Instance.ID]; l.group == o.Group {
+			delete(f.loading, o.Instance.ID)
+		}
 	}
 }
 
+// Epoch returns the last epoch that was used.
+func (f *Former) Epoch() uint64 { return f.base + f.next }
+
 // order builds an order for one member of a group.
 func (f *Former) order(kind OrderKind, in provider.Instance, g *group) Order {
 	o := Order{Kind: kind, Instance: in, Group: g.name, Epoch: g.epoch}
