--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -54,6 +54,11 @@
 	activeTime = 2500 * time.Millisecond
 	// epochsPerTerm is how many group epochs one term of control may use.
 	epochsPerTerm = 1 << 20
+	// takeoverTime is how long after a takeover the list must have been read:
+	// the flight of the last holder's orders and the lag of reports.
+	takeoverTime = orderFlight + 100*time.Millisecond
+	// listAge is how old the list may be that orders are based on.
+	listAge = 1500 * time.Millisecond
 	// tableTimeout bounds one call to the table service.
 	tableTimeout = 1500 * time.Millisecond
 )
@@ -89,9 +94,11 @@
 type Organiser struct {
 	Dependencies
 
-	mu      sync.Mutex
-	lease   *leaser.Lease
-	term    uint64
+	mu    sync.Mutex
+	lease *leaser.Lease
+	term  uint64
+	// taken is when this term of control began.
+	taken   time.Time
 	formers map[string]*former.Former
 	// ordered is when the last order was sent.
 	ordered time.Time
@@ -199,6 +206,10 @@
 		return
 	}
 	o.take(term)
+	if !o.current() {
+		o.Observer.SetPace(activePace)
+		return
+	}
 	for _, service := range config.Services {
 		if service.Engine != nil && len(service.Engine.Models) > 0 {
 			o.passService(ctx, term, service)
@@ -231,10 +242,21 @@
 	}
 	log.WithField("term", term).Info("control taken")
 	o.term = term
+	o.taken = clocker.Now()
 	clear(o.formers)
 	clear(o.epochs)
 }
 
+// current reports whether the list shows the last holder's orders: it was read
+// after the last of them can have been delivered, and not long ago.
+func (o *Organiser) current() bool {
+	var updated time.Time
+	o.Observer.With(func(s *surveyor.Survey) { updated = s.Updated() })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return updated.After(o.taken.Add(takeoverTime)) && clocker.Since(updated) < listAge
+}
+
 func (o *Organiser) passService(ctx context.Context, term uint64, service mapper.Service) {
 	demand := o.Demand.Demand(service.Name)
 	idle := o.Idler.Idle()
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -92,7 +92,7 @@
 	used := make(map[string]string)
 	for _, g := range f.groups {
 		for _, member := range g.members {
-			if f.left[member.ID] != g.name {
+			if !f.departed(now, member.ID, g.name) {
 				used[member.ID] = g.model.Name
 			}
 		}
@@ -129,7 +129,7 @@
 	switch {
 	case loading:
 		s.expect(l.model, in.FabricDomain, l.expected)
-	case state == provider.Joining && in.Membership.Group != "" && f.left[in.ID] != in.Membership.Group:
+	case state == provider.Joining && in.Membership.Group != "" && !f.departed(now, in.ID, in.Membership.Group):
 		s.expect(surveyor.ModelOf(in.Membership.Group), in.FabricDomain, now.Add(2*patience))
 	case model != "":
 		s.ready[model] = append(s.ready[model], in)
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -70,6 +70,9 @@
 	// resendTime is how long an order may show no effect before it is sent
 	// again: the reports' lag and a look at the list, twice.
 	resendTime = 900 * time.Millisecond
+	// departTime is how long reports may still show a group that was left: the
+	// reports' lag and two looks at the list.
+	departTime = 1200 * time.Millisecond
 	// drainTime is how long a closing group may take to end its requests;
 	// after it the members leave all the same.
 	drainTime = 6 * time.Second
@@ -114,7 +117,7 @@
 	next   uint64
 	groups map[string]*group
 	// left is the group that an instance has left, though its reports may lag.
-	left map[string]string
+	left map[string]departure
 	// sent holds when an order was last sent.
 	sent map[sentKey]time.Time
 	// last is the model that an instance held last, as seen by this former.
@@ -149,7 +152,7 @@
 	return &Former{
 		base:    base,
 		groups:  make(map[string]*group),
-		left:    make(map[string]string),
+		left:    make(map[string]departure),
 		sent:    make(map[sentKey]time.Time),
 		last:    make(map[string]lastModel),
 		loading: make(map[string]load),
@@ -177,7 +180,7 @@
 	found := make(map[string][]provider.Instance)
 	for _, in := range v.Survey.Instances() {
 		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil || f.left[in.ID] == m.Group || f.alone(in) {
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || f.groups[m.Group] != nil || f.departed(now, in.ID, m.Group) || f.alone(in) {
 			continue
 		}
 		found[m.Group] = append(found[m.Group], in)
@@ -318,7 +321,7 @@
 	for rank, member := range g.members {
 		in, there := f.current(v, member)
 		f.last[member.ID] = lastModel{member.Incarnation, g.model.Name}
-		if !there || f.left[member.ID] == g.name || !f.reports(in, g, rank) {
+		if !there || f.departed(now, member.ID, g.name) || !f.reports(in, g, rank) {
 			continue
 		}
 		waiting = true
@@ -335,7 +338,7 @@
 func (f *Former) Settled(now time.Time, o Order, outcome Outcome) {
 	switch {
 	case o.Kind == Leave && outcome == Accepted:
-		f.left[o.Instance.ID] = o.Group
+		f.left[o.Instance.ID] = departure{group: o.Group, at: now}
 	case o.Kind == Join && outcome == Refused:
 		if g := f.groups[o.Group]; g != nil && g.brokenAt.IsZero() {
 			g.brokenAt = now
@@ -349,6 +352,19 @@
 // Epoch returns the last epoch that was used.
 func (f *Former) Epoch() uint64 { return f.base + f.next }
 
+// departure is an accepted order to leave a group.
+type departure struct {
+	group string
+	at    time.Time
+}
+
+// departed reports whether an instance has just left a group. One that reports
+// the group for longer is in it again, by an order that was carried out late.
+func (f *Former) departed(now time.Time, id, group string) bool {
+	d := f.left[id]
+	return d.group == group && now.Sub(d.at) < departTime
+}
+
 // order builds an order for one member of a group.
 func (f *Former) order(kind OrderKind, in provider.Instance, g *group) Order {
 	o := Order{Kind: kind, Instance: in, Group: g.name, Epoch: g.epoch}
