--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -97,7 +97,9 @@
 	mu    sync.Mutex
 	lease *leaser.Lease
 	term  uint64
-	// taken is when this term of control began.
+	// resting says that this instance was not in control at the last pass.
+	resting bool
+	// taken is when this term of control began, or went on after a lapse.
 	taken   time.Time
 	formers map[string]*former.Former
 	// ordered is when the last order was sent.
@@ -230,6 +232,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	clear(o.formers)
+	o.resting = true
 }
 
 // take begins a term of control. Epochs go on where the same term, lost for a
@@ -237,14 +240,17 @@
 func (o *Organiser) take(term uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.term == term {
+	if o.term == term && !o.resting {
 		return
 	}
-	log.WithField("term", term).Info("control taken")
-	o.term = term
+	log.WithFields(log.Fields{"term": term, "again": o.term == term}).Info("control taken")
+	o.resting = false
 	o.taken = clocker.Now()
-	clear(o.formers)
-	clear(o.epochs)
+	if o.term != term {
+		o.term = term
+		clear(o.formers)
+		clear(o.epochs)
+	}
 }
 
 // current reports whether the list shows the last holder's orders: it was read
