--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -256,8 +256,13 @@
 
 // reports reports whether an instance says that it has this rank in the group.
 func (f *Former) reports(in provider.Instance, g *group, rank int) bool {
+	return f.belongs(in, g) && in.Membership.Rank == rank
+}
+
+// belongs reports whether an instance says that it is in the group.
+func (f *Former) belongs(in provider.Instance, g *group) bool {
 	m := in.Membership
-	return m.Group == g.name && m.Epoch == g.epoch && m.Rank == rank && m.State != provider.Unattached
+	return m.Group == g.name && m.Epoch == g.epoch && m.State != provider.Unattached
 }
 
 // current returns an instance as it is listed now, if it is the same run and
@@ -318,10 +323,10 @@
 func (f *Former) dissolve(now time.Time, v View, g *group) []Order {
 	var orders []Order
 	waiting := false
-	for rank, member := range g.members {
+	for _, member := range g.members {
 		in, there := f.current(v, member)
 		f.last[member.ID] = lastModel{member.Incarnation, g.model.Name}
-		if !there || f.departed(now, member.ID, g.name) || !f.reports(in, g, rank) {
+		if !there || f.departed(now, member.ID, g.name) || !f.belongs(in, g) {
 			continue
 		}
 		waiting = true
