Start first what can still keep its objective

Ruled out: too few groups alone (a group does 15 small requests a second; 9 to 10 were open). Change: tickets that can keep their objective go first, then callers that came back, then the rest; the last free places are shared between instances; a freed place is given at once.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -16,6 +17,11 @@
 	// a first token takes 0.2 to 0.4 s. waitShare bounds the part of its time.
 	startMargin = 500 * time.Millisecond
 	waitShare   = 0.5
+	// returnTime is how long a refused caller may take to come back: the
+	// longest time limit of the users' sheets.
+	returnTime = 8 * time.Second
+	// refusedCapacity is how many refused requests are remembered.
+	refusedCapacity = 2048
 	// soonRetry is when to come back to a system that lacks servers, or whose
 	// view is too old, for a moment.
 	soonRetry = 500 * time.Millisecond
@@ -39,12 +45,15 @@
 		Priority:     x.organisation.Priority*priorityRanks + x.route.Priority,
 		Deadline:     x.deadline,
 		StartBy:      x.queueUntil,
+		Aim:          x.aim,
+		Returned:     f.returned(now, x.fingerprint),
 	}
 	decision := p.queue.Offer(now, ticket, free)
 	if decision.Evicted != nil {
 		p.tell(decision.Evicted.ID, overloaded(decision.RetryAfter))
 	}
 	if decision.Verdict == limiter.Refused {
+		f.refused.Add(x.fingerprint, now)
 		f.mu.Unlock()
 		return overloaded(decision.RetryAfter)
 	}
@@ -57,6 +66,11 @@
 	f.mu.Unlock()
 	select {
 	case refusal := <-told:
+		if refusal != nil {
+			f.mu.Lock()
+			f.refused.Add(x.fingerprint, clocker.Now())
+			f.mu.Unlock()
+		}
 		return refusal
 	case <-ctx.Done():
 	}
@@ -67,6 +81,12 @@
 	return &Refusal{Op: "admit", Kind: KindExpired, Outcome: retrier.NotRun, Err: ctx.Err()}
 }
 
+// returned reports whether a request of this content was refused a while ago.
+func (f *Forwarder) returned(now time.Time, content quarantiner.Fingerprint) bool {
+	at, found := f.refused.Get(content)
+	return found && now.Sub(at) < returnTime
+}
+
 func (f *Forwarder) poolFor(key poolKey) *pool {
 	p, found := f.pools[key]
 	if !found {
@@ -110,6 +130,7 @@
 	free := f.free(config, key)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	free = f.part(free)
 	p := f.poolFor(key)
 	for _, t := range p.queue.Expire(now) {
 		p.tell(t.ID, overloaded(p.queue.RetryAfter()))
@@ -119,6 +140,17 @@
 	}
 }
 
+// part returns how many of the free places this instance takes: all entry
+// instances see the same places, and the last few must not be taken by each.
+func (f *Forwarder) part(free int) int {
+	peers := max(1, f.Peers.Count())
+	whole, rest := free/peers, free%peers
+	if f.random.IntN(peers) < rest {
+		whole++
+	}
+	return whole
+}
+
 func overloaded(wait time.Duration) *Refusal {
 	return &Refusal{Op: "admit", Kind: KindOverloaded, Outcome: retrier.NotRun, RetryAfter: jitter(wait)}
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
@@ -24,6 +25,8 @@
 	// answerMargin is how much before the end of the time a request is given
 	// up, so that its answer arrives in time.
 	answerMargin = 100 * time.Millisecond
+	// wayMargin is the way of a first event to the caller.
+	wayMargin = 30 * time.Millisecond
 	// resumeWait is how long a broken request may wait for another server:
 	// callers give a stream up after a pause of two seconds.
 	resumeWait = 1500 * time.Millisecond
@@ -42,10 +45,12 @@
 	pool         poolKey
 	deadline     time.Time
 	queueUntil   time.Time
-	fingerprint  quarantiner.Fingerprint
-	machine      *retrier.Machine
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// aim is until when a start keeps the route's objective.
+	aim         time.Time
+	fingerprint quarantiner.Fingerprint
+	machine     *retrier.Machine
+	ctx         context.Context
+	cancel      context.CancelFunc
 
 	current *try
 	// began says that the caller has been sent the header.
@@ -109,6 +114,7 @@
 	}
 	x.deadline = r.Arrived.Add(timeout - answerMargin)
 	x.queueUntil = r.Arrived.Add(min(x.route.Patience()-startMargin, time.Duration(float64(timeout)*waitShare)))
+	x.aim = r.Arrived.Add(x.route.Objective - f.usualFirst(x))
 	x.fingerprint = r.fingerprint(x.organisation)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -126,6 +132,19 @@
 	return x, nil
 }
 
+// usualFirst returns how long the first event usually takes at a group that is
+// nearly full.
+func (f *Forwarder) usualFirst(x *exchange) time.Duration {
+	service, found := x.config.Service(x.pool.service)
+	if !found || service.Engine == nil {
+		return 0
+	}
+	model, _ := service.Engine.Model(x.pool.model)
+	group := estimator.Group{Engine: service.Engine, Pace: model.Pace}
+	first := group.First(estimator.Work{Running: service.Engine.Slots - 1}, x.request.PromptTokens)
+	return first + group.Pass(service.Engine.Slots) + wayMargin
+}
+
 // authorise finds the route and the organisation in a configuration. It is
 // asked again before every send, since keys and routes may have gone.
 func (x *exchange) authorise(config *mapper.Map) *Refusal {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sys/unix"
@@ -106,6 +107,9 @@
 	meters     map[string]*estimator.Meter
 	quarantine *quarantiner.Quarantine
 	budget     *retrier.Budget
+	// refused says when a request of some content was last refused.
+	refused    *simplelru.LRU[quarantiner.Fingerprint, time.Time]
+	kicks      chan struct{}
 	nextTicket uint64
 	live       int
 	leaving    bool
@@ -113,6 +117,11 @@
 
 // New returns a forwarder without requests.
 func New(d Dependencies) *Forwarder {
+	refused, err := simplelru.NewLRU[quarantiner.Fingerprint, time.Time](refusedCapacity, nil)
+	if err != nil {
+		// The capacity is a positive constant.
+		panic(err)
+	}
 	return &Forwarder{
 		Dependencies: d,
 		transport: &http.Transport{
@@ -128,6 +137,8 @@
 		pools:      make(map[poolKey]*pool),
 		meters:     make(map[string]*estimator.Meter),
 		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
+		refused:    refused,
+		kicks:      make(chan struct{}, 1),
 		budget:     retrier.NewBudget(d.RetryRatio*budgetShare, d.RetrySlack*budgetShare),
 	}
 }
@@ -169,6 +180,9 @@
 			return
 		case <-ticker.C:
 		case <-f.Observer.Changed():
+		case <-f.kicks:
+			f.pumpAll()
+			continue
 		}
 		f.sweep(ctx)
 		f.pumpAll()
--- a/internal/forwarder/lane.go
+++ b/internal/forwarder/lane.go
@@ -95,6 +95,10 @@
 	defer f.mu.Unlock()
 	delete(fl.lane.flights, fl)
 	f.tracker.End(now, fl.lane.name, failed)
+	select {
+	case f.kicks <- struct{}{}:
+	default:
+	}
 }
 
 // progressed notes that a lane has sent something.
--- a/pkg/limiter/queue.go
+++ b/pkg/limiter/queue.go
@@ -7,8 +7,9 @@
 //	decision := queue.Offer(now, ticket, free)
 //	for _, ticket := range queue.Pump(now, free) { start(ticket) }
 //
-// Classes are served in order of priority. Within a class, organisations
-// share by weight, however many requests each of them sends. An [Allotter]
+// Classes are served in order of priority. Within a class, requests that can
+// still keep their objective go first, so that a full system answers some in
+// time and not all of them late. Beyond that, organisations share by weight, however many requests each of them sends. An [Allotter]
 // splits an organisation's rate over all entry instances.
 package limiter
 
@@ -44,6 +45,23 @@
 	Deadline time.Time
 	// StartBy is when the request must be started at the latest, if it is set.
 	StartBy time.Time
+	// Aim is until when a start keeps the request's objective, if it is set.
+	// Requests that can still keep it go before those that cannot.
+	Aim time.Time
+	// Returned says that the caller has been refused before. It goes before
+	// the others that cannot keep their objective.
+	Returned bool
+}
+
+// tier ranks a ticket at a time, within its priority.
+func (t Ticket) tier(now time.Time) int {
+	switch {
+	case t.Aim.IsZero() || !now.After(t.Aim):
+		return 0
+	case t.Returned:
+		return 1
+	}
+	return 2
 }
 
 // Decision is the answer to an offer.
@@ -91,7 +109,7 @@
 		q.pace.served(now, 1)
 		return Decision{Verdict: Admitted}
 	}
-	wait := q.pace.wait(q.ahead(t) + 1)
+	wait := q.pace.wait(q.ahead(now, t) + 1)
 	if now.Add(wait).After(q.latestStart(t)) {
 		return Decision{Verdict: Refused, RetryAfter: retryAfter(wait)}
 	}
@@ -99,7 +117,7 @@
 		q.push(t)
 		return Decision{Verdict: Queued}
 	}
-	evicted, found := q.evict(t)
+	evicted, found := q.evict(now, t)
 	if !found {
 		return Decision{Verdict: Refused, RetryAfter: retryAfter(wait)}
 	}
@@ -113,7 +131,7 @@
 	for len(started) < free && len(q.waiting) > 0 {
 		best := 0
 		for i := range q.waiting {
-			if before(q.waiting[i], q.waiting[best]) {
+			if before(now, q.waiting[i], q.waiting[best]) {
 				best = i
 			}
 		}
@@ -131,9 +149,9 @@
 func (q *Queue) Expire(now time.Time) []Ticket {
 	slices.SortStableFunc(q.waiting, func(a, b waiter) int {
 		switch {
-		case before(a, b):
+		case before(now, a, b):
 			return -1
-		case before(b, a):
+		case before(now, b, a):
 			return 1
 		}
 		return 0
@@ -194,11 +212,11 @@
 }
 
 // ahead counts the waiting requests that would be served before t.
-func (q *Queue) ahead(t Ticket) int {
+func (q *Queue) ahead(now time.Time, t Ticket) int {
 	next := waiter{ticket: t, start: max(q.clock, q.finish[t.Organisation])}
 	count := 0
 	for _, w := range q.waiting {
-		if !before(next, w) {
+		if !before(now, next, w) {
 			count++
 		}
 	}
@@ -207,18 +225,18 @@
 
 // evict removes the waiting request that would be served last, if t would be
 // served before it.
-func (q *Queue) evict(t Ticket) (Ticket, bool) {
+func (q *Queue) evict(now time.Time, t Ticket) (Ticket, bool) {
 	if len(q.waiting) == 0 {
 		return Ticket{}, false
 	}
 	worst := 0
 	for i := range q.waiting {
-		if !before(q.waiting[i], q.waiting[worst]) {
+		if !before(now, q.waiting[i], q.waiting[worst]) {
 			worst = i
 		}
 	}
 	next := waiter{ticket: t, start: max(q.clock, q.finish[t.Organisation])}
-	if !before(next, q.waiting[worst]) {
+	if !before(now, next, q.waiting[worst]) {
 		return Ticket{}, false
 	}
 	return q.remove(worst).ticket, true
@@ -231,9 +249,12 @@
 }
 
 // before reports whether a is served before b.
-func before(a, b waiter) bool {
+func before(now time.Time, a, b waiter) bool {
 	if a.ticket.Priority != b.ticket.Priority {
 		return a.ticket.Priority < b.ticket.Priority
 	}
+	if d := a.ticket.tier(now) - b.ticket.tier(now); d != 0 {
+		return d < 0
+	}
 	return a.start < b.start
 }
