Log how each request went and what the instances do

One line a request with its way, queue time, predicted and measured first event; groups, spread groups, ready and loading instances and demand at each change.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -52,6 +52,12 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 
+	// admitted, first and predicted tell how the request went, for its log line.
+	admitted  time.Time
+	first     time.Time
+	predicted time.Duration
+	lanes     []string
+
 	current *try
 	// began says that the caller has been sent the header.
 	began bool
@@ -88,7 +94,11 @@
 		x.close()
 		return nil, refusal
 	}
+	x.admitted = clocker.Now()
 	answer, err := x.advance(retrier.Event{Kind: retrier.Started})
+	if err == nil && answer.stream == nil {
+		x.logEnd(answer.Status, true)
+	}
 	if err != nil || answer.stream == nil {
 		x.close()
 	}
@@ -188,6 +198,23 @@
 	x.f.mu.Unlock()
 }
 
+// logEnd logs how a request went that had an answer.
+func (x *exchange) logEnd(status int, complete bool) {
+	now := clocker.Now()
+	fields := log.Fields{
+		"request": x.request.ID, "route": x.route.Name, "organisation": x.organisation.Name, "config_version": x.config.Version,
+		"status": status, "complete": complete, "lanes": x.lanes, "events": x.delivered,
+		"queued_ms": milliseconds(x.request.Arrived, x.admitted), "took_ms": milliseconds(x.request.Arrived, now),
+	}
+	if !x.first.IsZero() {
+		fields["first_ms"] = milliseconds(x.request.Arrived, x.first)
+		fields["predicted_ms"] = x.predicted.Milliseconds()
+	}
+	log.WithFields(fields).Info("request ended")
+}
+
+func milliseconds(from, to time.Time) int64 { return to.Sub(from).Milliseconds() }
+
 // drop ends the current try.
 func (x *exchange) drop(failed bool) {
 	if x.current != nil {
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -223,6 +223,14 @@
 	return demand
 }
 
+// predict returns when a group's first token is expected.
+func (f *Forwarder) predict(x *exchange, l *lane) time.Duration {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return l.speed.First(f.work(now, l), x.request.PromptTokens)
+}
+
 // observe counts a request towards the demand for its model.
 func (f *Forwarder) observe(x *exchange, l *lane) {
 	if l.group == nil || x.route.Objective <= 0 {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -72,6 +73,9 @@
 
 // note keeps where the stream would go on.
 func (x *exchange) note(event []byte) {
+	if x.delivered == 0 {
+		x.first = clocker.Now()
+	}
 	x.delivered++
 	if id := eventID(event); id != "" {
 		x.lastID = id
@@ -123,6 +127,8 @@
 func (a *Answer) relay(w http.ResponseWriter) error {
 	x := a.stream
 	defer x.close()
+	complete := false
+	defer func() { x.logEnd(a.Status, complete) }()
 	x.began = true
 	control := http.NewResponseController(w)
 	event := a.Body
@@ -136,6 +142,7 @@
 		var err error
 		event, err = x.next()
 		if err == io.EOF {
+			complete = true
 			return nil
 		}
 		if err != nil {
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -59,6 +59,10 @@
 	if x.current == nil && x.delivered == 0 && len(x.failed) == 0 {
 		x.f.observe(x, l)
 	}
+	x.lanes = append(x.lanes, l.name)
+	if l.group != nil {
+		x.predicted = x.f.predict(x, l)
+	}
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -277,7 +278,7 @@
 		orders = f.Step(clocker.Now(), former.View{Survey: s, Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle})
 	})
 	o.epochs[service.Name] = f.Epoch()
-	o.logTallies(service.Name, f.Tallies())
+	o.logTallies(service.Name, f.Tallies(), demand)
 	if len(orders) > 0 {
 		o.ordered = clocker.Now()
 	}
@@ -288,13 +289,13 @@
 }
 
 // logTallies logs how many groups there are of each model, when that changes.
-func (o *Organiser) logTallies(service string, tallies map[string]former.Tally) {
+func (o *Organiser) logTallies(service string, tallies map[string]former.Tally, demand map[string]float64) {
 	if maps.Equal(tallies, o.tallies[service]) {
 		return
 	}
 	o.tallies[service] = tallies
 	for model, t := range tallies {
-		log.WithFields(log.Fields{"service": service, "model": model, "open": t.Open, "forming": t.Forming, "ending": t.Ending}).Info("groups")
+		log.WithFields(log.Fields{"service": service, "model": model, "open": t.Open, "forming": t.Forming, "ending": t.Ending, "spread": t.Spread, "ready": t.Ready, "loading": t.Loading, "demand": math.Round(demand[model]*100) / 100}).Info("groups")
 	}
 }
 
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -89,11 +89,11 @@
 // take sorts the instances by what they hold.
 func (f *Former) take(now time.Time, v View) stock {
 	s := newStock()
-	used := make(map[string]string)
+	used := make(map[string]*group)
 	for _, g := range f.groups {
 		for _, member := range g.members {
 			if !f.departed(now, member.ID, g.name) {
-				used[member.ID] = g.model.Name
+				used[member.ID] = g
 			}
 		}
 	}
@@ -102,8 +102,12 @@
 			delete(f.loading, in.ID)
 			continue
 		}
-		if model, busy := used[in.ID]; busy {
-			s.hold(model, in.FabricDomain)
+		if g := used[in.ID]; g != nil {
+			if g.closedAt.IsZero() {
+				s.hold(g.model.Name, in.FabricDomain)
+			} else {
+				s.expect(g.model.Name, in.FabricDomain, now)
+			}
 			continue
 		}
 		f.sort(now, v, in, &s)
@@ -161,6 +165,7 @@
 	f.loads.fill(now, v.Engine.LoadsPerSecond)
 	s := f.take(now, v)
 	var orders []Order
+	f.idle = make(map[string]int)
 	for _, m := range v.Engine.Models {
 		for {
 			members := f.gather(now, v, s, m)
@@ -170,6 +175,10 @@
 			orders = append(orders, f.found(now, m, members)...)
 			s.ready[m.Name] = without(s.ready[m.Name], members)
 		}
+		f.idle[m.Name] = len(s.ready[m.Name])
+	}
+	if !v.Idle {
+		f.compact(now, v, s)
 	}
 	return append(orders, f.warm(now, v, s)...)
 }
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -123,6 +123,8 @@
 	// last is the model that an instance held last, as seen by this former.
 	last  map[string]lastModel
 	loads bucket
+	// idle counts the instances with weights that no group was made of.
+	idle map[string]int
 	// loading holds the instances on their way to weights.
 	loading map[string]load
 }
@@ -411,7 +413,13 @@
 type Tally struct {
 	Forming int
 	Open    int
-	Ending  int
+	// Spread counts the open groups that are not in one fabric domain.
+	Spread int
+	Ending int
+	// Ready and Loading count the instances in no group, with the model's
+	// weights and on the way to them.
+	Ready   int
+	Loading int
 }
 
 // Tallies counts the groups of each model.
@@ -424,11 +432,24 @@
 			t.Ending++
 		case g.opened:
 			t.Open++
+			if (surveyor.Group{Members: g.members}).Spread() {
+				t.Spread++
+			}
 		default:
 			t.Forming++
 		}
 		tallies[g.model.Name] = t
 	}
+	for model, n := range f.idle {
+		t := tallies[model]
+		t.Ready = n
+		tallies[model] = t
+	}
+	for _, l := range f.loading {
+		t := tallies[l.model]
+		t.Loading++
+		tallies[l.model] = t
+	}
 	return tallies
 }
 
