Count a crash against a request once the server is seen to be gone; test the forwarder

Cause: the strike was decided before the check of the server had ended, so that a request took down five servers in the test. Change: the strike waits 0.2 s for the check. Eleven tests with scripted servers.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -25,6 +25,9 @@
 	// answerMargin is how much before the end of the time a request is given
 	// up, so that its answer arrives in time.
 	answerMargin = 100 * time.Millisecond
+	// strikeDelay is how long the check of a head takes at most that broke a
+	// connection.
+	strikeDelay = 200 * time.Millisecond
 	// wayMargin is the way of a first event to the caller.
 	wayMargin = 30 * time.Millisecond
 	// resumeWait is how long a broken request may wait for another server:
@@ -312,13 +315,20 @@
 	return event
 }
 
-// strike counts a crash of a head against the request that it ran.
-func (x *exchange) strike(l *lane) {
+// runStrike counts a crash of a head against the request that it ran, once the
+// check of the head has shown that it is gone.
+func (x *exchange) runStrike(l *lane) {
+	time.Sleep(strikeDelay)
+	if !x.f.Observer.Gone(l.members[:1]) {
+		return
+	}
 	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: l.head().ID + "/" + l.head().Incarnation}
 	x.f.mu.Lock()
 	news := x.f.quarantine.Strike(clocker.Now(), strike)
 	x.f.mu.Unlock()
-	if news {
-		x.f.Peers.TellStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
+	if !news {
+		return
 	}
+	log.WithFields(log.Fields{"request": x.request.ID, "instance": l.head().ID}).Warn("server crashed under a request")
+	x.f.Peers.TellStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
 }
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,276 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStreamGoesOnElsewhere breaks a stream in the middle of its third event.
+// The caller gets every event once, from two groups.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	var tries atomic.Int32
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		first := 1
+		if last := r.Header.Get("Last-Event-Id"); last != "" {
+			n, err := strconv.Atoi(last)
+			assert.Check(t, err)
+			first = n + 1
+		}
+		answer(rw, r, "text/event-stream")
+		if tries.Add(1) == 1 {
+			write(rw, event(1)+event(2)+"id: 3\nda")
+			reset(rw)
+			return
+		}
+		for id := first; id <= 5; id++ {
+			write(rw, event(id))
+		}
+	}
+	w.group("a", handler)
+	w.group("b", handler)
+	w.start()
+	status, body, err := w.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, event(1)+event(2)+event(3)+event(4)+event(5))
+	assert.Equal(t, tries.Load(), int32(2))
+}
+
+// TestStreamThatCannotGoOnLooksBroken lets every group break the stream off.
+func TestStreamThatCannotGoOnLooksBroken(t *testing.T) {
+	w := newWorld(t)
+	w.group("a", func(rw http.ResponseWriter, r *http.Request) {
+		answer(rw, r, "text/event-stream")
+		write(rw, event(1))
+		reset(rw)
+	})
+	w.start()
+	_, body, err := w.call("POST", "/stream/", "r1")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Equal(t, body, event(1))
+}
+
+// TestMemberLostUnderAStream lets a head fall silent, since its member is gone.
+// The stream moves long before the engine gives up.
+func TestMemberLostUnderAStream(t *testing.T) {
+	w := newWorld(t)
+	var lost sync.Once
+	stop := make(chan struct{})
+	defer close(stop)
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		silent := false
+		lost.Do(func() { silent = true })
+		answer(rw, r, "text/event-stream")
+		if silent {
+			write(rw, event(1))
+			w.platform.kill(r.Header.Get("For")[:1] + "-member")
+			select {
+			case <-stop:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		assert.Check(t, r.Header.Get("Last-Event-Id") == "1")
+		write(rw, event(2))
+	}
+	w.group("a", handler)
+	w.group("b", handler)
+	w.start()
+	began := time.Now()
+	_, body, err := w.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, event(1)+event(2))
+	assert.Assert(t, time.Since(began) < 2*time.Second, "moved after %v", time.Since(began))
+}
+
+// TestOnceRunsOnce breaks requests that may run once at several points. What
+// may have run is never sent again, and never told as not run.
+func TestOnceRunsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		first  http.HandlerFunc
+		status int
+		tries  int32
+	}{
+		{"reset before the answer", func(rw http.ResponseWriter, _ *http.Request) { reset(rw) }, http.StatusBadGateway, 1},
+		{"reset in the answer", func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Length", "100")
+			answer(rw, r, "text/plain")
+			write(rw, "half")
+			reset(rw)
+		}, http.StatusBadGateway, 1},
+		{"another request's answer", func(rw http.ResponseWriter, r *http.Request) {
+			r.Header.Set("Id", "other")
+			answer(rw, r, "text/plain")
+		}, http.StatusBadGateway, 1},
+		{"answer without a proof", func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Id", r.Header.Get("Id"))
+			io.WriteString(rw, "ok")
+		}, http.StatusBadGateway, 1},
+		{"not run", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Not-Run", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}, http.StatusOK, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			var tries atomic.Int32
+			handler := func(rw http.ResponseWriter, r *http.Request) {
+				if tries.Add(1) == 1 {
+					test.first(rw, r)
+					return
+				}
+				answer(rw, r, "text/plain")
+			}
+			w.serve("a", "plain", handler)
+			w.serve("b", "plain", handler)
+			w.start()
+			status, _, err := w.call("POST", "/once/", "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, status, test.status)
+			assert.Equal(t, tries.Load(), test.tries)
+		})
+	}
+}
+
+// TestIdempotentRunsAgain resets the first try of an idempotent request.
+func TestIdempotentRunsAgain(t *testing.T) {
+	w := newWorld(t)
+	var tries atomic.Int32
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		if tries.Add(1) == 1 {
+			reset(rw)
+			return
+		}
+		answer(rw, r, "text/plain")
+		io.WriteString(rw, "ok")
+	}
+	w.serve("a", "plain", handler)
+	w.serve("b", "plain", handler)
+	w.start()
+	status, body, err := w.call("GET", "/safe/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "ok")
+}
+
+// TestKeyTakenAwayWhileWaiting fills a group, lets a request wait, and takes
+// its key away. It is refused as not run and reaches no server.
+func TestKeyTakenAwayWhileWaiting(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan struct{})
+	var reached atomic.Int32
+	w.group("a", func(rw http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		answer(rw, r, "text/event-stream")
+		write(rw, event(1))
+		<-release
+	})
+	w.start()
+	var calls sync.WaitGroup
+	for i := range testEngine.Slots {
+		calls.Go(func() { w.call("POST", "/stream/", "full"+strconv.Itoa(i)) })
+	}
+	w.eventually(func() bool { return reached.Load() == int32(testEngine.Slots) })
+	waiting := make(chan int, 1)
+	calls.Go(func() {
+		status, _, _ := w.call("POST", "/stream/", "waits")
+		waiting <- status
+	})
+	time.Sleep(50 * time.Millisecond)
+	config := testConfig(2)
+	config.Organisations[0].Keys = nil
+	w.platform.configure(config)
+	time.Sleep(900 * time.Millisecond)
+	close(release)
+	calls.Wait()
+	assert.Equal(t, <-waiting, http.StatusServiceUnavailable)
+	assert.Equal(t, reached.Load(), int32(testEngine.Slots))
+}
+
+// TestNoKeyCountsWithoutTheStore takes the store away for longer than keys
+// live: requests with a key are refused as not run, with when to come back.
+func TestNoKeyCountsWithoutTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.serve("a", "plain", func(rw http.ResponseWriter, r *http.Request) { answer(rw, r, "text/plain") })
+	w.start()
+	w.platform.set(func(p *platformStub) { p.down = true })
+	time.Sleep(testKeyTTL)
+	status, _, err := w.call("GET", "/safe/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	w.platform.set(func(p *platformStub) { p.down = false })
+	w.eventually(func() bool {
+		status, _, _ := w.call("GET", "/safe/", "r2")
+		return status == http.StatusOK
+	})
+}
+
+// TestOlderConfigurationIsIgnored shows an older version after a newer one.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	w := newWorld(t)
+	w.serve("a", "plain", func(rw http.ResponseWriter, r *http.Request) { answer(rw, r, "text/plain") })
+	w.start()
+	newer := testConfig(5)
+	newer.Organisations[0].Keys = []string{"k2"}
+	w.platform.configure(newer)
+	w.eventually(func() bool {
+		status, _, _ := w.callWith("GET", "/safe/", "r1", "k2")
+		return status == http.StatusOK
+	})
+	w.platform.configure(testConfig(4))
+	time.Sleep(time.Second)
+	status, _, err := w.callWith("GET", "/safe/", "r2", "k")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusUnauthorized)
+}
+
+// TestRefusals asks for what is not there.
+func TestRefusals(t *testing.T) {
+	w := newWorld(t)
+	status, _, err := w.call("GET", "/safe/", "r0")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable, "before there is a configuration")
+	w.start()
+	for _, test := range []struct {
+		path, key string
+		status    int
+	}{
+		{"/safe/", "wrong", http.StatusUnauthorized},
+		{"/safe/", "", http.StatusUnauthorized},
+		{"/nowhere/", "k", http.StatusNotFound},
+		{"/safe/", "k", http.StatusServiceUnavailable},
+	} {
+		status, _, err := w.callWith("GET", test.path, "r1", test.key)
+		assert.NilError(t, err)
+		assert.Equal(t, status, test.status, "%s with key %q", test.path, test.key)
+	}
+}
+
+// TestRequestThatCrashesServers sends a request that takes down each server
+// that begins it. After three it is refused and reaches no other.
+func TestRequestThatCrashesServers(t *testing.T) {
+	w := newWorld(t)
+	var reached atomic.Int32
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		w.serve(id, "plain", func(rw http.ResponseWriter, _ *http.Request) {
+			reached.Add(1)
+			w.platform.kill(id)
+			reset(rw)
+		})
+	}
+	w.start()
+	for range 5 {
+		w.call("GET", "/safe/", "r")
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Assert(t, reached.Load() <= strikeLimit+1, "it reached %d servers", reached.Load())
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -86,7 +86,7 @@
 func (x *exchange) broke(err error) retrier.Event {
 	t := x.current
 	event := x.blame(t.lane, t.flight.streaming, t.cause(err))
-	x.struck(t.lane, err)
+	x.struck(t.lane, t.cause(err))
 	x.drop(true)
 	return event
 }
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		if t.sent() {
 			event := x.blame(l, false, t.cause(err))
-			x.struck(l, err)
+			x.struck(l, t.cause(err))
 			x.f.finish(t, true)
 			return nil, event
 		}
@@ -82,10 +82,11 @@
 	return x.receive(t)
 }
 
-// struck counts a strike if the try's connection was broken by the server.
+// struck has a strike counted if a connection was broken by the server and not
+// from here, and the server turns out to be gone.
 func (x *exchange) struck(l *lane, err error) {
-	if x.ctx.Err() == nil && !errors.IsAny(err, errLost, errStalled) && x.f.Observer.Gone(l.members[:1]) {
-		x.strike(l)
+	if x.ctx.Err() == nil && !errors.IsAny(err, errLost, errStalled) {
+		go x.runStrike(l)
 	}
 }
 
@@ -149,7 +150,7 @@
 	}
 	if err != nil {
 		event := x.blame(t.lane, true, t.cause(err))
-		x.struck(t.lane, err)
+		x.struck(t.lane, t.cause(err))
 		x.drop(true)
 		return nil, event
 	}
