Adopt a head that returns before it joins another group; stop in three steps

Also: lanes are read without the lock through a pointer that is replaced (found by the race detector).

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -25,6 +25,9 @@
 	// soonRetry is when to come back to a system that lacks servers, or whose
 	// view is too old, for a moment.
 	soonRetry = 500 * time.Millisecond
+	// leavingRetry is when to come back to a system of which one entry instance
+	// leaves: at once, through another.
+	leavingRetry = 50 * time.Millisecond
 	// retryJitter spreads the callers that come back.
 	retryJitter = 0.5
 	// priorityRanks is how many ranks of routes there are; an organisation's
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -131,6 +131,9 @@
 	x.fingerprint = r.fingerprint(x.organisation)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.closed {
+		return nil, &Refusal{Op: "begin", Kind: KindLeaving, Outcome: retrier.NotRun, RetryAfter: jitter(leavingRetry)}
+	}
 	if f.quarantine.Blocked(clocker.Now(), x.fingerprint) {
 		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun}
 	}
@@ -305,9 +308,9 @@
 	moved := errors.IsAny(err, errLost, errStalled)
 	// A try counts against the attempts once it may have begun to run, unless
 	// the server that ran it is gone.
-	event.Excused = moved && !streamed || x.f.Observer.Gone(l.members[:1])
+	event.Excused = moved && !streamed || x.f.Observer.Gone(l.at().members[:1])
 	if !moved {
-		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.members)
+		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.at().members)
 	}
 	log.WithFields(log.Fields{
 		"request": x.request.ID, "lane": l.name, "instance": l.head().ID, "delivered": x.delivered, "sent": true,
@@ -319,7 +322,7 @@
 // check of the head has shown that it is gone.
 func (x *exchange) runStrike(l *lane) {
 	time.Sleep(strikeDelay)
-	if !x.f.Observer.Gone(l.members[:1]) {
+	if !x.f.Observer.Gone(l.at().members[:1]) {
 		return
 	}
 	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: l.head().ID + "/" + l.head().Incarnation}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -113,6 +113,7 @@
 	nextTicket uint64
 	live       int
 	leaving    bool
+	closed     bool
 }
 
 // New returns a forwarder without requests.
@@ -153,6 +154,13 @@
 	f.leaving = true
 }
 
+// Close refuses all new requests from now on.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+}
+
 // Live returns how many requests are in progress.
 func (f *Forwarder) Live() int {
 	f.mu.Lock()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 		answer(rw, r, "text/event-stream")
 		if tries.Add(1) == 1 {
 			write(rw, event(1)+event(2)+"id: 3\nda")
+			time.Sleep(50 * time.Millisecond)
 			reset(rw)
 			return
 		}
@@ -47,15 +48,18 @@
 // TestStreamThatCannotGoOnLooksBroken lets every group break the stream off.
 func TestStreamThatCannotGoOnLooksBroken(t *testing.T) {
 	w := newWorld(t)
+	var tries atomic.Int32
 	w.group("a", func(rw http.ResponseWriter, r *http.Request) {
 		answer(rw, r, "text/event-stream")
-		write(rw, event(1))
+		write(rw, event(int(tries.Add(1))))
+		// A reset that overtakes the event would drop it on its way.
+		time.Sleep(50 * time.Millisecond)
 		reset(rw)
 	})
 	w.start()
 	_, body, err := w.call("POST", "/stream/", "r1")
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
-	assert.Equal(t, body, event(1))
+	assert.Equal(t, body, event(1)+event(2))
 }
 
 // TestMemberLostUnderAStream lets a head fall silent, since its member is gone.
@@ -105,6 +109,7 @@
 			rw.Header().Set("Content-Length", "100")
 			answer(rw, r, "text/plain")
 			write(rw, "half")
+			time.Sleep(50 * time.Millisecond)
 			reset(rw)
 		}, http.StatusBadGateway, 1},
 		{"another request's answer", func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/forwarder/kind_string.go
+++ b/internal/forwarder/kind_string.go
@@ -16,14 +16,15 @@
 	_ = x[KindMalformed-5]
 	_ = x[KindOverloaded-6]
 	_ = x[KindNoServer-7]
-	_ = x[KindQuarantined-8]
-	_ = x[KindFailed-9]
-	_ = x[KindExpired-10]
+	_ = x[KindLeaving-8]
+	_ = x[KindQuarantined-9]
+	_ = x[KindFailed-10]
+	_ = x[KindExpired-11]
 }
 
-const _Kind_name = "unreadyno_routeno_keystale_keystoo_largemalformedoverloadedno_serverquarantinedfailedexpired"
+const _Kind_name = "unreadyno_routeno_keystale_keystoo_largemalformedoverloadedno_serverleavingquarantinedfailedexpired"
 
-var _Kind_index = [...]uint8{0, 7, 15, 21, 31, 40, 49, 59, 68, 79, 85, 92}
+var _Kind_index = [...]uint8{0, 7, 15, 21, 31, 40, 49, 59, 68, 75, 86, 92, 99}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/forwarder/lane.go
+++ b/internal/forwarder/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
@@ -13,7 +14,19 @@
 
 // lane is one place that requests are sent to: a replica group or a server.
 type lane struct {
-	name    string
+	name string
+	// target is replaced, never changed, since tries read it without the lock.
+	target atomic.Pointer[target]
+
+	flights map[*flight]struct{}
+	// progress is when the lane last sent anything, or got work after none.
+	progress time.Time
+	// shunned is until when no new request goes there.
+	shunned time.Time
+}
+
+// target is what a lane leads to.
+type target struct {
 	members []provider.Instance
 	slots   int
 	// group is nil for a plain server.
@@ -24,16 +37,13 @@
 	// are checked; stalled is when they are moved whatever the check says.
 	quiet   time.Duration
 	stalled time.Duration
-
-	flights map[*flight]struct{}
-	// progress is when the lane last sent anything, or got work after none.
-	progress time.Time
-	// shunned is until when no new request goes there.
-	shunned time.Time
 }
 
+// at returns what the lane leads to now.
+func (l *lane) at() *target { return l.target.Load() }
+
 // head returns the instance that takes the lane's requests.
-func (l *lane) head() provider.Instance { return l.members[0] }
+func (l *lane) head() provider.Instance { return l.at().members[0] }
 
 // flight is one try under way.
 type flight struct {
@@ -60,21 +70,21 @@
 	stallShun = 4 * time.Second
 )
 
-// laneFor returns the lane of that name, made anew if its members changed.
+// laneFor returns the lane of that name, made anew if its head changed.
 func (f *Forwarder) laneFor(name string, members []provider.Instance, group *surveyor.Group, e *mapper.Engine) *lane {
 	l, found := f.lanes[name]
-	if !found || l.members[0].Incarnation != members[0].Incarnation || l.members[0].Address != members[0].Address {
+	if !found || l.head().Incarnation != members[0].Incarnation || l.head().Address != members[0].Address {
 		l = &lane{name: name, flights: make(map[*flight]struct{})}
 		f.lanes[name] = l
 	}
-	l.members, l.group, l.slots = members, group, members[0].Slots
-	l.quiet = plainQuiet
+	t := &target{members: members, group: group, slots: members[0].Slots, quiet: plainQuiet}
 	if group != nil {
 		model, _ := e.Model(group.Model)
-		l.speed = estimator.Group{Engine: e, Pace: model.Pace, Spread: group.Spread()}
-		l.quiet = max(minQuiet, l.speed.Pause())
+		t.speed = estimator.Group{Engine: e, Pace: model.Pace, Spread: group.Spread()}
+		t.quiet = max(minQuiet, t.speed.Pause())
 	}
-	l.stalled = stallQuiets * l.quiet
+	t.stalled = stallQuiets * t.quiet
+	l.target.Store(t)
 	return l
 }
 
@@ -132,27 +142,27 @@
 		}
 		busy = append(busy, l)
 		silence := now.Sub(l.progress)
-		quiet := l.quiet
-		if !l.anyStreaming() && l.group != nil {
+		quiet := l.at().quiet
+		if !l.anyStreaming() && l.at().group != nil {
 			quiet = max(quiet, firstQuiet)
 		}
 		if silence > quiet {
 			doubtful = append(doubtful, l)
 		}
-		if l.group != nil && l.anyStreaming() && silence > l.stalled {
+		if l.at().group != nil && l.anyStreaming() && silence > l.at().stalled {
 			stalled = append(stalled, l)
 		}
 	}
 	f.mu.Unlock()
 	for _, l := range doubtful {
-		f.Observer.Doubt(ctx, l.members)
+		f.Observer.Doubt(ctx, l.at().members)
 	}
 	for _, l := range stalled {
 		f.shun(l, stallShun)
 		f.cancelAll(l, errStalled)
 	}
 	for _, l := range busy {
-		if f.Observer.Gone(l.members) {
+		if f.Observer.Gone(l.at().members) {
 			f.cancelAll(l, errLost)
 		}
 	}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -116,13 +116,13 @@
 func (f *Forwarder) cost(now time.Time, l *lane, promptTokens int) float64 {
 	w := f.work(now, l)
 	far := l.head().DataCentre != f.DataCentre
-	if l.group == nil {
+	if l.at().group == nil {
 		if far {
 			return float64(w.Running) + farLoad
 		}
 		return float64(w.Running)
 	}
-	first := l.speed.First(w, promptTokens) + time.Duration(w.Running)*runningDelay
+	first := l.at().speed.First(w, promptTokens) + time.Duration(w.Running)*runningDelay
 	if far {
 		first += farDelay
 	}
@@ -137,7 +137,7 @@
 	defer f.mu.Unlock()
 	free := 0
 	for _, l := range lanes {
-		free += max(0, l.slots-f.work(now, l).Running)
+		free += max(0, l.at().slots-f.work(now, l).Running)
 	}
 	return free
 }
@@ -228,12 +228,12 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return l.speed.First(f.work(now, l), x.request.PromptTokens)
+	return l.at().speed.First(f.work(now, l), x.request.PromptTokens)
 }
 
 // observe counts a request towards the demand for its model.
 func (f *Forwarder) observe(x *exchange, l *lane) {
-	if l.group == nil || x.route.Objective <= 0 {
+	if l.at().group == nil || x.route.Objective <= 0 {
 		return
 	}
 	now := clocker.Now()
@@ -244,13 +244,13 @@
 		meter = estimator.NewMeter(demandMemory)
 		f.meters[x.pool.service] = meter
 	}
-	compact := l.speed
+	compact := l.at().speed
 	compact.Spread = false
 	answer := x.request.LengthHint
 	if answer <= 0 {
-		answer = l.speed.Engine.UsualAnswer
+		answer = l.at().speed.Engine.UsualAnswer
 	}
-	first := l.speed.First(f.work(now, l), x.request.PromptTokens)
-	meter.Observe(now, x.pool.model, len(l.members), compact.Cost(x.request.PromptTokens, answer),
+	first := l.at().speed.First(f.work(now, l), x.request.PromptTokens)
+	meter.Observe(now, x.pool.model, len(l.at().members), compact.Cost(x.request.PromptTokens, answer),
 		float64(first)/float64(x.route.Objective))
 }
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -60,7 +60,7 @@
 		x.f.observe(x, l)
 	}
 	x.lanes = append(x.lanes, l.name)
-	if l.group != nil {
+	if l.at().group != nil {
 		x.predicted = x.f.predict(x, l)
 	}
 	t, err := x.f.send(x, l)
@@ -74,7 +74,7 @@
 		x.failed[l.name] = true
 		x.failure = t.cause(err)
 		if !errors.Is(err, gater.ErrClosed) {
-			x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.members)
+			x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.at().members)
 		}
 		x.f.finish(t, true)
 		return nil, retrier.Event{Kind: retrier.NotSent, Unseen: true}
@@ -127,13 +127,13 @@
 	ctx := context.WithoutCancel(x.ctx)
 	if v.Replaced {
 		x.f.shun(l, soonRetry)
-		x.f.Observer.Doubt(ctx, l.members)
+		x.f.Observer.Doubt(ctx, l.at().members)
 		return
 	}
-	for _, in := range l.members {
+	for _, in := range l.at().members {
 		if in.ID == v.Culprit {
 			x.f.shun(l, soonRetry)
-			x.f.Observer.Doubt(ctx, l.members)
+			x.f.Observer.Doubt(ctx, l.at().members)
 		}
 	}
 }
@@ -209,8 +209,8 @@
 
 // mayUse asks at the moment of sending whether a lane may be sent a request.
 func (f *Forwarder) mayUse(l *lane) bool {
-	if l.group != nil {
-		return f.Observer.Serves(*l.group)
+	if l.at().group != nil {
+		return f.Observer.Serves(*l.at().group)
 	}
 	return f.Observer.ServesAlone(l.head())
 }
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -62,7 +63,7 @@
 	if p.down {
 		return nil, errDown
 	}
-	return p.instances, nil
+	return slices.Clone(p.instances), nil
 }
 
 func (p *platformStub) ReadConfig(context.Context) (*mapper.Map, error) {
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -91,9 +91,11 @@
 	staleShare = 0.5
 	// stopMargin is left of the stop's time for the last answers.
 	stopMargin = 700 * time.Millisecond
-	// leaveShare is the part of the stop's time in which the instance still
-	// takes new connections.
-	leaveShare = 0.6
+	// takeShare is the part of the stop's time in which the instance still
+	// takes requests, and listenShare that in which it still refuses them
+	// itself: callers keep its address for a while.
+	takeShare   = 0.35
+	listenShare = 0.6
 
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
@@ -210,7 +212,9 @@
 	defer cancel()
 	go n.runResign(ctx)
 	n.introducer.Publish(ctx)
-	time.Sleep(time.Duration(leaveShare*float64(n.settings.StopTimeout)) - time.Since(began))
+	time.Sleep(time.Duration(takeShare*float64(n.settings.StopTimeout)) - time.Since(began))
+	n.forwarder.Close()
+	time.Sleep(time.Duration(listenShare*float64(n.settings.StopTimeout)) - time.Since(began))
 	drain, cancelDrain := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-time.Since(began))
 	defer cancelDrain()
 	err := callers.Shutdown(drain)
--- a/pkg/former/form.go
+++ b/pkg/former/form.go
@@ -131,6 +131,11 @@
 		loading = false
 	}
 	switch {
+	case f.attached(now, in):
+		// Nobody looks after that group yet; it must be left first.
+		if model != "" {
+			s.hold(model, in.FabricDomain)
+		}
 	case loading:
 		s.expect(l.model, in.FabricDomain, l.expected)
 	case state == provider.Joining && in.Membership.Group != "" && !f.departed(now, in.ID, in.Membership.Group):
@@ -143,6 +148,13 @@
 	}
 }
 
+// attached reports whether an instance is in a group of several.
+func (f *Former) attached(now time.Time, in provider.Instance) bool {
+	m := in.Membership
+	return m.Group != "" && m.State != provider.Unattached && m.State != provider.Joining &&
+		!f.departed(now, in.ID, m.Group) && !f.alone(in)
+}
+
 // joinSeen is how long a join may take to show in the reports.
 const joinSeen = 2500 * time.Millisecond
 
--- a/pkg/former/script_test.go
+++ b/pkg/former/script_test.go
@@ -37,14 +37,16 @@
 	late []Order
 	// seen holds the highest epochs that instances know from elsewhere.
 	seen map[string]uint64
-	idle bool
+	// hidden holds instances whose entries have lapsed.
+	hidden map[string]bool
+	idle   bool
 }
 
 func newWorld(t *testing.T) *world {
 	w := &world{
 		t: t, start: time.Unix(1000, 0), former: New(0), survey: surveyor.New(),
 		instances: make(map[string]*provider.Instance), ready: make(map[string]time.Time),
-		seen: make(map[string]uint64),
+		seen: make(map[string]uint64), hidden: make(map[string]bool),
 	}
 	w.survey.SetSizes(map[string]int{"large": 4, "small": 2})
 	return w
@@ -99,7 +101,9 @@
 			in.Staged = in.Loaded
 			delete(w.ready, id)
 		}
-		all = append(all, *in)
+		if !w.hidden[id] {
+			all = append(all, *in)
+		}
 	}
 	w.survey.Update(now, all)
 }
@@ -215,6 +219,10 @@
 				for _, id := range strings.Fields(d.Input) {
 					w.survey.Find(id)
 				}
+			case "lapsed", "listed":
+				for _, id := range strings.Fields(d.Input) {
+					w.hidden[id] = d.Cmd == "lapsed"
+				}
 			case "reborn":
 				for _, id := range strings.Fields(d.Input) {
 					in := w.instances[id]
