--- /dev/null
+++ b/pkg/estimator/estimate_test.go
@@ -0,0 +1,52 @@
+package estimator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+)
+
+// testEngine has the figures of the users' sheets.
+var testEngine = &mapper.Engine{
+	Slots: 17, Step: 7800 * time.Microsecond, StepPerRequest: 95 * time.Microsecond, Stride: 5,
+	ReadPerSecond: 45_900, Chunk: 2048, PerMillionPairs: 433 * time.Microsecond, SpreadFactor: 2.5, UsualAnswer: 154,
+}
+
+// TestScripts prints what a group is predicted to take, in milliseconds.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		meter := NewMeter(10 * time.Second)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			g := Group{Engine: testEngine, Pace: 1, Spread: d.HasArg("spread")}
+			var w Work
+			prompt, at, cost, pressure := 0, 0, 0, 0
+			d.MaybeScanArgs(t, "running", &w.Running)
+			d.MaybeScanArgs(t, "unread", &w.UnreadTokens)
+			d.MaybeScanArgs(t, "prompt", &prompt)
+			d.MaybeScanArgs(t, "at", &at)
+			now := time.Unix(1000, 0).Add(time.Duration(at) * time.Millisecond)
+			switch d.Cmd {
+			case "first":
+				return fmt.Sprintf("%d\n", g.First(w, prompt).Milliseconds())
+			case "pause":
+				return fmt.Sprintf("%d\n", g.Pause().Milliseconds())
+			case "observe":
+				var model string
+				d.ScanArgs(t, "model", &model)
+				d.ScanArgs(t, "cost", &cost)
+				d.ScanArgs(t, "pressure", &pressure)
+				meter.Observe(now, model, 2, time.Duration(cost)*time.Millisecond, float64(pressure)/100)
+				return ""
+			case "shares":
+				shares := meter.Shares(now, 1)
+				return fmt.Sprintf("a %.2f b %.2f\n", shares["a"], shares["b"])
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
--- a/pkg/limiter/script_test.go
+++ b/pkg/limiter/script_test.go
@@ -33,6 +33,12 @@
 					d.ScanArgs(t, "deadline", &deadline)
 					ticket.Deadline = start.Add(time.Duration(deadline) * time.Millisecond)
 				}
+				if d.HasArg("aim") {
+					aim := 0
+					d.ScanArgs(t, "aim", &aim)
+					ticket.Aim = start.Add(time.Duration(aim) * time.Millisecond)
+				}
+				ticket.Returned = d.HasArg("returned")
 				names[ticket.ID] = name
 				return showDecision(q.Offer(now, ticket, free), names)
 			case "finished":
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -17,17 +17,23 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "request" {
 				reserve := 10
+				resume, attempts := 0, 0
 				d.MaybeScanArgs(t, "reserve", &reserve)
+				d.MaybeScanArgs(t, "resume", &resume)
+				d.MaybeScanArgs(t, "attempts", &attempts)
 				machine = New(Facts{
-					Idempotent: !d.HasArg("once"),
-					Buffered:   d.HasArg("buffered"),
-					QueueUntil: start.Add(time.Second),
-					Deadline:   start.Add(5 * time.Second),
+					Idempotent:  !d.HasArg("once"),
+					Buffered:    d.HasArg("buffered"),
+					QueueUntil:  start.Add(time.Second),
+					Deadline:    start.Add(5 * time.Second),
+					ResumeWait:  time.Duration(resume) * time.Millisecond,
+					MaxAttempts: attempts,
 				}, NewBudget(0, float64(reserve)))
 				return ""
 			}
 			event := Event{Kind: eventNamed(d.Cmd)}
 			ms := 0
+			event.Unseen, event.Excused = d.HasArg("unseen"), d.HasArg("excused")
 			d.MaybeScanArgs(t, "delivered", &event.Delivered)
 			d.MaybeScanArgs(t, "at", &ms)
 			return show(machine.Step(start.Add(time.Duration(ms)*time.Millisecond), event))
