--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -51,7 +51,9 @@
 	writer.Start(lines)
 	log.SetHandler(json.New(writer))
 	if hosted {
-		return runHosted(ctx)
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		return runHosted(ctx, hangups)
 	}
 	return run(ctx, path)
 }
@@ -81,7 +83,7 @@
 	collectPercent = 200
 )
 
-func runHosted(ctx context.Context) error {
+func runHosted(ctx context.Context, hangups <-chan os.Signal) error {
 	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
@@ -103,5 +105,28 @@
 	if err != nil {
 		return err
 	}
+	go (&reloader{node: node, hangups: hangups}).run(ctx)
 	return node.Run(ctx)
 }
+
+// reloader reads the settings again when the platform says that they changed.
+type reloader struct {
+	node    *hoster.Node
+	hangups <-chan os.Signal
+}
+
+func (r *reloader) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.hangups:
+		}
+		settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			log.WithError(err).Error("settings not reloaded, the old ones hold")
+			continue
+		}
+		r.node.Reload(settings.Hosted)
+	}
+}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -115,7 +115,7 @@
 		return
 	}
 	f.mu.Lock()
-	f.budget.SetReserve(f.RetrySlack * budgetShare / float64(max(1, f.Peers.Count())))
+	f.budget.SetReserve(f.settings.Load().RetrySlack * budgetShare / float64(max(1, f.Peers.Count())))
 	var waiting []poolKey
 	for key, p := range f.pools {
 		if p.queue.Len() > 0 {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -172,7 +172,7 @@
 	if route.Anonymous || !config.Keyed() {
 		return nil
 	}
-	if x.f.Observer.ConfigAge() > x.f.KeyTTL-keyMargin {
+	if x.f.Observer.ConfigAge() > x.f.settings.Load().KeyTTL-keyMargin {
 		return &Refusal{Op: "authorise", Kind: KindStale, Outcome: retrier.NotRun, RetryAfter: jitter(soonRetry)}
 	}
 	organisation, found := config.Organisation(x.request.Key)
@@ -192,7 +192,7 @@
 			return false
 		}
 	}
-	return x.route.Anonymous || !config.Keyed() || x.f.Observer.ConfigAge() <= x.f.KeyTTL-keyMargin
+	return x.route.Anonymous || !config.Keyed() || x.f.Observer.ConfigAge() <= x.f.settings.Load().KeyTTL-keyMargin
 }
 
 // close ends what the exchange holds.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -96,6 +97,8 @@
 // Forwarder carries the requests of one entry instance.
 type Forwarder struct {
 	Dependencies
+	// settings may be replaced while requests run.
+	settings  atomic.Pointer[Settings]
 	transport *http.Transport
 
 	mu         sync.Mutex
@@ -123,7 +126,7 @@
 		// The capacity is a positive constant.
 		panic(err)
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		Dependencies: d,
 		transport: &http.Transport{
 			DialContext:         dial,
@@ -140,8 +143,18 @@
 		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
 		refused:    refused,
 		kicks:      make(chan struct{}, 1),
-		budget:     retrier.NewBudget(d.RetryRatio*budgetShare, d.RetrySlack*budgetShare),
+		budget:     retrier.NewBudget(0, 0),
 	}
+	f.Configure(d.Settings)
+	return f
+}
+
+// Configure replaces the settings.
+func (f *Forwarder) Configure(s Settings) {
+	f.settings.Store(&s)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.SetRatio(s.RetryRatio * budgetShare)
 }
 
 // Start begins the duty; it ends with ctx.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -34,7 +34,7 @@
 func (f *Forwarder) Idle() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.FirstStart || f.nextTicket > 0 {
+	if !f.settings.Load().FirstStart || f.nextTicket > 0 {
 		return false
 	}
 	for _, load := range f.peerLoads {
@@ -115,7 +115,7 @@
 // milliseconds, for a plain server the requests that it has.
 func (f *Forwarder) cost(now time.Time, l *lane, promptTokens int) float64 {
 	w := f.work(now, l)
-	far := l.head().DataCentre != f.DataCentre
+	far := l.head().DataCentre != f.settings.Load().DataCentre
 	if l.at().group == nil {
 		if far {
 			return float64(w.Running) + farLoad
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -143,7 +143,7 @@
 	}, p.Table, n.pool, n.peers)
 	n.observer = observer.New(observer.Dependencies{Source: p.Source, Prober: p.Prober, Announcer: n.peers})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
-		Settings: forwarder.Settings{DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack},
+		Settings: s.forwarding(),
 		Observer: n.observer,
 		Codec:    p.Codec,
 		Peers:    n.peers,
@@ -161,6 +161,21 @@
 	return n, nil
 }
 
+// forwarding returns what the forwarder needs to know.
+func (s Settings) forwarding() forwarder.Settings {
+	return forwarder.Settings{
+		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+	}
+}
+
+// Reload takes over the settings that may change while the process runs: the
+// life of keys and the retry budget. The others hold until the next start.
+func (n *Node) Reload(s Settings) {
+	s.ID, s.DataCentre, s.FirstStart = n.settings.ID, n.settings.DataCentre, n.settings.FirstStart
+	n.forwarder.Configure(s.forwarding())
+	log.WithFields(log.Fields{"key_ttl": s.KeyTTL.String(), "retry_ratio": s.RetryRatio, "retry_slack": s.RetrySlack}).Info("settings reloaded")
+}
+
 // Run serves until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
