Let three instances read the store and the others ask them

Ruled out: longer intervals (a configuration must be in force within 2 s, keys live 5 s). Change: internal/relayer: three readers, chosen by the hash of their names, tell the others what changed; ages count from the start of each question; who gets no young answer reads the store; only readers stand for control.

--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
@@ -57,22 +58,14 @@
 
 var errDown = errors.New("the store is down")
 
-func (p *platformStub) ListInstances(context.Context) ([]provider.Instance, error) {
+func (p *platformStub) Look(context.Context, bool) (observer.Snapshot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return nil, errDown
+		return observer.Snapshot{}, errDown
 	}
-	return slices.Clone(p.instances), nil
-}
-
-func (p *platformStub) ReadConfig(context.Context) (*mapper.Map, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.down {
-		return nil, errDown
-	}
-	return p.config, nil
+	now := clocker.Now()
+	return observer.Snapshot{Instances: slices.Clone(p.instances), ListedAt: now, Config: p.config, ProvedAt: now}, nil
 }
 
 func (p *platformStub) Probe(_ context.Context, in provider.Instance, _ time.Duration) error {
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -32,6 +32,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/organiser"
+	"github.com/waxwingmount/waxwingmount/internal/relayer"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/spreader"
@@ -70,7 +71,7 @@
 // Platform is what the users' platform offers, in this project's terms.
 type Platform struct {
 	Table   provider.Table
-	Source  observer.Source
+	Source  relayer.Platform
 	Prober  observer.Prober
 	Orderer organiser.Orderer
 	Codec   forwarder.Codec
@@ -112,6 +113,7 @@
 	traces     *sdktrace.TracerProvider
 	pool       *messenger.Pool
 	introducer *introducer.Introducer
+	relayer    *relayer.Relayer
 	observer   *observer.Observer
 	forwarder  *forwarder.Forwarder
 	organiser  *organiser.Organiser
@@ -141,7 +143,8 @@
 		Interval: heartbeatInterval,
 		Degree:   peerDegree,
 	}, p.Table, n.pool, n.peers)
-	n.observer = observer.New(observer.Dependencies{Source: p.Source, Prober: p.Prober, Announcer: n.peers})
+	n.relayer = relayer.New(relayer.Dependencies{Platform: p.Source, Members: n.introducer, Pool: n.pool, Epoch: epoch})
+	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarding(),
 		Observer: n.observer,
@@ -157,6 +160,7 @@
 		Orderer:  p.Orderer,
 		Demand:   n.forwarder,
 		Idler:    n.forwarder,
+		Stands:   n.relayer.Reads,
 	})
 	return n, nil
 }
--- a/internal/hoster/peers.go
+++ b/internal/hoster/peers.go
@@ -115,3 +115,9 @@
 	s.node.forwarder.Strike(arguments.Strikes)
 	return nil
 }
+
+// News answers what has changed at the platform.
+func (s *peerService) News(arguments messenger.NewsArguments, reply *messenger.NewsReply) error {
+	*reply = s.node.relayer.News(arguments)
+	return nil
+}
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -30,6 +30,8 @@
 	expiryBeats = 10
 	// rowInterval is the time between two visits to the table.
 	rowInterval = 5 * time.Second
+	// rowSharers is how many instances visit the table in one rowInterval.
+	rowSharers = 10
 	// firstRowInterval is that time until the first visit succeeds.
 	firstRowInterval = 200 * time.Millisecond
 	callTimeout      = 300 * time.Millisecond
@@ -176,7 +178,8 @@
 // rowLoop writes this instance's row now and then, and reads those of others.
 func (in *Introducer) rowLoop(ctx context.Context) {
 	for {
-		wait := rowInterval
+		// All instances together visit the table as often as a few do.
+		wait := rowInterval * time.Duration(1+len(in.Live())/rowSharers)
 		if err := in.visitTable(ctx); err != nil {
 			log.WithError(err).Debug("entry rows not exchanged")
 			wait = firstRowInterval
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -6,6 +6,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/orderer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -27,6 +28,7 @@
 	MethodLeave    = PeerService + ".Leave"
 	MethodLoad     = PeerService + ".Load"
 	MethodLosses   = PeerService + ".Losses"
+	MethodNews     = PeerService + ".News"
 )
 
 // Nothing is an empty argument.
@@ -105,3 +107,27 @@
 type LossesMessage struct {
 	Losses []Loss
 }
+
+// NewsArguments tells what the asker knows: a revision of an epoch of the peer's
+// list of instances, and a version of the configuration.
+type NewsArguments struct {
+	Epoch         uint64
+	Revision      uint64
+	ConfigVersion uint64
+}
+
+// NewsReply is what the asker lacks. Ages are those at the time of the answer.
+type NewsReply struct {
+	Epoch    uint64
+	Revision uint64
+	ListAge  time.Duration
+	// Whole says that Changed holds all instances.
+	Whole   bool
+	Changed []provider.Instance
+	Removed []string
+
+	ConfigVersion uint64
+	ConfigAge     time.Duration
+	// Config is set if the asker has an older version.
+	Config *mapper.Config
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -24,11 +24,21 @@
 	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
 )
 
-// Source is where the platform publishes what it knows.
+// Snapshot is how things stand at the platform.
+type Snapshot struct {
+	Instances []provider.Instance
+	// ListedAt is when the list was surely current.
+	ListedAt time.Time
+	// Config is nil before there is one.
+	Config *mapper.Map
+	// ProvedAt is when the configuration was surely the newest.
+	ProvedAt time.Time
+}
+
+// Source tells how things stand at the platform.
 type Source interface {
-	provider.Lister
-	// ReadConfig returns the operator's newest configuration, or nil.
-	ReadConfig(ctx context.Context) (*mapper.Map, error)
+	// Look returns what is known now; direct asks for a read of the store.
+	Look(ctx context.Context, direct bool) (Snapshot, error)
 }
 
 // Prober asks one instance for a sign of life.
@@ -42,13 +52,10 @@
 }
 
 const (
-	// listInterval is the time between two looks at the list of instances:
-	// less than half of the two seconds after which a leaving instance must
-	// get no new request.
-	listInterval = 700 * time.Millisecond
-	// configInterval is the time between two looks at the configuration: less
-	// than half of the two seconds within which it must be in force.
-	configInterval = 800 * time.Millisecond
+	// lookInterval is the time between two looks at the platform. Two of them,
+	// a reader's and an asker's, are less than the two seconds within which a
+	// configuration must be in force and a leaving instance get nothing new.
+	lookInterval = 600 * time.Millisecond
 	// retryInterval is that time while the store does not answer.
 	retryInterval = 200 * time.Millisecond
 	// probeTimeout bounds one probe: a live instance answers in 3 to 5 ms.
@@ -80,6 +87,8 @@
 	// doubted is when an instance was last checked.
 	doubted map[string]time.Time
 	pace    time.Duration
+	// direct says that the store is to be read, not a peer asked.
+	direct bool
 	// reachable says whether the store answered the last call.
 	reachable bool
 	changed   chan struct{}
@@ -91,15 +100,14 @@
 		Dependencies: d,
 		survey:       surveyor.New(),
 		doubted:      make(map[string]time.Time),
-		pace:         listInterval,
+		pace:         lookInterval,
 		changed:      make(chan struct{}, 1),
 	}
 }
 
 // Start begins the duties; they end with ctx.
 func (o *Observer) Start(ctx context.Context) {
-	go o.configLoop(ctx)
-	go o.listLoop(ctx)
+	go o.lookLoop(ctx)
 	go o.recheckLoop(ctx)
 }
 
@@ -120,12 +128,14 @@
 // Changed gets a value after the view has changed.
 func (o *Observer) Changed() <-chan struct{} { return o.changed }
 
-// SetPace sets the time between two looks at the list; zero is the default.
+// SetPace sets the time between two reads of the store for an instance in
+// control; zero goes back to the usual looks.
 func (o *Observer) SetPace(pace time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.direct = pace > 0
 	if pace == 0 {
-		pace = listInterval
+		pace = lookInterval
 	}
 	o.pace = pace
 }
@@ -264,35 +274,63 @@
 	}
 }
 
-func (o *Observer) listLoop(ctx context.Context) {
+func (o *Observer) lookLoop(ctx context.Context) {
 	for {
-		wait := o.list(ctx)
+		wait := o.look(ctx)
 		if !sleep(ctx, wait) {
 			return
 		}
 	}
 }
 
-// list reads the list once and returns when to read it again.
-func (o *Observer) list(ctx context.Context) time.Duration {
-	began := clocker.Now()
-	instances, err := o.Source.ListInstances(ctx)
+// look takes in how things stand and returns when to look again.
+func (o *Observer) look(ctx context.Context) time.Duration {
+	o.mu.Lock()
+	direct := o.direct
+	o.mu.Unlock()
+	snapshot, err := o.Source.Look(ctx, direct)
 	if err != nil {
 		o.answered(false, err)
 		return retryInterval
 	}
+	o.answered(true, nil)
 	o.mu.Lock()
-	o.survey.Update(began, instances)
+	defer o.mu.Unlock()
+	if snapshot.ListedAt.After(o.survey.Updated()) {
+		o.survey.Update(snapshot.ListedAt, snapshot.Instances)
+	}
+	o.takeConfig(snapshot)
+	now := clocker.Now()
 	for id, at := range o.doubted {
-		if began.Sub(at) > time.Minute {
+		if now.Sub(at) > time.Minute {
 			delete(o.doubted, id)
 		}
 	}
-	pace := o.pace
-	o.mu.Unlock()
-	o.answered(true, nil)
 	o.signal()
-	return pace
+	if o.config == nil {
+		return retryInterval
+	}
+	return o.pace
+}
+
+// takeConfig takes in the configuration. Versions only rise.
+func (o *Observer) takeConfig(s Snapshot) {
+	switch {
+	case s.Config == nil:
+		return
+	case o.config != nil && s.Config.Version < o.config.Version:
+		log.WithFields(log.Fields{"version": s.Config.Version, "in_force": o.config.Version}).Warn("older configuration ignored")
+		return
+	}
+	if s.ProvedAt.After(o.proved) {
+		o.proved = s.ProvedAt
+	}
+	if o.config != nil && o.config.Version == s.Config.Version {
+		return
+	}
+	o.config = s.Config
+	o.survey.SetSizes(sizes(s.Config))
+	log.WithFields(log.Fields{"version": s.Config.Version, "age": clocker.Since(s.ProvedAt).String()}).Info("configuration in force")
 }
 
 // answered notes whether the store answers, and logs each change of that.
@@ -310,41 +348,6 @@
 	}
 }
 
-func (o *Observer) configLoop(ctx context.Context) {
-	for {
-		wait := o.readConfig(ctx)
-		if !sleep(ctx, wait) {
-			return
-		}
-	}
-}
-
-func (o *Observer) readConfig(ctx context.Context) time.Duration {
-	began := clocker.Now()
-	config, err := o.Source.ReadConfig(ctx)
-	if err != nil {
-		log.WithError(err).Debug("configuration not read")
-		return retryInterval
-	}
-	if config == nil {
-		return retryInterval
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.config != nil && config.Version < o.config.Version {
-		log.WithFields(log.Fields{"version": config.Version, "in_force": o.config.Version}).Warn("older configuration ignored")
-		return configInterval
-	}
-	o.proved = began
-	if o.config == config {
-		return configInterval
-	}
-	o.config = config
-	o.survey.SetSizes(sizes(config))
-	log.WithField("version", config.Version).Info("configuration in force")
-	return configInterval
-}
-
 // sizes returns the members of a group of each model.
 func sizes(config *mapper.Map) map[string]int {
 	found := make(map[string]int)
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -89,6 +89,9 @@
 	Orderer  Orderer
 	Demand   Demand
 	Idler    Idler
+	// Stands reports whether this instance may take control. The others leave
+	// the lease alone, which saves the store their reads of it.
+	Stands func() bool
 }
 
 // Organiser is the control loop of one entry instance.
@@ -135,7 +138,9 @@
 
 func (o *Organiser) leaseLoop(ctx context.Context) {
 	for {
-		o.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
+		if _, held := o.held(); held || o.Stands() {
+			o.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
+		}
 		wait := renewInterval
 		if o.holder() == "" {
 			wait = firstInterval
--- /dev/null
+++ b/internal/relayer/ledger.go
@@ -0,0 +1,127 @@
+package relayer
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// ledger is what one entry instance knows of the platform, in a form from which
+// a peer can be told what has changed. It is not safe for concurrent use.
+type ledger struct {
+	epoch    uint64
+	revision uint64
+	entries  map[string]ledgerEntry
+	// removed holds the revisions at which instances went.
+	removed  map[string]uint64
+	listedAt time.Time
+
+	config   *mapper.Map
+	provedAt time.Time
+}
+
+type ledgerEntry struct {
+	instance provider.Instance
+	revision uint64
+}
+
+// maxRemoved bounds the memory of instances that went; beyond it peers are told
+// everything anew.
+const maxRemoved = 4096
+
+func newLedger(epoch uint64) *ledger {
+	return &ledger{epoch: epoch, entries: make(map[string]ledgerEntry), removed: make(map[string]uint64)}
+}
+
+// list takes in the instances as of that time.
+func (l *ledger) list(at time.Time, instances []provider.Instance) {
+	if at.Before(l.listedAt) {
+		return
+	}
+	l.listedAt = at
+	next := l.revision + 1
+	changed := false
+	seen := make(map[string]bool, len(instances))
+	for _, in := range instances {
+		seen[in.ID] = true
+		if old, known := l.entries[in.ID]; known && reflect.DeepEqual(old.instance, in) {
+			continue
+		}
+		l.entries[in.ID] = ledgerEntry{instance: in, revision: next}
+		delete(l.removed, in.ID)
+		changed = true
+	}
+	for id := range l.entries {
+		if !seen[id] {
+			delete(l.entries, id)
+			l.removed[id] = next
+			changed = true
+		}
+	}
+	if changed {
+		l.revision = next
+	}
+	if len(l.removed) > maxRemoved {
+		clear(l.removed)
+		l.epoch++
+	}
+}
+
+// prove takes in the configuration as of that time. Versions only rise.
+func (l *ledger) prove(at time.Time, config *mapper.Map) {
+	if config == nil || l.config != nil && config.Version < l.config.Version {
+		return
+	}
+	if l.config == nil || config.Version > l.config.Version {
+		l.config = config
+	}
+	if at.After(l.provedAt) {
+		l.provedAt = at
+	}
+}
+
+// snapshot returns all that is known.
+func (l *ledger) snapshot() observer.Snapshot {
+	s := observer.Snapshot{ListedAt: l.listedAt, Config: l.config, ProvedAt: l.provedAt}
+	for _, e := range l.entries {
+		s.Instances = append(s.Instances, e.instance)
+	}
+	return s
+}
+
+// news returns what a peer lacks that knows a revision of an epoch and a
+// version of the configuration.
+func (l *ledger) news(now time.Time, arguments messenger.NewsArguments) messenger.NewsReply {
+	reply := messenger.NewsReply{
+		Epoch:    l.epoch,
+		Revision: l.revision,
+		ListAge:  now.Sub(l.listedAt),
+		Whole:    arguments.Epoch != l.epoch || arguments.Revision > l.revision,
+	}
+	since := arguments.Revision
+	if reply.Whole {
+		since = 0
+	}
+	for _, e := range l.entries {
+		if reply.Whole || e.revision > since {
+			reply.Changed = append(reply.Changed, e.instance)
+		}
+	}
+	for id, revision := range l.removed {
+		if !reply.Whole && revision > since {
+			reply.Removed = append(reply.Removed, id)
+		}
+	}
+	if l.config != nil {
+		reply.ConfigAge = now.Sub(l.provedAt)
+		reply.ConfigVersion = l.config.Version
+		if arguments.ConfigVersion < l.config.Version {
+			reply.Config = &l.config.Config
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,239 @@
+// Package relayer tells an entry instance how things stand at the platform at a
+// bounded cost to the store. A few instances read the store; the others ask one
+// of them for what has changed. Every answer carries its age, and counts from
+// the moment at which it was asked for, so that freshness holds along the way
+// whatever clocks and networks do. Who gets no young answer reads the store.
+//
+// # Usage
+//
+//	r := relayer.New(relayer.Dependencies{...})
+//	snapshot, err := r.Look(ctx)
+//	reply := r.News(arguments)
+package relayer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
+)
+
+const (
+	// readers is how many entry instances read the store: two may be lost, or
+	// turned away, at once.
+	readers = 3
+	// maxAge is the age from which on a peer's answer is worth less than a
+	// read of the store: two of a reader's intervals.
+	maxAge = 1600 * time.Millisecond
+	// askTimeout bounds one question to a peer.
+	askTimeout = 300 * time.Millisecond
+	// configInterval is the least time between two reads of the configuration.
+	configInterval = 600 * time.Millisecond
+)
+
+// Platform is the platform's store.
+type Platform interface {
+	provider.Lister
+	// ReadConfig returns the operator's newest configuration, or nil.
+	ReadConfig(ctx context.Context) (*mapper.Map, error)
+}
+
+// Members gives the entry instances.
+type Members interface {
+	Self() spreader.Member
+	Live() []spreader.Member
+}
+
+// Dependencies are what a Relayer works with.
+type Dependencies struct {
+	Platform Platform
+	Members  Members
+	Pool     *messenger.Pool
+	// Epoch tells the runs of this process apart.
+	Epoch uint64
+}
+
+// Relayer knows how things stand at the platform. It is safe for concurrent use.
+type Relayer struct {
+	Dependencies
+
+	mu     sync.Mutex
+	ledger *ledger
+	// asked is the peer whose epoch and revision are known.
+	asked    string
+	epoch    uint64
+	revision uint64
+}
+
+// New returns a relayer that knows of nothing.
+func New(d Dependencies) *Relayer {
+	return &Relayer{Dependencies: d, ledger: newLedger(d.Epoch)}
+}
+
+// ranked returns the live members in the order in which they read the store.
+func (r *Relayer) ranked() []spreader.Member {
+	members := r.Members.Live()
+	slices.SortFunc(members, func(a, b spreader.Member) int {
+		x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return members
+}
+
+// Reads reports whether this instance is one of those that read the store.
+func (r *Relayer) Reads() bool {
+	self := r.Members.Self().ID
+	for rank, m := range r.ranked() {
+		if rank >= readers {
+			return false
+		}
+		if m.ID == self {
+			return true
+		}
+	}
+	return true
+}
+
+// Look implements [observer.Source].
+func (r *Relayer) Look(ctx context.Context, direct bool) (observer.Snapshot, error) {
+	if direct || r.Reads() || !r.ask(ctx) {
+		if err := r.read(ctx); err != nil {
+			// A peer that the store does not turn away may know more.
+			if !r.ask(ctx) {
+				return observer.Snapshot{}, err
+			}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.snapshot(), nil
+}
+
+// read reads the store.
+func (r *Relayer) read(ctx context.Context) error {
+	began := clocker.Now()
+	instances, err := r.Platform.ListInstances(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.ledger.list(began, instances)
+	fresh := began.Sub(r.ledger.provedAt) < configInterval
+	r.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	began = clocker.Now()
+	config, err := r.Platform.ReadConfig(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.prove(began, config)
+	return nil
+}
+
+// ask asks the readers in turn, and reports whether one had a young answer.
+func (r *Relayer) ask(ctx context.Context) bool {
+	self := r.Members.Self().ID
+	asked := 0
+	for _, peer := range r.ranked() {
+		if peer.ID == self {
+			continue
+		}
+		if asked++; asked > readers {
+			return false
+		}
+		if r.askOne(ctx, peer) {
+			return true
+		}
+	}
+	return false
+}
+
+// askOne asks one peer. What it says counts from the start of the question.
+func (r *Relayer) askOne(ctx context.Context, peer spreader.Member) bool {
+	r.mu.Lock()
+	arguments := messenger.NewsArguments{}
+	if r.asked == peer.ID {
+		arguments.Epoch, arguments.Revision = r.epoch, r.revision
+	}
+	if r.ledger.config != nil {
+		arguments.ConfigVersion = r.ledger.config.Version
+	}
+	r.mu.Unlock()
+	began := clocker.Now()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply messenger.NewsReply
+	if err := r.Pool.Call(ctx, peer.Peer, messenger.MethodNews, &arguments, &reply); err != nil {
+		log.WithField("peer", peer.ID).WithError(err).Debug("peer has no news")
+		return false
+	}
+	if reply.ConfigVersion == 0 || reply.ListAge > maxAge || reply.ConfigAge > maxAge {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.learn(began, peer.ID, reply)
+	return true
+}
+
+// learn takes in a peer's answer to a question that was begun at that time.
+func (r *Relayer) learn(began time.Time, peer string, reply messenger.NewsReply) {
+	r.ledger.list(began.Add(-reply.ListAge), r.merged(reply))
+	r.asked, r.epoch, r.revision = peer, reply.Epoch, reply.Revision
+	config := r.ledger.config
+	if reply.Config != nil {
+		config = mapper.New(*reply.Config)
+	}
+	if config != nil && config.Version == reply.ConfigVersion {
+		r.ledger.prove(began.Add(-reply.ConfigAge), config)
+	}
+}
+
+// merged applies an answer to the instances that are known.
+func (r *Relayer) merged(reply messenger.NewsReply) []provider.Instance {
+	next := make(map[string]provider.Instance)
+	if !reply.Whole {
+		for id, e := range r.ledger.entries {
+			next[id] = e.instance
+		}
+	}
+	for _, in := range reply.Changed {
+		next[in.ID] = in
+	}
+	for _, id := range reply.Removed {
+		delete(next, id)
+	}
+	all := make([]provider.Instance, 0, len(next))
+	for _, in := range next {
+		all = append(all, in)
+	}
+	return all
+}
+
+// News answers a peer's question.
+func (r *Relayer) News(arguments messenger.NewsArguments) messenger.NewsReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.news(clocker.Now(), arguments)
+}
