Let many instances compare a few heads at random

Cause: 89 instances hear of each other's load every 0.56 s and all ran to the same heads (busiest/mean 5.2). Change: with more than 12 instances each compares a part of the heads, two at least.

--- a/internal/forwarder/lane.go
+++ b/internal/forwarder/lane.go
@@ -142,10 +142,14 @@
 		}
 		busy = append(busy, l)
 		silence := now.Sub(l.progress)
+		// One stream alone pauses longer than several together.
 		quiet := l.at().quiet
 		if !l.anyStreaming() && l.at().group != nil {
 			quiet = max(quiet, firstQuiet)
 		}
+		if len(l.flights) == 1 {
+			quiet += quiet / 2
+		}
 		if silence > quiet {
 			doubtful = append(doubtful, l)
 		}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -19,6 +19,10 @@
 	farLoad = 0.5
 	// farDelay is the delay to a head that weighs as much: four times the way.
 	farDelay = 4 * time.Millisecond
+	// informedPeers is how many entry instances hear of each other's load often
+	// enough to compare all lanes; minChoices is how many are compared by any.
+	informedPeers = 12
+	minChoices    = 2
 	// runningDelay is what one more running request weighs beyond its part in
 	// each step, since it makes the batch read and write more later.
 	runningDelay = 3 * time.Millisecond
@@ -155,7 +159,7 @@
 		byName[l.name] = l
 		fresh = append(fresh, router.Candidate{Group: l.name, Load: f.cost(now, l, promptTokens)})
 	}
-	fresh = f.tracker.Admit(now, fresh)
+	fresh = f.sample(f.tracker.Admit(now, fresh))
 	if len(fresh) == 0 {
 		return nil, false
 	}
@@ -175,6 +179,19 @@
 	return byName[fresh[best].Group], true
 }
 
+// sample returns the candidates that are compared for one request. Few entry
+// instances hear of each other's choices in time and compare all. Many do not,
+// and would all run to the same lane; each compares a few at random.
+func (f *Forwarder) sample(all []router.Candidate) []router.Candidate {
+	peers := max(1, f.Peers.Count())
+	choices := max(minChoices, len(all)*informedPeers/peers)
+	if choices >= len(all) {
+		return all
+	}
+	f.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:choices]
+}
+
 // untried leaves out the lanes that failed, unless there is no other.
 func untried(lanes []*lane, failed map[string]bool) []*lane {
 	var others []*lane
