Give models with groups of more than four a larger share at the start

Cause: on the grown site 42 small groups worked at 70 % and 9 of 8 members could not keep up. Change: a tenth more for each member above four.

--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -210,6 +210,11 @@
 	// demandMemory is how long a request counts towards the demand: about the
 	// time to load a model's weights.
 	demandMemory = 10 * time.Second
+	// fragility raises the share of a model for each member of its groups above
+	// sturdySize: larger groups lose a member more often and wait longer for a
+	// spare. From plays of groups of 4 (no gain) and 8 (worth 0.51 to 0.66).
+	fragility  = 0.1
+	sturdySize = 4
 	// leastWork is how many instance seconds must have been asked for before
 	// the demand is measured.
 	leastWork = 3
@@ -227,8 +232,13 @@
 	if !found || s.Engine == nil {
 		return demand
 	}
+	sum := 0.0
 	for _, m := range s.Engine.Models {
-		demand[m.Name] = m.Share
+		demand[m.Name] = m.Share * (1 + fragility*float64(max(0, m.Size-sturdySize)))
+		sum += demand[m.Name]
+	}
+	for name := range demand {
+		demand[name] /= sum
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
