--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -298,7 +298,7 @@
 
 // blame keeps this request off a lane that failed it, has the members checked,
 // and counts a strike if the head has crashed.
-func (x *exchange) blame(l *lane, streamed bool, err error) retrier.Event {
+func (x *exchange) blame(l *lane, err error) retrier.Event {
 	event := retrier.Event{Kind: retrier.Broke}
 	if x.ctx.Err() != nil {
 		return event
@@ -306,9 +306,9 @@
 	x.failed[l.name] = true
 	x.failure = err
 	moved := errors.IsAny(err, errLost, errStalled)
-	// A try counts against the attempts once it may have begun to run, unless
-	// the server that ran it is gone.
-	event.Excused = moved && !streamed || x.f.Observer.Gone(l.at().members[:1])
+	// A try may have begun to run before its first event came, so that it
+	// counts against the attempts unless the server that ran it is gone.
+	event.Excused = x.f.Observer.Gone(l.at().members[:1])
 	if !moved {
 		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.at().members)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -95,6 +95,27 @@
 	assert.Assert(t, time.Since(began) < 2*time.Second, "moved after %v", time.Since(began))
 }
 
+// TestMovesCountAgainstAttempts loses the members of one group after the other
+// while their heads live. A stream is sent to two of them, and then broken off.
+func TestMovesCountAgainstAttempts(t *testing.T) {
+	w := newWorld(t)
+	var tries atomic.Int32
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		tries.Add(1)
+		answer(rw, r, "text/event-stream")
+		http.NewResponseController(rw).Flush()
+		w.platform.kill(r.Header.Get("For")[:1] + "-member")
+		<-r.Context().Done()
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		w.group(name, handler)
+	}
+	w.start()
+	status, _, err := w.call("POST", "/stream/", "r1")
+	assert.Assert(t, err != nil || status == http.StatusBadGateway, "status %d", status)
+	assert.Equal(t, tries.Load(), int32(2))
+}
+
 // TestOnceRunsOnce breaks requests that may run once at several points. What
 // may have run is never sent again, and never told as not run.
 func TestOnceRunsOnce(t *testing.T) {
--- a/internal/forwarder/lane.go
+++ b/internal/forwarder/lane.go
@@ -132,6 +132,7 @@
 func (f *Forwarder) sweep(ctx context.Context) {
 	now := clocker.Now()
 	var doubtful, stalled, busy []*lane
+	many := f.Peers.Count() > informedPeers
 	f.mu.Lock()
 	for name, l := range f.lanes {
 		if len(l.flights) == 0 {
@@ -142,12 +143,13 @@
 		}
 		busy = append(busy, l)
 		silence := now.Sub(l.progress)
-		// One stream alone pauses longer than several together.
 		quiet := l.at().quiet
 		if !l.anyStreaming() && l.at().group != nil {
 			quiet = max(quiet, firstQuiet)
 		}
-		if len(l.flights) == 1 {
+		if many && len(l.flights) == 1 {
+			// One stream alone pauses longer than several together, and where
+			// many instances watch, others see the head too.
 			quiet += quiet / 2
 		}
 		if silence > quiet {
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -66,7 +66,7 @@
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
-			event := x.blame(l, false, t.cause(err))
+			event := x.blame(l, t.cause(err))
 			x.struck(l, t.cause(err))
 			x.f.finish(t, true)
 			return nil, event
@@ -110,14 +110,14 @@
 func (x *exchange) judge(t *try, v Verdict) (retrier.Event, bool) {
 	switch {
 	case v.ID != "" && v.ID != x.request.ID:
-		return x.blame(t.lane, false, errors.Newf("the answer belongs to request %q", v.ID)), true
+		return x.blame(t.lane, errors.Newf("the answer belongs to request %q", v.ID)), true
 	case v.NotRun:
 		x.failed[t.lane.name] = true
 		x.failure = errors.Newf("server did not run the request: status %d", t.response.StatusCode)
 		x.suspect(t.lane, v)
 		return retrier.Event{Kind: retrier.NotSent}, true
 	case !v.Proved && t.response.StatusCode < http.StatusMultipleChoices:
-		return x.blame(t.lane, true, errNoProof), true
+		return x.blame(t.lane, errNoProof), true
 	}
 	return retrier.Event{}, false
 }
@@ -149,7 +149,7 @@
 		err = errors.Newf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
-		event := x.blame(t.lane, true, t.cause(err))
+		event := x.blame(t.lane, t.cause(err))
 		x.struck(t.lane, t.cause(err))
 		x.drop(true)
 		return nil, event
