--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -318,13 +318,17 @@
 	return event
 }
 
-// runStrike counts a crash of a head against the request that it ran, once the
-// check of the head has shown that it is gone.
+// runStrike counts a crash of a head against the request that it ran, if the
+// check of the head shows that it is gone.
 func (x *exchange) runStrike(l *lane) {
 	time.Sleep(strikeDelay)
-	if !x.f.Observer.Gone(l.at().members[:1]) {
-		return
+	if x.f.Observer.Gone(l.at().members[:1]) {
+		x.strike(l)
 	}
+}
+
+// strike counts a crash against the request and tells the peers.
+func (x *exchange) strike(l *lane) {
 	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: l.head().ID + "/" + l.head().Incarnation}
 	x.f.mu.Lock()
 	news := x.f.quarantine.Strike(clocker.Now(), strike)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -143,7 +143,7 @@
 		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
 		refused:    refused,
 		kicks:      make(chan struct{}, 1),
-		budget:     retrier.NewBudget(0, 0),
+		budget:     retrier.NewBudget(d.RetryRatio*budgetShare, d.RetrySlack*budgetShare),
 	}
 	f.Configure(d.Settings)
 	return f
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -85,7 +85,11 @@
 // struck has a strike counted if a connection was broken by the server and not
 // from here, and the server turns out to be gone.
 func (x *exchange) struck(l *lane, err error) {
-	if x.ctx.Err() == nil && !errors.IsAny(err, errLost, errStalled) {
+	switch {
+	case x.ctx.Err() != nil || errors.IsAny(err, errLost, errStalled):
+	case x.f.Observer.Gone(l.at().members[:1]):
+		x.strike(l)
+	default:
 		go x.runStrike(l)
 	}
 }
