Take the cause of a broken try once

Cause: TestRequestThatCrashesServers failed once in four runs: between blame and strike the check of the server ended the try from here, and the crash was no longer seen as one.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -85,8 +85,7 @@
 // broke ends a try whose stream broke.
 func (x *exchange) broke(err error) retrier.Event {
 	t := x.current
-	event := x.blame(t.lane, t.cause(err))
-	x.struck(t.lane, t.cause(err))
+	event := x.broken(t, err)
 	x.drop(true)
 	return event
 }
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -66,8 +66,7 @@
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
-			event := x.blame(l, t.cause(err))
-			x.struck(l, t.cause(err))
+			event := x.broken(t, err)
 			x.f.finish(t, true)
 			return nil, event
 		}
@@ -82,6 +81,15 @@
 	return x.receive(t)
 }
 
+// broken notes that a try broke after some of it may have left. The cause is
+// taken once, since the check of the lane may end the try, too.
+func (x *exchange) broken(t *try, err error) retrier.Event {
+	cause := t.cause(err)
+	event := x.blame(t.lane, cause)
+	x.struck(t.lane, cause)
+	return event
+}
+
 // struck has a strike counted if a connection was broken by the server and not
 // from here, and the server turns out to be gone.
 func (x *exchange) struck(l *lane, err error) {
@@ -153,8 +161,7 @@
 		err = errors.Newf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
-		event := x.blame(t.lane, t.cause(err))
-		x.struck(t.lane, t.cause(err))
+		event := x.broken(t, err)
 		x.drop(true)
 		return nil, event
 	}
