--- a/pkg/former/script_test.go
+++ b/pkg/former/script_test.go
@@ -190,58 +190,19 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "instances":
-				var domain string
-				var holds, staged string
-				d.ScanArgs(t, "domain", &domain)
-				d.MaybeScanArgs(t, "holds", &holds)
-				d.MaybeScanArgs(t, "staged", &staged)
-				for _, id := range strings.Fields(d.Input) {
-					in := &provider.Instance{ID: id, Incarnation: "1", FabricDomain: domain}
-					if holds != "" {
-						in.Loaded, in.Staged = []string{holds}, []string{holds}
-					}
-					if staged != "" {
-						in.Staged = []string{staged}
-					}
-					w.instances[id] = in
-				}
-			case "gone":
-				for _, id := range strings.Fields(d.Input) {
-					delete(w.instances, id)
-				}
+				w.add(d)
 			case "lost":
 				var at int
 				d.ScanArgs(t, "at", &at)
 				for _, id := range strings.Fields(d.Input) {
 					w.survey.Lose(w.start.Add(time.Duration(at)*time.Millisecond), id, "1")
 				}
-			case "found":
-				for _, id := range strings.Fields(d.Input) {
-					w.survey.Find(id)
-				}
-			case "lapsed", "listed":
-				for _, id := range strings.Fields(d.Input) {
-					w.hidden[id] = d.Cmd == "lapsed"
-				}
-			case "reborn":
-				for _, id := range strings.Fields(d.Input) {
-					in := w.instances[id]
-					in.Incarnation, in.Loaded, in.Membership = "2", nil, provider.Membership{}
-				}
 			case "seen":
 				var epoch int
 				d.ScanArgs(t, "epoch", &epoch)
 				for _, id := range strings.Fields(d.Input) {
 					w.seen[id] = uint64(epoch)
 				}
-			case "closed":
-				for _, id := range strings.Fields(d.Input) {
-					w.instances[id].Membership.State = provider.MemberReady
-				}
-			case "leaving":
-				for _, id := range strings.Fields(d.Input) {
-					w.instances[id].Leaving = true
-				}
 			case "carry":
 				for _, o := range w.late {
 					w.carryOut(w.start, o)
@@ -254,9 +215,50 @@
 			case "groups":
 				return w.groups()
 			default:
-				t.Fatalf("unknown command %q", d.Cmd)
+				for _, id := range strings.Fields(d.Input) {
+					w.happen(d.Cmd, id)
+				}
 			}
 			return ""
 		})
 	})
 }
+
+// add makes instances of one domain.
+func (w *world) add(d *datadriven.TestData) {
+	var domain, holds, staged string
+	d.ScanArgs(w.t, "domain", &domain)
+	d.MaybeScanArgs(w.t, "holds", &holds)
+	d.MaybeScanArgs(w.t, "staged", &staged)
+	for _, id := range strings.Fields(d.Input) {
+		in := &provider.Instance{ID: id, Incarnation: "1", FabricDomain: domain}
+		if holds != "" {
+			in.Loaded, in.Staged = []string{holds}, []string{holds}
+		}
+		if staged != "" {
+			in.Staged = []string{staged}
+		}
+		w.instances[id] = in
+	}
+}
+
+// happen does something to one instance.
+func (w *world) happen(what, id string) {
+	in := w.instances[id]
+	switch what {
+	case "gone":
+		delete(w.instances, id)
+	case "found":
+		w.survey.Find(id)
+	case "lapsed", "listed":
+		w.hidden[id] = what == "lapsed"
+	case "reborn":
+		in.Incarnation, in.Loaded, in.Membership = "2", nil, provider.Membership{}
+	case "closed":
+		in.Membership.State = provider.MemberReady
+	case "leaving":
+		in.Leaving = true
+	default:
+		w.t.Fatalf("unknown command %q", what)
+	}
+}
--- a/pkg/surveyor/survey.go
+++ b/pkg/surveyor/survey.go
@@ -73,9 +73,7 @@
 // concurrent use.
 type Survey struct {
 	instances map[string]provider.Instance
-	// missing says since when an instance has not been listed.
-	missing map[string]time.Time
-	lost    map[string]loss
+	lost      map[string]loss
 	// updated is the time of the last list.
 	updated time.Time
 	// trustAt is when a missing entry counts again as gone.
@@ -97,7 +95,6 @@
 func New() *Survey {
 	return &Survey{
 		instances: make(map[string]provider.Instance),
-		missing:   make(map[string]time.Time),
 		lost:      make(map[string]loss),
 	}
 }
@@ -120,7 +117,6 @@
 	next := make(map[string]provider.Instance, len(listed))
 	for _, in := range listed {
 		next[in.ID] = in
-		delete(s.missing, in.ID)
 	}
 	for id, in := range s.instances {
 		if _, there := next[id]; there {
@@ -128,9 +124,7 @@
 		}
 		if at.Before(s.trustAt) {
 			next[id] = in
-			continue
 		}
-		delete(s.missing, id)
 	}
 	s.instances = next
 	s.forget(at)
