Take control at once from a holder whose instance runs another process

Ruled out: a shorter term (two renewals must be able to fail). Change: gossip shows that the holder's instance runs a later process, so that its lease has ended.

--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -154,17 +155,32 @@
 		Scope:    scope,
 	})
 	n.organiser = organiser.New(organiser.Dependencies{
-		Holder:   s.ID + "/" + strconv.FormatUint(epoch, 10),
+		Holder:   holderName(s.ID, epoch),
 		Table:    p.Table,
 		Observer: n.observer,
 		Orderer:  p.Orderer,
 		Demand:   n.forwarder,
 		Idler:    n.forwarder,
 		Stands:   n.relayer.Reads,
+		Ended:    n.ended,
 	})
 	return n, nil
 }
 
+// holderName names one process of an entry instance.
+func holderName(id string, epoch uint64) string { return id + "/" + strconv.FormatUint(epoch, 10) }
+
+// ended reports whether a process has ended, since the same instance is known
+// to run another by now.
+func (n *Node) ended(holder string) bool {
+	for _, m := range n.introducer.Live() {
+		if strings.HasPrefix(holder, m.ID+"/") {
+			return holder != holderName(m.ID, m.Epoch) && holder < holderName(m.ID, m.Epoch)
+		}
+	}
+	return false
+}
+
 // forwarding returns what the forwarder needs to know.
 func (s Settings) forwarding() forwarder.Settings {
 	return forwarder.Settings{
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -92,6 +92,8 @@
 	// Stands reports whether this instance may take control. The others leave
 	// the lease alone, which saves the store their reads of it.
 	Stands func() bool
+	// Ended reports whether the process of a holder is known to have ended.
+	Ended func(holder string) bool
 }
 
 // Organiser is the control loop of one entry instance.
@@ -138,6 +140,9 @@
 
 func (o *Organiser) leaseLoop(ctx context.Context) {
 	for {
+		if holder := o.holder(); holder != "" && o.Ended(holder) {
+			o.end(holder)
+		}
 		if _, held := o.held(); held || o.Stands() {
 			o.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
 		}
@@ -153,6 +158,13 @@
 	}
 }
 
+// end tells the lease that its holder's process has ended.
+func (o *Organiser) end(holder string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lease.End(holder)
+}
+
 // holder returns who held the lease when it was last read.
 func (o *Organiser) holder() string {
 	o.mu.Lock()
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -104,6 +104,8 @@
 	until time.Time
 	// pending is the value of a commit without an outcome.
 	pending Value
+	// ended is a holder whose process is known to have ended.
+	ended string
 }
 
 // New returns a lease that this process does not hold.
@@ -121,6 +123,11 @@
 // Holder returns who held the lease when last seen.
 func (l *Lease) Holder() string { return l.value.Holder }
 
+// End takes in that the process of a holder has ended, so that its lease need
+// not be waited for. It must be certain, as when the same instance runs another
+// process.
+func (l *Lease) End(holder string) { l.ended = holder }
+
 // Step takes in an event and returns what to do next.
 func (l *Lease) Step(now time.Time, event Event) Action {
 	switch event.Kind {
@@ -155,7 +162,7 @@
 	switch {
 	case value.Holder == l.settings.Holder:
 		return l.commit(Value{Holder: value.Holder, Epoch: value.Epoch, Renewals: value.Renewals + 1})
-	case value.Holder == "" || now.Sub(l.since) >= l.settings.Term+l.settings.Margin:
+	case value.Holder == "" || value.Holder == l.ended || now.Sub(l.since) >= l.settings.Term+l.settings.Margin:
 		return l.commit(Value{Holder: l.settings.Holder, Epoch: value.Epoch + 1})
 	}
 	l.until = time.Time{}
--- a/pkg/leaser/script_test.go
+++ b/pkg/leaser/script_test.go
@@ -76,6 +76,10 @@
 			case "commit_reply_lost":
 				w.commit(name)
 				l.Step(now, Event{Kind: Failed, SentAt: w.sent[name]})
+			case "ended":
+				holder := ""
+				d.ScanArgs(t, "holder", &holder)
+				l.End(holder)
 			case "resign":
 				w.pending[name] = l.Step(now, Event{Kind: Resigned})
 				w.sent[name] = now
