--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
@@ -17,12 +19,15 @@
 	// farLoad is the load of a plain server that weighs as much as another
 	// data centre.
 	farLoad = 0.5
-	// farDelay is the delay to a head that weighs as much: four times the way.
-	farDelay = 4 * time.Millisecond
+	// farDelay is the delay to a head that weighs as much: a tenth of what is
+	// left of the shortest objective.
+	farDelay = 12 * time.Millisecond
 	// informedPeers is how many entry instances hear of each other's load often
 	// enough to compare all lanes; minChoices is how many are compared by any.
 	informedPeers = 12
-	minChoices    = 2
+	minChoices    = 3
+	// farChoices is how many of them are in other data centres.
+	farChoices = 1
 	// runningDelay is what one more running request weighs beyond its part in
 	// each step, since it makes the batch read and write more later.
 	runningDelay = 3 * time.Millisecond
@@ -155,11 +160,11 @@
 	defer f.mu.Unlock()
 	var fresh []router.Candidate
 	byName := make(map[string]*lane, len(lanes))
-	for _, l := range untried(lanes, failed) {
+	for _, l := range f.sample(untried(lanes, failed)) {
 		byName[l.name] = l
 		fresh = append(fresh, router.Candidate{Group: l.name, Load: f.cost(now, l, promptTokens)})
 	}
-	fresh = f.sample(f.tracker.Admit(now, fresh))
+	fresh = f.tracker.Admit(now, fresh)
 	if len(fresh) == 0 {
 		return nil, false
 	}
@@ -179,19 +184,35 @@
 	return byName[fresh[best].Group], true
 }
 
-// sample returns the candidates that are compared for one request. Few entry
+// sample returns the lanes that are compared for one request. Few entry
 // instances hear of each other's choices in time and compare all. Many do not,
-// and would all run to the same lane; each compares a few at random.
-func (f *Forwarder) sample(all []router.Candidate) []router.Candidate {
-	peers := max(1, f.Peers.Count())
-	choices := max(minChoices, len(all)*informedPeers/peers)
+// and would all run to the same lane; each compares a few at random, most of
+// them in its own data centre.
+func (f *Forwarder) sample(all []*lane) []*lane {
+	choices := max(minChoices, len(all)*informedPeers/max(1, f.Peers.Count()))
 	if choices >= len(all) {
 		return all
 	}
 	f.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	here := f.settings.Load().DataCentre
+	slices.SortStableFunc(all, func(a, b *lane) int {
+		return cmp.Compare(btoi(a.head().DataCentre != here), btoi(b.head().DataCentre != here))
+	})
+	near := slices.IndexFunc(all, func(l *lane) bool { return l.head().DataCentre != here })
+	if near > choices-farChoices && near >= 0 {
+		// Keep the nearest, and a few of the others in case all near are busy.
+		return append(all[:choices-farChoices:choices-farChoices], all[near:min(len(all), near+farChoices)]...)
+	}
 	return all[:choices]
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // untried leaves out the lanes that failed, unless there is no other.
 func untried(lanes []*lane, failed map[string]bool) []*lane {
 	var others []*lane
