Tell the load within the data centre where there are many instances

Cause: 87 instances told all others of their load, most of the bytes between data centres. Change: with more than 12 peers only those of the same data centre are told, and more often.

--- a/internal/hoster/peers.go
+++ b/internal/hoster/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/spreader"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// all peers together; the shortest interval is minLoadInterval.
 	loadMessages    = 160
 	minLoadInterval = 40 * time.Millisecond
+	// loadFanout is how many peers at most are all told of the load.
+	loadFanout = 12
 	// sameInterval is the time between two messages while nothing changes: a
 	// third of the time for which a message counts.
 	sameInterval = 300 * time.Millisecond
@@ -56,7 +60,7 @@
 	var last map[string]estimator.Work
 	var told time.Time
 	for {
-		interval := max(minLoadInterval, time.Duration(p.Count())*time.Second/loadMessages)
+		interval := max(minLoadInterval, time.Duration(len(p.loadPeers()))*time.Second/loadMessages)
 		select {
 		case <-ctx.Done():
 			return
@@ -67,17 +71,33 @@
 			continue
 		}
 		last, told = works, clocker.Now()
-		p.runTell(ctx, messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Works: works})
+		p.tell(ctx, p.loadPeers(), messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Works: works})
 	}
 }
 
-// runTell sends a message to all peers. A peer that does not answer in time
-// goes without it.
+// loadPeers returns the peers that are told of this instance's load: all of
+// them if they are few, else those in the same data centre, which mostly choose
+// the same heads.
+func (p *peers) loadPeers() []spreader.Member {
+	all := p.node.introducer.Peers()
+	if len(all) <= loadFanout {
+		return all
+	}
+	return slices.DeleteFunc(all, func(m spreader.Member) bool { return m.DataCentre != p.node.settings.DataCentre })
+}
+
+// runTell sends a message to all peers.
 func (p *peers) runTell(ctx context.Context, method string, message any) {
+	p.tell(ctx, p.node.introducer.Peers(), method, message)
+}
+
+// tell sends a message to some peers. One that does not answer in time goes
+// without it.
+func (p *peers) tell(ctx context.Context, to []spreader.Member, method string, message any) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
-	for _, peer := range p.node.introducer.Peers() {
+	for _, peer := range to {
 		calls.Go(func() {
 			if err := p.node.pool.Call(ctx, peer.Peer, method, message, &messenger.Nothing{}); err != nil {
 				log.WithFields(log.Fields{"peer": peer.ID, "method": method}).WithError(err).Debug("peer not told")
