--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -284,7 +284,7 @@
 
 // refusal builds the error for a request without an answer.
 func (x *exchange) refusal(action retrier.Action) *Refusal {
-	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(soonRetry), Err: x.failure}
+	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(soonRetry), Route: x.route.Name, Lanes: x.lanes, Err: x.failure}
 	switch {
 	case action.Final:
 		refusal.Kind, refusal.RetryAfter = KindQuarantined, 0
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -118,10 +118,14 @@
 	}
 	status := refusal.Status()
 	f.Scope.Tagged(map[string]string{"kind": refusal.Kind.String(), "outcome": refusal.Outcome.String()}).Counter("refusals").Inc(1)
-	log.WithFields(log.Fields{
-		"request": id, "kind": refusal.Kind.String(), "outcome": refusal.Outcome.String(), "status": status,
+	line := log.WithFields(log.Fields{
+		"request": id, "route": refusal.Route, "lanes": refusal.Lanes, "kind": refusal.Kind.String(), "outcome": refusal.Outcome.String(), "status": status,
 		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
-	}).WithError(refusal.Err).Info("request refused")
+	})
+	if refusal.Err != nil {
+		line = line.WithError(refusal.Err)
+	}
+	line.Info("request refused")
 	if refusal.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -51,6 +51,9 @@
 	Outcome retrier.Outcome
 	// RetryAfter says when to come back; zero says nothing.
 	RetryAfter time.Duration
+	// Route and Lanes say where the request belonged and was sent, for the log.
+	Route string
+	Lanes []string
 	// Err is the cause, or nil.
 	Err error
 }
--- /dev/null
+++ b/internal/logger/writer_test.go
@@ -0,0 +1,42 @@
+package logger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReaderThatStopped writes to a pipe that nobody reads: no line holds its
+// writer up, and what does not fit is counted.
+func TestReaderThatStopped(t *testing.T) {
+	reader, pipe := io.Pipe()
+	defer reader.Close()
+	w := New(pipe)
+	w.Start(t.Context())
+	began := time.Now()
+	const lines = 5000
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(began) < time.Second)
+	assert.Assert(t, w.Dropped() >= lines-ringLines-burstLines, "%d dropped", w.Dropped())
+}
+
+// TestLinesComeInOrder reads what was written before the end.
+func TestLinesComeInOrder(t *testing.T) {
+	var out strings.Builder
+	w := New(&out)
+	for i := range 3 {
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	w.loop(ctx)
+	assert.Equal(t, out.String(), "line 0\nline 1\nline 2\n")
+}
--- a/internal/relayer/ledger.go
+++ b/internal/relayer/ledger.go
@@ -37,10 +37,11 @@
 	return &ledger{epoch: epoch, entries: make(map[string]ledgerEntry), removed: make(map[string]uint64)}
 }
 
-// list takes in the instances as of that time.
-func (l *ledger) list(at time.Time, instances []provider.Instance) {
+// list takes in the instances as of that time, unless a later list is known. It
+// reports whether it did.
+func (l *ledger) list(at time.Time, instances []provider.Instance) bool {
 	if at.Before(l.listedAt) {
-		return
+		return false
 	}
 	l.listedAt = at
 	next := l.revision + 1
@@ -69,6 +70,7 @@
 		clear(l.removed)
 		l.epoch++
 	}
+	return true
 }
 
 // prove takes in the configuration as of that time. Versions only rise.
--- /dev/null
+++ b/internal/relayer/ledger_test.go
@@ -0,0 +1,75 @@
+package relayer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// TestScripts lets an asker follow two readers, of which each has its own view.
+// Times are in milliseconds; an answer takes no time unless "took" says so.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		start := time.Unix(1000, 0)
+		readers := map[string]*ledger{"r1": newLedger(1), "r2": newLedger(2)}
+		asker := New(Dependencies{Epoch: 3})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			at, took, version := 0, 0, 0
+			reader := "r1"
+			d.ScanArgs(t, "at", &at)
+			d.MaybeScanArgs(t, "took", &took)
+			d.MaybeScanArgs(t, "version", &version)
+			d.MaybeScanArgs(t, "reader", &reader)
+			now := start.Add(time.Duration(at) * time.Millisecond)
+			switch d.Cmd {
+			case "read":
+				var listed []provider.Instance
+				for _, word := range strings.Fields(d.Input) {
+					id, zone, _ := strings.Cut(word, "=")
+					listed = append(listed, provider.Instance{ID: id, DataCentre: zone})
+				}
+				readers[reader].list(now, listed)
+				if version > 0 {
+					readers[reader].prove(now, mapper.New(mapper.Config{Version: uint64(version)}))
+				}
+				return ""
+			case "ask":
+				arguments := messenger.NewsArguments{}
+				if asker.asked == reader {
+					arguments.Epoch, arguments.Revision = asker.epoch, asker.revision
+				}
+				if asker.ledger.config != nil {
+					arguments.ConfigVersion = asker.ledger.config.Version
+				}
+				reply := readers[reader].news(now.Add(time.Duration(took)*time.Millisecond), arguments)
+				asker.learn(now, reader, reply)
+				return fmt.Sprintf("whole=%t changed=%d removed=%d config=%t\n", reply.Whole, len(reply.Changed), len(reply.Removed), reply.Config != nil) + show(asker, now)
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func show(r *Relayer, now time.Time) string {
+	s := r.ledger.snapshot()
+	var names []string
+	for _, in := range s.Instances {
+		names = append(names, in.ID+"="+in.DataCentre)
+	}
+	slices.Sort(names)
+	version := uint64(0)
+	if s.Config != nil {
+		version = s.Config.Version
+	}
+	return fmt.Sprintf("%s; list %d ms old, version %d proved %d ms ago\n", strings.Join(names, " "),
+		now.Sub(s.ListedAt).Milliseconds(), version, now.Sub(s.ProvedAt).Milliseconds())
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -199,8 +199,14 @@
 
 // learn takes in a peer's answer to a question that was begun at that time.
 func (r *Relayer) learn(began time.Time, peer string, reply messenger.NewsReply) {
-	r.ledger.list(began.Add(-reply.ListAge), r.merged(reply))
-	r.asked, r.epoch, r.revision = peer, reply.Epoch, reply.Revision
+	at := began.Add(-reply.ListAge)
+	if !reply.Whole && at.Before(r.ledger.listedAt) {
+		// The same reader's next changes, though its answer took long.
+		at = r.ledger.listedAt
+	}
+	if r.ledger.list(at, r.merged(reply)) {
+		r.asked, r.epoch, r.revision = peer, reply.Epoch, reply.Revision
+	}
 	config := r.ledger.config
 	if reply.Config != nil {
 		config = mapper.New(*reply.Config)
