Share the lease's driver; keep one caller for each entry in the tests

Change: one caller an entry, and a look-up that fails is an error. Also: internal/renewer drives the lease for both control loops; former.go is split; fields that nothing reads are gone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/follower"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
+	"github.com/waxwingmount/waxwingmount/internal/renewer"
 	"github.com/waxwingmount/waxwingmount/pkg/leaser"
 	"github.com/waxwingmount/waxwingmount/pkg/placer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -60,9 +60,9 @@
 	Dependencies
 	sender *sender
 	placer *placer.Placer
+	lease  *renewer.Renewer
 
-	mu    sync.Mutex
-	lease *leaser.Lease
+	mu sync.Mutex
 	// listed is the newest list of instances.
 	listed []provider.Instance
 }
@@ -73,12 +73,12 @@
 		Dependencies: d,
 		sender:       newSender(),
 		placer:       placer.New(),
-		lease: leaser.New(leaser.Settings{
+		lease: renewer.New(d.Platform, leaser.Settings{
 			Key:    leaseKey,
 			Holder: d.Holder,
 			Term:   leaseTerm,
 			Margin: clockError + orderFlight,
-		}),
+		}, time.Now),
 	}
 }
 
@@ -90,11 +90,7 @@
 }
 
 // Leader returns who held the lease when it was last read.
-func (c *Controller) Leader() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease.Holder()
-}
+func (c *Controller) Leader() string { return c.lease.Holder() }
 
 // Instances returns the newest list of instances.
 func (c *Controller) Instances() []provider.Instance {
@@ -103,53 +99,17 @@
 	return c.listed
 }
 
-// remaining returns how much of the lease's term is left.
-func (c *Controller) remaining() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease.Remaining(time.Now())
-}
-
 // mayOrder reports whether an order sent now ends within the lease.
-func (c *Controller) mayOrder() bool { return c.remaining() > orderFlight }
+func (c *Controller) mayOrder() bool { return c.lease.Remaining() > orderFlight }
 
 func (c *Controller) leaseLoop(ctx context.Context) {
 	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
-		c.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
+		c.lease.Drive(ctx, leaser.Event{Kind: leaser.Ticked})
 	})
 }
 
-// driveLease steps the lease's machine until it rests.
-func (c *Controller) driveLease(ctx context.Context, event leaser.Event) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	for {
-		c.mu.Lock()
-		action := c.lease.Step(time.Now(), event)
-		c.mu.Unlock()
-		sentAt := time.Now()
-		var err error
-		switch action.Kind {
-		case leaser.Rest:
-			return
-		case leaser.Read:
-			event = leaser.Event{Kind: leaser.RowRead, SentAt: sentAt}
-			event.Row, err = c.Platform.Read(ctx, action.Key)
-		case leaser.Commit:
-			action.Transaction.OperationID = uuid.NewString()
-			event = leaser.Event{Kind: leaser.Settled, SentAt: sentAt}
-			event.Outcome, err = c.Platform.Commit(ctx, action.Transaction)
-		}
-		if err != nil {
-			event = leaser.Event{Kind: leaser.Failed, SentAt: sentAt}
-		}
-	}
-}
-
 // Resign gives the lease up, so that another instance need not wait for its end.
-func (c *Controller) Resign(ctx context.Context) {
-	c.driveLease(ctx, leaser.Event{Kind: leaser.Resigned})
-}
+func (c *Controller) Resign(ctx context.Context) { c.lease.Resign(ctx) }
 
 func (c *Controller) listLoop(ctx context.Context) {
 	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -19,14 +19,10 @@
 	// Timeout is how long the caller waits; zero says nothing.
 	Timeout time.Duration
 	// Model is set for requests to model engines.
-	Model           string
-	PromptTokens    int
-	MaxAnswerTokens int
+	Model        string
+	PromptTokens int
 	// LengthHint is the caller's guess of the answer's tokens.
 	LengthHint int
-	// Subject names what the request is about; requests of one subject share
-	// the beginning of their prompts.
-	Subject string
 }
 
 // Send is what a backend server is told with a request.
--- a/internal/integration/cluster_test.go
+++ b/internal/integration/cluster_test.go
@@ -88,6 +88,8 @@
 	domainOf  map[string]string
 	services  []netip.AddrPort
 	toxics    *toxiproxy.ApiServer
+	// clients holds a *caller.Client for each entry instance.
+	clients sync.Map
 	// address is the cluster's own loopback address.
 	address  netip.Addr
 	nextPort uint16
--- a/internal/integration/once_test.go
+++ b/internal/integration/once_test.go
@@ -155,10 +155,9 @@
 }
 
 func (c *cluster) sendOnce(ctx context.Context, entry, subject string) string {
-	client := caller.New(c.only(entry), caller.WithKey(organisationKey))
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	result, err := client.Do(ctx, caller.Request{
+	result, err := c.clientOf(entry).Do(ctx, caller.Request{
 		Path:           "/portal/reminders",
 		Body:           []byte(subject),
 		IdempotencyKey: subject,
@@ -169,6 +168,13 @@
 	return result.Outcome
 }
 
+// clientOf returns the caller of one entry instance, made once: each has its own
+// connections.
+func (c *cluster) clientOf(entry string) *caller.Client {
+	client, _ := c.clients.LoadOrStore(entry, caller.New(c.only(entry), caller.WithKey(organisationKey)))
+	return client.(*caller.Client)
+}
+
 // TestRepeatedKey sends the same key again after its run: the recorded answer
 // comes back, and another request under that key is refused.
 func TestRepeatedKey(t *testing.T) {
--- a/internal/integration/operate_test.go
+++ b/internal/integration/operate_test.go
@@ -23,11 +23,15 @@
 // records returns what all engines and services wrote of their runs.
 func (c *cluster) records() []engineemulator.Run {
 	c.t.Helper()
-	paths, err := filepath.Glob(filepath.Join(c.dir, "*.record"))
+	// Not by a pattern: a look-up that fails must not pass for no records.
+	entries, err := os.ReadDir(c.dir)
 	assert.NilError(c.t, err)
 	var runs []engineemulator.Run
-	for _, path := range paths {
-		file, err := os.Open(path)
+	for _, entry := range entries {
+		if filepath.Ext(entry.Name()) != ".record" {
+			continue
+		}
+		file, err := os.Open(filepath.Join(c.dir, entry.Name()))
 		assert.NilError(c.t, err)
 		read, err := engineemulator.ReadRuns(file)
 		assert.NilError(c.t, err)
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -19,11 +19,11 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/google/uuid"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
+	"github.com/waxwingmount/waxwingmount/internal/renewer"
 	"github.com/waxwingmount/waxwingmount/pkg/former"
 	"github.com/waxwingmount/waxwingmount/pkg/leaser"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
@@ -60,8 +60,6 @@
 	takeoverTime = orderFlight + 100*time.Millisecond
 	// listAge is how old the list may be that orders are based on.
 	listAge = 1500 * time.Millisecond
-	// tableTimeout bounds one call to the table service.
-	tableTimeout = 1500 * time.Millisecond
 )
 
 // Orderer delivers orders to instances.
@@ -101,7 +99,7 @@
 	Dependencies
 
 	mu    sync.Mutex
-	lease *leaser.Lease
+	lease *renewer.Renewer
 	term  uint64
 	// resting says that this instance was not in control at the last pass.
 	resting bool
@@ -123,12 +121,12 @@
 		formers:      make(map[string]*former.Former),
 		epochs:       make(map[string]uint64),
 		tallies:      make(map[string]map[string]former.Tally),
-		lease: leaser.New(leaser.Settings{
+		lease: renewer.New(d.Table, leaser.Settings{
 			Key:    leaseKey,
 			Holder: d.Holder,
 			Term:   leaseTerm,
 			Margin: clockError,
-		}),
+		}, clocker.Now),
 	}
 }
 
@@ -140,14 +138,14 @@
 
 func (o *Organiser) leaseLoop(ctx context.Context) {
 	for {
-		if holder := o.holder(); holder != "" && o.Ended(holder) {
-			o.end(holder)
+		if holder := o.lease.Holder(); holder != "" && o.Ended(holder) {
+			o.lease.End(holder)
 		}
 		if _, held := o.held(); held || o.Stands() {
-			o.driveLease(ctx, leaser.Event{Kind: leaser.Ticked})
+			o.lease.Drive(ctx, leaser.Event{Kind: leaser.Ticked})
 		}
 		wait := renewInterval
-		if o.holder() == "" {
+		if o.lease.Holder() == "" {
 			wait = firstInterval
 		}
 		select {
@@ -158,58 +156,13 @@
 	}
 }
 
-// end tells the lease that its holder's process has ended.
-func (o *Organiser) end(holder string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lease.End(holder)
-}
-
-// holder returns who held the lease when it was last read.
-func (o *Organiser) holder() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lease.Holder()
-}
-
-// driveLease steps the lease's machine until it rests.
-func (o *Organiser) driveLease(ctx context.Context, event leaser.Event) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	for {
-		o.mu.Lock()
-		action := o.lease.Step(clocker.Now(), event)
-		o.mu.Unlock()
-		sentAt := clocker.Now()
-		var err error
-		switch action.Kind {
-		case leaser.Rest:
-			return
-		case leaser.Read:
-			event = leaser.Event{Kind: leaser.RowRead, SentAt: sentAt}
-			event.Row, err = o.Table.Read(ctx, action.Key)
-		case leaser.Commit:
-			action.Transaction.OperationID = uuid.NewString()
-			event = leaser.Event{Kind: leaser.Settled, SentAt: sentAt}
-			event.Outcome, err = o.Table.Commit(ctx, action.Transaction)
-		}
-		if err != nil {
-			event = leaser.Event{Kind: leaser.Failed, SentAt: sentAt}
-		}
-	}
-}
-
 // Resign gives the lease up, so that another instance need not wait for its end.
-func (o *Organiser) Resign(ctx context.Context) {
-	o.driveLease(ctx, leaser.Event{Kind: leaser.Resigned})
-}
+func (o *Organiser) Resign(ctx context.Context) { o.lease.Resign(ctx) }
 
 // held reports whether an order that is sent now ends within the lease, and
 // under which fence.
 func (o *Organiser) held() (uint64, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lease.Epoch(), o.lease.Remaining(clocker.Now()) > orderFlight
+	return o.lease.Epoch(), o.lease.Remaining() > orderFlight
 }
 
 func (o *Organiser) loop(ctx context.Context) {
--- /dev/null
+++ b/internal/renewer/renewer.go
@@ -0,0 +1,99 @@
+// Package renewer drives the machine of a lease against the table service.
+//
+// # Usage
+//
+//	r := renewer.New(table, leaser.Settings{...}, time.Now)
+//	r.Drive(ctx, leaser.Event{Kind: leaser.Ticked})
+//	if r.Remaining() > flight { send the order }
+package renewer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/waxwingmount/waxwingmount/pkg/leaser"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// callTimeout bounds the calls of one drive: the longest that a slow table
+// service takes for a transaction.
+const callTimeout = 2 * time.Second
+
+// Renewer is one process's hold on a lease. It is safe for concurrent use.
+type Renewer struct {
+	table provider.Table
+	now   func() time.Time
+
+	mu    sync.Mutex
+	lease *leaser.Lease
+}
+
+// New returns a renewer that does not hold the lease. The clock must not jump.
+func New(table provider.Table, settings leaser.Settings, now func() time.Time) *Renewer {
+	return &Renewer{table: table, now: now, lease: leaser.New(settings)}
+}
+
+// Drive steps the lease's machine from an event on until it rests.
+func (r *Renewer) Drive(ctx context.Context, event leaser.Event) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for {
+		action := r.step(event)
+		sentAt := r.now()
+		var err error
+		switch action.Kind {
+		case leaser.Rest:
+			return
+		case leaser.Read:
+			event = leaser.Event{Kind: leaser.RowRead, SentAt: sentAt}
+			event.Row, err = r.table.Read(ctx, action.Key)
+		case leaser.Commit:
+			action.Transaction.OperationID = uuid.NewString()
+			event = leaser.Event{Kind: leaser.Settled, SentAt: sentAt}
+			event.Outcome, err = r.table.Commit(ctx, action.Transaction)
+		}
+		if err != nil {
+			event = leaser.Event{Kind: leaser.Failed, SentAt: sentAt}
+		}
+	}
+}
+
+func (r *Renewer) step(event leaser.Event) leaser.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Step(r.now(), event)
+}
+
+// Resign gives the lease up, so that another instance need not wait for its end.
+func (r *Renewer) Resign(ctx context.Context) { r.Drive(ctx, leaser.Event{Kind: leaser.Resigned}) }
+
+// Remaining returns how much of this process's term is left.
+func (r *Renewer) Remaining() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Remaining(r.now())
+}
+
+// Epoch returns the epoch of the lease as last seen.
+func (r *Renewer) Epoch() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Epoch()
+}
+
+// Holder returns who held the lease when it was last read.
+func (r *Renewer) Holder() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Holder()
+}
+
+// End takes in that the process of a holder has ended.
+func (r *Renewer) End(holder string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease.End(holder)
+}
--- a/pkg/former/former.go
+++ b/pkg/former/former.go
@@ -25,47 +25,6 @@
 	"github.com/waxwingmount/waxwingmount/pkg/surveyor"
 )
 
-//go:generate stringer -type=OrderKind,Outcome -linecomment -output=enum_string.go
-
-// OrderKind is what an instance is told to do.
-type OrderKind int
-
-// Kinds of order.
-const (
-	// Join makes the instance a member of a group.
-	Join OrderKind = iota // join
-	// Open makes the head of a group take requests.
-	Open // open
-	// Close makes the head take no more requests and end those it has.
-	Close // close
-	// Leave makes the instance leave its group at once.
-	Leave // leave
-)
-
-// Outcome is what became of an order.
-type Outcome int
-
-// Outcomes of an order.
-const (
-	// Unknown says that no answer came; the order may still be carried out.
-	Unknown Outcome = iota // unknown
-	// Accepted says that the order has begun or is done.
-	Accepted // accepted
-	// Refused says that the instance will not carry the order out.
-	Refused // refused
-)
-
-// Order is one order to one instance.
-type Order struct {
-	Kind     OrderKind
-	Instance provider.Instance
-	Group    string
-	Epoch    uint64
-	Model    string
-	// Members are the ids of the group's members, the head first.
-	Members []string
-}
-
 const (
 	// resendTime is how long an order may show no effect before it is sent
 	// again: the reports' lag and a look at the list, twice.
@@ -409,50 +368,6 @@
 	}
 }
 
-// Tally counts a model's groups by how far they are.
-type Tally struct {
-	Forming int
-	Open    int
-	// Spread counts the open groups that are not in one fabric domain.
-	Spread int
-	Ending int
-	// Ready and Loading count the instances in no group, with the model's
-	// weights and on the way to them.
-	Ready   int
-	Loading int
-}
-
-// Tallies counts the groups of each model.
-func (f *Former) Tallies() map[string]Tally {
-	tallies := make(map[string]Tally)
-	for _, g := range f.groups {
-		t := tallies[g.model.Name]
-		switch {
-		case !g.brokenAt.IsZero() || !g.closedAt.IsZero():
-			t.Ending++
-		case g.opened:
-			t.Open++
-			if (surveyor.Group{Members: g.members}).Spread() {
-				t.Spread++
-			}
-		default:
-			t.Forming++
-		}
-		tallies[g.model.Name] = t
-	}
-	for model, n := range f.idle {
-		t := tallies[model]
-		t.Ready = n
-		tallies[model] = t
-	}
-	for _, l := range f.loading {
-		t := tallies[l.model]
-		t.Loading++
-		tallies[l.model] = t
-	}
-	return tallies
-}
-
 func (f *Former) newName(model string) (string, uint64) {
 	f.next++
 	epoch := f.base + f.next
--- /dev/null
+++ b/pkg/former/tally.go
@@ -0,0 +1,47 @@
+package former
+
+import "github.com/waxwingmount/waxwingmount/pkg/surveyor"
+
+// Tally counts a model's groups by how far they are.
+type Tally struct {
+	Forming int
+	Open    int
+	// Spread counts the open groups that are not in one fabric domain.
+	Spread int
+	Ending int
+	// Ready and Loading count the instances in no group, with the model's
+	// weights and on the way to them.
+	Ready   int
+	Loading int
+}
+
+// Tallies counts the groups of each model.
+func (f *Former) Tallies() map[string]Tally {
+	tallies := make(map[string]Tally)
+	for _, g := range f.groups {
+		t := tallies[g.model.Name]
+		switch {
+		case !g.brokenAt.IsZero() || !g.closedAt.IsZero():
+			t.Ending++
+		case g.opened:
+			t.Open++
+			if (surveyor.Group{Members: g.members}).Spread() {
+				t.Spread++
+			}
+		default:
+			t.Forming++
+		}
+		tallies[g.model.Name] = t
+	}
+	for model, n := range f.idle {
+		t := tallies[model]
+		t.Ready = n
+		tallies[model] = t
+	}
+	for _, l := range f.loading {
+		t := tallies[l.model]
+		t.Loading++
+		tallies[l.model] = t
+	}
+	return tallies
+}
--- a/pkg/mapper/config.go
+++ b/pkg/mapper/config.go
@@ -80,8 +80,6 @@
 	Models []Model
 	// Slots is how many requests a replica group runs at once.
 	Slots int
-	// CacheTokens is how many tokens fit into a replica group's memory.
-	CacheTokens int
 	// Step is the time of one token step with no request.
 	Step time.Duration
 	// StepPerRequest is added to a step for each request that writes.
@@ -104,8 +102,6 @@
 	LoadsPerSecond float64
 	// LoadsAtOnce is how many loads run at full speed together.
 	LoadsAtOnce int
-	// OpenTime is how long a head takes to open its group.
-	OpenTime time.Duration
 }
 
 // Model returns the model of that name.
@@ -121,8 +117,6 @@
 // Service is a set of backend servers that do the same work.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one backend server takes.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -137,10 +131,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is the longest body; zero says nothing.
+	BodyBytes int64
 }
 
 // Config is one version of what the operator wants.
