--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -240,7 +240,7 @@
 	return set
 }
 
-// pooled names what one queue stands before.
+// poolKey names what one queue stands before.
 type poolKey struct {
 	service string
 	model   string
