Fault soak: the real daemon under seeded faults from outside

Change: platform/emulator stands in for the users' platform on the wire (store, backend servers with groups, operator, callers); internal/soaker, in test files alone, plays it in processes behind a loopback proxy: kills, pauses, SIGTERM, SIGHUP, links that delay, reset, lose one way or fall silent, a store that is busy, silent, resets, writes without an answer or late, servers that leave. A checker holds at-most-once, true refusals, whole answers, order of streams, keys, routes, budget, members of groups, loss at planned stops, recovery; each check is shown to find its fault (TestCheckerFinds).

--- /dev/null
+++ b/internal/soaker/soak_test.go
@@ -0,0 +1,107 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	seeds    = flag.Int("seeds", 0, "how many fresh days the soak plays besides the kept ones; 0 plays one")
+	first    = flag.Uint64("first", 0, "the seed of the first fresh day; 0 takes today's")
+	keepLogs = flag.String("keep-logs", "", "a directory for the logs of the entry instances")
+)
+
+// firstSeed is the fresh day of a run without flags.
+const firstSeed = 1
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(roleVariable); role != "" {
+		if err := playRole(role); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestSoak plays days of the real daemon under faults from outside: the days
+// of testdata/seeds.txt, which failed once, and fresh ones.
+func TestSoak(t *testing.T) {
+	daemon := filepath.Join(t.TempDir(), "waxwingd")
+	build, err := exec.Command("go", "build", "-o", daemon, "../../cmd/waxwingd").CombinedOutput()
+	assert.NilError(t, err, "%s", build)
+	days := keptSeeds(t)
+	if *seeds > 0 || *first > 0 {
+		days = nil
+	}
+	start := max(*first, firstSeed)
+	for i := range max(1, *seeds) {
+		days = append(days, start+uint64(i))
+	}
+	for i, seed := range days {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			found := playDay(t, byte(os.Getpid()+i), daemon, seed)
+			assert.Equal(t, len(found), 0, strings.Join(found, "\n"))
+		})
+	}
+}
+
+// keptSeeds reads the seeds of days that failed once.
+func keptSeeds(t *testing.T) []uint64 {
+	file, err := os.Open("testdata/seeds.txt")
+	assert.NilError(t, err)
+	defer file.Close()
+	var kept []uint64
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		text, _, _ := strings.Cut(lines.Text(), " ")
+		if text == "" || text == "#" {
+			continue
+		}
+		seed, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		kept = append(kept, seed)
+	}
+	return kept
+}
+
+// playDay plays one day and returns the promises that were broken.
+func playDay(t *testing.T, run byte, daemon string, seed uint64) []string {
+	w := newWorld(t, run, daemon, *keepLogs)
+	defer w.stop()
+	w.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers := &traffic{world: w, seed: seed}
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		callers.run(ctx)
+	}()
+	time.Sleep(warmUp)
+	steps := plan(w, seed)
+	for _, s := range steps {
+		t.Logf("%6.2f s for %.2f s: %s", s.at.Seconds(), s.hold.Seconds(), s.name)
+	}
+	w.play(steps)
+	time.Sleep(calmTime)
+	cancel()
+	<-finished
+	callers.finish()
+	found := w.checker.finish()
+	t.Log(w.checker.summary())
+	return found
+}
