--- a/internal/soaker/plan_test.go
+++ b/internal/soaker/plan_test.go
@@ -39,7 +39,7 @@
 var makers = []maker{
 	killEntry, pauseEntry, stopEntry, stopEntry, hangUp,
 	killServer, pauseServer, leaveServer, misbehave, misbehave,
-	spoilCaller, spoilStore, spoilServer, spoilServer, changeRoute, endKey,
+	spoilCaller, spoilStore, spoilStores, spoilServer, spoilServer, changeRoute, endKey, endKey,
 }
 
 // plan draws the steps of a day from its seed.
@@ -158,6 +158,21 @@
 	return spoil("entry to store", w.toStore, random)
 }
 
+// spoilStores cuts all entry instances off the store for longer than keys may
+// go unconfirmed.
+func spoilStores(w *world, random *rand.Rand) step {
+	fault := anyFault(random)
+	return step{name: fmt.Sprintf("all entries to store fault %d", fault), play: func(hold time.Duration) {
+		for _, link := range w.toStore {
+			link.set(fault)
+		}
+		time.Sleep(dayBounds.keyTTL + hold)
+		for _, link := range w.toStore {
+			link.set(linkSound)
+		}
+	}}
+}
+
 func spoilServer(w *world, random *rand.Rand) step {
 	return spoil("entries to server", w.toServer, random)
 }
@@ -188,11 +203,16 @@
 
 func endKey(w *world, _ *rand.Rand) step {
 	return step{name: "end a key", planned: true, play: func(time.Duration) {
+		key := ""
 		err := w.write(func(c *emulator.Config) {
-			c.Keys = map[string][]string{"members": c.Keys["members"], "visitors": {"visitors-1"}}
+			// The first key of the organisation stays.
+			if left := c.Keys[shrinking]; len(left) > 1 {
+				key = left[len(left)-1]
+				c.Keys = map[string][]string{keeping: c.Keys[keeping], shrinking: left[:len(left)-1]}
+			}
 		})
-		if err == nil {
-			w.checker.ended(lostKey)
+		if err == nil && key != "" {
+			w.checker.ended(key)
 		}
 	}}
 }
--- a/internal/soaker/traffic_test.go
+++ b/internal/soaker/traffic_test.go
@@ -122,7 +122,8 @@
 // draw makes a request of a random kind.
 func draw(random *rand.Rand, id string) emulator.Request {
 	path := []string{pathRepeat, pathOnce, pathStream, pathStream, pathExtra}[random.IntN(5)]
-	return shape(random, id, path, []string{"members-1", "visitors-1", lostKey}[random.IntN(3)])
+	keys := append([]string{keeping + "-1"}, shrinkingKeys...)
+	return shape(random, id, path, keys[random.IntN(len(keys))])
 }
 
 func shape(random *rand.Rand, id, path, key string) emulator.Request {
@@ -150,7 +151,7 @@
 		var mu sync.Mutex
 		served := 0
 		for i := range finalAsked {
-			r := shape(random, fmt.Sprintf("last-%s-%d", path[1:len(path)-1], i), path, "members-1")
+			r := shape(random, fmt.Sprintf("last-%s-%d", path[1:len(path)-1], i), path, keeping+"-1")
 			group.Go(func() {
 				if f.send(emulator.NewCaller(), i%entries, r).whole() {
 					mu.Lock()
--- a/internal/soaker/world_test.go
+++ b/internal/soaker/world_test.go
@@ -35,12 +35,19 @@
 	stallTime      = 1500 * time.Millisecond
 	grace          = 4 * time.Second
 	host           = "soak.example"
-	lostKey        = "visitors-2"
 	serviceOfPlain = "portal"
 	serviceOfModel = "assist"
 	routeTimeout   = 4 * time.Second
 )
 
+// The organisations: one keeps its key, the other loses all but one.
+const (
+	keeping   = "members"
+	shrinking = "visitors"
+)
+
+var shrinkingKeys = []string{"visitors-1", "visitors-2", "visitors-3", "visitors-4", "visitors-5"}
+
 var dayBounds = bounds{
 	keyTTL: 3 * time.Second, contact: 2 * time.Second, apply: 2 * time.Second,
 	retryRatio: 0.2, retrySlack: 60, maxAttempts: 2 + entries,
@@ -225,7 +232,7 @@
 		Engines: map[string][]emulator.Model{serviceOfModel: {
 			{Name: "m0", Size: 2, Load: loadTime, Warm: warmTime}, {Name: "m1", Size: 2, Load: loadTime, Warm: warmTime},
 		}},
-		Keys: map[string][]string{"members": {"members-1"}, "visitors": {"visitors-1", lostKey}},
+		Keys: map[string][]string{keeping: {keeping + "-1"}, shrinking: shrinkingKeys},
 	}
 	w.eventually("the first configuration", func() bool { return w.write(func(*emulator.Config) {}) == nil })
 	for _, p := range append(append([]*process{}, w.servers...), w.daemons...) {
