Explain a request from the logs of several instances; keys count by their age at arrival

Cause: an operator had grep. What must hold is the age when the request came. Keys count by the age at arrival; a withdrawn request ends at once; one whose route moved is sent to the new service. Counters, histograms and gauges on the metrics address, store calls and errors among them. Tests: TestStreamGoesOnWithoutTheStore and TestKeyTakenAwayUnderAStream failed before; stories of real logs in internal/explainer/testdata.

--- a/cmd/waxwingd/hosted_test.go
+++ b/cmd/waxwingd/hosted_test.go
@@ -19,6 +19,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/platform"
 )
 
@@ -119,6 +120,6 @@
 	path := filepath.Join(t.TempDir(), "local.json")
 	assert.NilError(t, os.WriteFile(path, []byte(`{"node_name":"n"}`), 0o600))
 	t.Setenv(platform.SettingsVariable, path)
-	err := runHosted(t.Context(), nil)
+	err := runHosted(t.Context(), logger.New(io.Discard), nil)
 	assert.ErrorContains(t, err, "local.json: zone is missing")
 }
--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -15,11 +15,13 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/hoster"
 	"github.com/waxwingmount/waxwingmount/internal/loader"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
@@ -53,7 +55,7 @@
 	if hosted {
 		hangups := make(chan os.Signal, 1)
 		signal.Notify(hangups, syscall.SIGHUP)
-		return runHosted(ctx, hangups)
+		return runHosted(ctx, writer, hangups)
 	}
 	return run(ctx, path)
 }
@@ -83,17 +85,20 @@
 	collectPercent = 200
 )
 
-func runHosted(ctx context.Context, hangups <-chan os.Signal) error {
+func runHosted(ctx context.Context, writer *logger.Writer, hangups <-chan os.Signal) error {
+	started := clocker.Now()
 	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
 	}
+	process := hoster.Process{Epoch: uint64(time.Now().UnixNano()), Started: started, LinesDropped: writer.Dropped}
+	log.SetHandler(logger.Stamp(json.New(writer), settings.Hosted.ID, process.Epoch, started))
 	if settings.Hosted.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Hosted.MemoryBytes)))
 	}
 	debug.SetGCPercent(collectPercent)
 	client := platform.NewClient(settings.Store)
-	node, err := hoster.New(settings.Hosted, hoster.Platform{
+	node, err := hoster.New(settings.Hosted, process, hoster.Platform{
 		Table:     client,
 		Source:    client,
 		Prober:    client,
--- /dev/null
+++ b/internal/explainer/explainer.go
@@ -0,0 +1,128 @@
+// Package explainer tells from the logs of several entry instances what became
+// of one request, or of one replica group, and why. It puts the lines in order
+// though the instances' times of day differ.
+//
+// # Usage
+//
+//	history := explainer.New(lines)
+//	story, err := history.Request("9c41d07be2a35f68")
+//	for _, line := range story.Lines { ... }
+//	fmt.Println(story.Cause)
+package explainer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
+
+// Kind sorts the failures of this package.
+type Kind int
+
+// Kinds of failure.
+const (
+	// KindInput says that a log cannot be read.
+	KindInput Kind = iota + 1
+	// KindUnknown says that no line tells of what was asked for.
+	KindUnknown
+)
+
+// Error is the error type of this package.
+type Error = faulter.Error[Kind]
+
+const (
+	// before and after are how far around a request other lines may bear on it:
+	// a loss is found within two seconds of the stall that it causes.
+	before = 3 * time.Second
+	after  = time.Second
+)
+
+// Story is what the lines tell of one request or group.
+type Story struct {
+	// Subject is the request's or the group's name.
+	Subject string `json:"subject"`
+	Lines   []Line `json:"lines"`
+	// Cause says in a sentence how it ended and why.
+	Cause string `json:"cause"`
+}
+
+// History is the lines of several entry instances in order.
+type History struct{ lines []Line }
+
+// New puts the lines of several logs in order.
+func New(lines []Line) *History {
+	lines = slices.Clone(lines)
+	align(lines)
+	return &History{lines: lines}
+}
+
+// Request tells what became of a request.
+func (h *History) Request(id string) (Story, error) {
+	own := h.filter(func(l Line) bool { return l.text(logger.FieldRequest) == id })
+	if len(own) == 0 {
+		return Story{}, faulter.Newf("explain", KindUnknown, "no line tells of request %q", id)
+	}
+	subject := subjectOf(own)
+	lines := h.filter(func(l Line) bool { return l.text(logger.FieldRequest) == id || subject.bears(l) })
+	lines = append(h.beliefs(subject), lines...)
+	slices.SortStableFunc(lines, func(a, b Line) int { return int(a.At - b.At) })
+	return Story{Subject: id, Lines: lines, Cause: subject.cause(own, lines)}, nil
+}
+
+// Group tells the life of a replica group.
+func (h *History) Group(name string) (Story, error) {
+	lines := h.filter(func(l Line) bool {
+		return l.text(logger.FieldGroup) == name || l.text(logger.FieldLane) == name && l.Message == logger.LineBroke
+	})
+	if len(lines) == 0 {
+		return Story{}, faulter.Newf("explain", KindUnknown, "no line tells of group %q", name)
+	}
+	return Story{Subject: name, Lines: lines, Cause: groupCause(lines)}, nil
+}
+
+func (h *History) filter(want func(Line) bool) []Line {
+	var found []Line
+	for _, l := range h.lines {
+		if want(l) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// beliefs returns what the request's entry instance last believed before it:
+// the configuration, the store, and what stood before the request's model.
+func (h *History) beliefs(s subject) []Line {
+	last := make(map[string]Line)
+	for _, l := range h.lines {
+		if l.At > s.from {
+			break
+		}
+		own := l.process() == s.process
+		switch l.Message {
+		case logger.LineConfig:
+			if own {
+				last[l.Message] = l
+			}
+		case logger.LineStore, logger.LineNoStore:
+			if own {
+				last[logger.LineStore] = l
+			}
+		case logger.LineGroups:
+			if s.model != "" && l.text(logger.FieldModel) == s.model {
+				last[l.Message] = l
+			}
+		case logger.LineControl:
+			last[l.Message] = l
+		}
+	}
+	var found []Line
+	for _, l := range last {
+		found = append(found, l)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,76 @@
+package explainer
+
+import (
+	"bufio"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// TestStories reads logs of several instances whose times of day differ, and
+// holds the stories that they tell against those that are stored. The first
+// line of a log names what to explain.
+func TestStories(t *testing.T) {
+	logs, err := filepath.Glob("testdata/*.log")
+	assert.NilError(t, err)
+	assert.Assert(t, len(logs) > 0)
+	for _, path := range logs {
+		name := strings.TrimSuffix(filepath.Base(path), ".log")
+		t.Run(name, func(t *testing.T) {
+			golden.Assert(t, tell(t, path), name+".story")
+		})
+	}
+}
+
+func tell(t *testing.T, path string) string {
+	file, err := os.Open(path)
+	assert.NilError(t, err)
+	defer file.Close()
+	reader := bufio.NewReader(file)
+	first, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	lines, skipped, err := Read(reader)
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 0)
+	what, subject, _ := strings.Cut(strings.TrimSpace(strings.TrimPrefix(first, "#")), " ")
+	history := New(lines)
+	story, err := history.Request(subject)
+	if what == "group" {
+		story, err = history.Group(subject)
+	}
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	var text strings.Builder
+	for _, l := range story.Lines {
+		text.WriteString(l.At.Round(time.Millisecond).String() + " " + l.Entry + " " + l.Message + "\n")
+	}
+	return text.String() + story.Cause + "\n"
+}
+
+// TestReadSkips counts what is no line of an entry instance.
+func TestReadSkips(t *testing.T) {
+	text := "collector: started\n" +
+		`12.5 host-1 {"message":"request ended","fields":{"entry":"e","run":"1","at_ms":5}}` + "\n" +
+		"{\"message\":\n{}\n"
+	lines, skipped, err := Read(strings.NewReader(text))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 3)
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0].Uptime, 5*time.Millisecond)
+}
+
+// TestUnjoinedByTimeOfDay orders processes that never spoke by their time of day.
+func TestUnjoinedByTimeOfDay(t *testing.T) {
+	noon := time.Unix(1_800_000_000, 0)
+	late := Line{Entry: "a", Run: "1", Uptime: time.Second, Wall: noon.Add(time.Minute), Message: "late"}
+	early := Line{Entry: "b", Run: "1", Uptime: time.Hour, Wall: noon, Message: "early"}
+	history := New([]Line{late, early})
+	assert.Equal(t, history.lines[0].Message, "early")
+	assert.Equal(t, history.lines[1].At, time.Minute)
+}
--- /dev/null
+++ b/internal/explainer/testdata/unknown.story
@@ -0,0 +1,1 @@
+explain: Unknown: no line tells of request "0000"
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -66,7 +69,12 @@
 	}
 	told := make(chan *Refusal, 1)
 	p.waiting[ticket.ID] = told
+	waiting := p.queue.Len()
 	f.mu.Unlock()
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldService: x.pool.service, logger.FieldModel: x.pool.model, "free": free, "waiting": waiting,
+		"returned": ticket.Returned, "start_by_ms": x.queueUntil.Sub(now).Milliseconds(), "list_age_ms": f.Observer.ListAge().Milliseconds(),
+	}).Info(logger.LineQueued)
 	select {
 	case refusal := <-told:
 		if refusal != nil {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -34,7 +35,8 @@
 	// callers give a stream up after a pause of two seconds.
 	resumeWait = 1500 * time.Millisecond
 	// keyMargin is how much before the end of their life keys stop counting:
-	// a send and its way to the server.
+	// what clocks may differ in their rate, and the way of a request from its
+	// caller to the moment at which it has been read.
 	keyMargin = 800 * time.Millisecond
 )
 
@@ -69,6 +71,8 @@
 	delivered int
 	// failed holds the lanes that failed this request.
 	failed map[string]bool
+	// withdrawn is set once the configuration no longer allows the request.
+	withdrawn *Refusal
 	// spare is the answer of a server that failed, told if there is no better.
 	spare   *Answer
 	failure error
@@ -94,10 +98,12 @@
 	f.live++
 	f.mu.Unlock()
 	if refusal := f.admit(x.ctx, x); refusal != nil {
+		refusal.Route, refusal.Service, refusal.Model = x.route.Name, x.pool.service, x.pool.model
 		x.close()
 		return nil, refusal
 	}
 	x.admitted = clocker.Now()
+	f.counts.queued.RecordDuration(x.admitted.Sub(r.Arrived))
 	answer, err := x.advance(retrier.Event{Kind: retrier.Started})
 	if err == nil && answer.stream == nil {
 		x.logEnd(answer.Status, true)
@@ -172,7 +178,7 @@
 	if route.Anonymous || !config.Keyed() {
 		return nil
 	}
-	if x.f.Observer.ConfigAge() > x.f.settings.Load().KeyTTL-keyMargin {
+	if !x.keyProved() {
 		return &Refusal{Op: "authorise", Kind: KindStale, Outcome: retrier.NotRun, RetryAfter: jitter(soonRetry)}
 	}
 	organisation, found := config.Organisation(x.request.Key)
@@ -186,13 +192,35 @@
 // mayRun reports whether the configuration still allows the request to be sent
 // to the service that was chosen.
 func (x *exchange) mayRun() bool {
+	if x.withdrawn != nil {
+		return false
+	}
 	config := x.f.Observer.Config()
 	if config != x.config {
-		if x.authorise(config) != nil || !x.route.Allows(x.pool.service) {
+		if x.withdrawn = x.authorise(config); x.withdrawn != nil {
 			return false
 		}
 	}
-	return x.route.Anonymous || !config.Keyed() || x.f.Observer.ConfigAge() <= x.f.settings.Load().KeyTTL-keyMargin
+	return x.route.Allows(x.pool.service)
+}
+
+// reroute chooses another service for a request whose route has moved. It
+// reports whether the request may go on.
+func (x *exchange) reroute() bool {
+	if x.withdrawn != nil {
+		return false
+	}
+	x.f.mu.Lock()
+	x.pool.service = x.route.Choose(x.f.random)
+	x.f.mu.Unlock()
+	return x.mayRun()
+}
+
+// keyProved reports whether the configuration was proved shortly before the
+// request came. A key that counted then counts until the request is over, or
+// until a configuration comes that lacks it.
+func (x *exchange) keyProved() bool {
+	return x.request.Arrived.Sub(x.f.Observer.Proved()) <= x.f.settings.Load().KeyTTL-keyMargin
 }
 
 // close ends what the exchange holds.
@@ -208,15 +236,29 @@
 func (x *exchange) logEnd(status int, complete bool) {
 	now := clocker.Now()
 	fields := log.Fields{
-		"request": x.request.ID, "route": x.route.Name, "organisation": x.organisation.Name, "config_version": x.config.Version,
-		"status": status, "complete": complete, "lanes": x.lanes, "events": x.delivered,
+		logger.FieldRequest: x.request.ID, "route": x.route.Name, "organisation": x.organisation.Name, "config_version": x.config.Version,
+		"status": status, logger.FieldComplete: complete, "lanes": x.lanes, "events": x.delivered,
 		"queued_ms": milliseconds(x.request.Arrived, x.admitted), "took_ms": milliseconds(x.request.Arrived, now),
 	}
 	if !x.first.IsZero() {
 		fields["first_ms"] = milliseconds(x.request.Arrived, x.first)
 		fields["predicted_ms"] = x.predicted.Milliseconds()
 	}
-	log.WithFields(fields).Info("request ended")
+	log.WithFields(fields).Info(logger.LineEnded)
+	x.f.counts.ended(x, status, complete, now)
+}
+
+// logSend logs where a request goes, and what that choice rests on.
+func (x *exchange) logSend(l *lane) {
+	x.f.counts.tries.Inc(1)
+	if len(x.lanes) > 1 {
+		x.f.counts.moves.Inc(1)
+	}
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldLane: l.name, logger.FieldInstance: l.head().ID, "try": len(x.lanes),
+		"delivered": x.delivered, "running": x.f.running(l), "predicted_ms": x.predicted.Milliseconds(),
+		"list_age_ms": x.f.Observer.ListAge().Milliseconds(), "config_version": x.config.Version,
+	}).Info(logger.LineSent)
 }
 
 func milliseconds(from, to time.Time) int64 { return to.Sub(from).Milliseconds() }
@@ -284,8 +326,10 @@
 
 // refusal builds the error for a request without an answer.
 func (x *exchange) refusal(action retrier.Action) *Refusal {
-	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(soonRetry), Route: x.route.Name, Lanes: x.lanes, Err: x.failure}
+	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(soonRetry), Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Lanes: x.lanes, Err: x.failure}
 	switch {
+	case x.withdrawn != nil:
+		refusal.Kind, refusal.RetryAfter = x.withdrawn.Kind, x.withdrawn.RetryAfter
 	case action.Final:
 		refusal.Kind, refusal.RetryAfter = KindQuarantined, 0
 	case action.Expired:
@@ -313,8 +357,8 @@
 		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.at().members)
 	}
 	log.WithFields(log.Fields{
-		"request": x.request.ID, "lane": l.name, "instance": l.head().ID, "delivered": x.delivered, "sent": true,
-	}).WithError(err).Info("try broke")
+		logger.FieldRequest: x.request.ID, logger.FieldLane: l.name, logger.FieldInstance: l.head().ID, "delivered": x.delivered, "excused": event.Excused,
+	}).WithError(err).Info(logger.LineBroke)
 	return event
 }
 
@@ -336,6 +380,6 @@
 	if !news {
 		return
 	}
-	log.WithFields(log.Fields{"request": x.request.ID, "instance": l.head().ID}).Warn("server crashed under a request")
+	log.WithFields(log.Fields{logger.FieldRequest: x.request.ID, logger.FieldInstance: l.head().ID}).Warn(logger.LineCrash)
 	x.f.Peers.TellStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -100,6 +100,7 @@
 	// settings may be replaced while requests run.
 	settings  atomic.Pointer[Settings]
 	transport *http.Transport
+	counts    *counts
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -134,6 +135,7 @@
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		},
+		counts:     newCounts(d.Scope),
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		tracker:    router.NewTracker(),
 		lanes:      make(map[string]*lane),
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -222,6 +223,38 @@
 	assert.Equal(t, reached.Load(), int32(testEngine.Slots))
 }
 
+// TestKeyTakenAwayUnderAStream breaks a stream after a configuration has taken
+// its key away: no other group gets the rest of it.
+func TestKeyTakenAwayUnderAStream(t *testing.T) {
+	w := newWorld(t)
+	var reached atomic.Int32
+	release := make(chan struct{})
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		if reached.Add(1) == 1 {
+			answer(rw, r, "text/event-stream")
+			write(rw, event(1))
+			<-release
+			reset(rw)
+			return
+		}
+		answer(rw, r, "text/event-stream")
+		write(rw, event(2))
+	}
+	w.group("a", handler)
+	w.group("b", handler)
+	w.start()
+	time.AfterFunc(200*time.Millisecond, func() {
+		config := testConfig(2)
+		config.Organisations[0].Keys = nil
+		w.platform.configure(config)
+	})
+	time.AfterFunc(1200*time.Millisecond, func() { close(release) })
+	_, body, err := w.call("POST", "/stream/", "r")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, body, event(1))
+	assert.Equal(t, reached.Load(), int32(1))
+}
+
 // TestNoKeyCountsWithoutTheStore takes the store away for longer than keys
 // live: requests with a key are refused as not run, with when to come back.
 func TestNoKeyCountsWithoutTheStore(t *testing.T) {
@@ -240,6 +273,43 @@
 	})
 }
 
+// TestStreamGoesOnWithoutTheStore breaks a stream while the store is away, at
+// a time when a new request with its key would be refused: it came while its
+// key was proved to count.
+func TestStreamGoesOnWithoutTheStore(t *testing.T) {
+	w := newWorld(t)
+	const interval = 100 * time.Millisecond
+	events := int((testKeyTTL - keyMargin) / interval)
+	var mu sync.Mutex
+	broken := false
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		answer(rw, r, "text/event-stream")
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for id := from + 1; id <= events+2; id++ {
+			mu.Lock()
+			breaks := !broken && id == events+1
+			broken = broken || breaks
+			mu.Unlock()
+			if breaks {
+				reset(rw)
+				return
+			}
+			write(rw, event(id))
+			time.Sleep(interval)
+		}
+	}
+	w.group("one", handler)
+	w.group("two", handler)
+	w.start()
+	w.platform.set(func(p *platformStub) { p.down = true })
+	status, body, err := w.call("POST", "/stream/x", "r")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.HasSuffix(body, event(events+2)), "%q", body)
+	status, _, _ = w.call("GET", "/safe/x", "late")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // TestOlderConfigurationIsIgnored shows an older version after a newer one.
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	w := newWorld(t)
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -13,6 +13,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -117,15 +118,15 @@
 		f.Codec.Echo(w.Header(), id)
 	}
 	status := refusal.Status()
-	f.Scope.Tagged(map[string]string{"kind": refusal.Kind.String(), "outcome": refusal.Outcome.String()}).Counter("refusals").Inc(1)
+	f.counts.refused(refusal)
 	line := log.WithFields(log.Fields{
-		"request": id, "route": refusal.Route, "lanes": refusal.Lanes, "kind": refusal.Kind.String(), "outcome": refusal.Outcome.String(), "status": status,
+		logger.FieldRequest: id, "route": refusal.Route, logger.FieldService: refusal.Service, logger.FieldModel: refusal.Model, "lanes": refusal.Lanes, logger.FieldKind: refusal.Kind.String(), logger.FieldOutcome: refusal.Outcome.String(), "status": status,
 		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
 	})
 	if refusal.Err != nil {
 		line = line.WithError(refusal.Err)
 	}
-	line.Info("request refused")
+	line.Info(logger.LineRefused)
 	if refusal.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -279,6 +279,13 @@
 	return l.at().speed.First(f.work(now, l), x.request.PromptTokens)
 }
 
+// running returns how many requests a lane has, as far as is known here.
+func (f *Forwarder) running(l *lane) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.work(clocker.Now(), l).Running
+}
+
 // observe counts a request towards the demand for its model.
 func (f *Forwarder) observe(x *exchange, l *lane) {
 	if l.at().group == nil || x.route.Objective <= 0 {
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -51,9 +51,12 @@
 	Outcome retrier.Outcome
 	// RetryAfter says when to come back; zero says nothing.
 	RetryAfter time.Duration
-	// Route and Lanes say where the request belonged and was sent, for the log.
-	Route string
-	Lanes []string
+	// Route, Service, Model and Lanes say where the request belonged and was
+	// sent, for the log.
+	Route   string
+	Service string
+	Model   string
+	Lanes   []string
 	// Err is the cause, or nil.
 	Err error
 }
@@ -72,6 +75,12 @@
 
 // Status returns the HTTP status. 503 promises that the request has not run.
 func (r *Refusal) Status() int {
+	if r.Outcome != retrier.NotRun {
+		if r.Kind == KindExpired {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
 	switch r.Kind {
 	case KindNoRoute:
 		return http.StatusNotFound
@@ -82,13 +91,7 @@
 	case KindMalformed:
 		return http.StatusBadRequest
 	}
-	switch {
-	case r.Outcome == retrier.NotRun:
-		return http.StatusServiceUnavailable
-	case r.Kind == KindExpired:
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusBadGateway
+	return http.StatusServiceUnavailable
 }
 
 func splitList(text string) []string {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -146,7 +147,7 @@
 		}
 		if err != nil {
 			if x.ctx.Err() == nil {
-				log.WithField("request", x.request.ID).WithError(err).Warn("stream broken off")
+				log.WithField(logger.FieldRequest, x.request.ID).WithError(err).Warn("stream broken off")
 			}
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -51,6 +51,9 @@
 // try sends the request once. It returns the answer, or the event for the
 // machine.
 func (x *exchange) try() (*Answer, retrier.Event) {
+	if !x.mayRun() && !x.reroute() {
+		return nil, retrier.Event{Kind: retrier.Blocked}
+	}
 	config := x.f.Observer.Config()
 	l, found := x.f.pick(config, x.pool, x.request.PromptTokens, x.failed)
 	if !found {
@@ -63,6 +66,7 @@
 	if l.at().group != nil {
 		x.predicted = x.f.predict(x, l)
 	}
+	x.logSend(l)
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -122,7 +122,7 @@
 	t.Helper()
 	w := &world{t: t, platform: &platformStub{dead: make(map[string]bool)}}
 	ctx, cancel := context.WithCancel(context.Background())
-	o := observer.New(observer.Dependencies{Source: w.platform, Prober: w.platform, Announcer: w.platform})
+	o := observer.New(observer.Dependencies{Source: w.platform, Prober: w.platform, Announcer: w.platform, Scope: tally.NoopScope})
 	f := New(Dependencies{
 		Settings: Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100},
 		Observer: o, Codec: plainCodec{}, Peers: w.platform,
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -30,6 +30,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/forwarder"
 	"github.com/waxwingmount/waxwingmount/internal/introducer"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/organiser"
@@ -69,6 +70,16 @@
 	KeepAnswer time.Duration
 }
 
+// Process is what the running process knows of itself.
+type Process struct {
+	// Epoch tells the runs of one instance apart; it rises with every start.
+	Epoch uint64
+	// Started is when this run began, on the steady clock.
+	Started time.Time
+	// LinesDropped counts the log lines that were dropped.
+	LinesDropped func() int64
+}
+
 // Platform is what the users' platform offers, in this project's terms.
 type Platform struct {
 	Table   provider.Table
@@ -109,8 +120,10 @@
 // Node is one entry instance.
 type Node struct {
 	settings   Settings
+	process    Process
 	platform   Platform
 	registry   *prometheus.Registry
+	scope      tally.Scope
 	traces     *sdktrace.TracerProvider
 	pool       *messenger.Pool
 	introducer *introducer.Introducer
@@ -122,8 +135,8 @@
 }
 
 // New joins the parts of an entry instance.
-func New(s Settings, p Platform) (*Node, error) {
-	n := &Node{settings: s, platform: p, registry: prometheus.NewRegistry()}
+func New(s Settings, process Process, p Platform) (*Node, error) {
+	n := &Node{settings: s, process: process, platform: p, registry: prometheus.NewRegistry()}
 	var err error
 	if n.traces, err = tracer.Open("", s.ID); err != nil {
 		return nil, err
@@ -135,17 +148,20 @@
 		CachedReporter: reporter,
 		Separator:      tallyprometheus.DefaultSeparator,
 	}, metricInterval)
-	epoch := uint64(time.Now().UnixNano())
+	n.scope = scope
+	store := &storeMeter{table: p.Table, source: p.Source, scope: scope}
+	epoch := process.Epoch
 	n.pool = messenger.NewPool(messenger.Security{})
 	n.peers = &peers{node: n}
 	n.introducer = introducer.New(introducer.Settings{
 		Self:     spreader.Member{ID: s.ID, Epoch: epoch, Caller: s.Caller, Peer: s.Peer, DataCentre: s.DataCentre},
+		Started:  process.Started,
 		Seeds:    s.Seeds,
 		Interval: heartbeatInterval,
 		Degree:   peerDegree,
-	}, p.Table, n.pool, n.peers)
-	n.relayer = relayer.New(relayer.Dependencies{Platform: p.Source, Members: n.introducer, Pool: n.pool, Epoch: epoch})
-	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers})
+	}, store, n.pool, n.peers)
+	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.introducer, Pool: n.pool, Epoch: epoch})
+	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarding(),
 		Observer: n.observer,
@@ -156,11 +172,12 @@
 	})
 	n.organiser = organiser.New(organiser.Dependencies{
 		Holder:   holderName(s.ID, epoch),
-		Table:    p.Table,
+		Table:    store,
 		Observer: n.observer,
 		Orderer:  p.Orderer,
 		Demand:   n.forwarder,
 		Idler:    n.forwarder,
+		Scope:    scope,
 		Stands:   n.relayer.Reads,
 		Ended:    n.ended,
 	})
@@ -193,7 +210,7 @@
 func (n *Node) Reload(s Settings) {
 	s.ID, s.DataCentre, s.FirstStart = n.settings.ID, n.settings.DataCentre, n.settings.FirstStart
 	n.forwarder.Configure(s.forwarding())
-	log.WithFields(log.Fields{"key_ttl": s.KeyTTL.String(), "retry_ratio": s.RetryRatio, "retry_slack": s.RetrySlack}).Info("settings reloaded")
+	log.WithFields(log.Fields{"key_ttl": s.KeyTTL.String(), "retry_ratio": s.RetryRatio, "retry_slack": s.RetrySlack}).Info(logger.LineReloaded)
 }
 
 // Run serves until ctx ends, and then stops gracefully.
@@ -231,7 +248,8 @@
 	n.organiser.Start(duties)
 	go n.peers.loop(duties)
 	go n.memberLoop(duties)
-	log.WithFields(log.Fields{"entry": n.settings.ID, "data_centre": n.settings.DataCentre}).Info("entry instance serves")
+	go n.gaugeLoop(duties)
+	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "data_centre": n.settings.DataCentre}).Info(logger.LineServes)
 	<-ctx.Done()
 	return n.stop(callers)
 }
@@ -240,7 +258,7 @@
 // its address, finishes what runs, and closes.
 func (n *Node) stop(callers *http.Server) error {
 	began := time.Now()
-	log.WithField("entry", n.settings.ID).Info("entry instance leaves")
+	log.WithField(logger.FieldEntry, n.settings.ID).Info(logger.LineLeaves)
 	n.introducer.Update(func(m *spreader.Member) { m.Leaving = true })
 	n.forwarder.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTime)
@@ -254,7 +272,7 @@
 	defer cancelDrain()
 	err := callers.Shutdown(drain)
 	n.pool.Close()
-	log.WithFields(log.Fields{"entry": n.settings.ID, "live": n.forwarder.Live()}).Info("entry instance has left")
+	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "live": n.forwarder.Live()}).Info(logger.LineHasLeft)
 	return err
 }
 
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -19,6 +19,8 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -53,13 +55,22 @@
 	newest   Newest
 	interval time.Duration
 
+	// started is when this process began, on the steady clock.
+	started time.Time
+
 	mu       sync.Mutex
 	spreader *spreader.Spreader
+	// compared is when a peer's clock was last logged.
+	compared map[string]time.Time
+	// alive are the runs of the peers that were last logged.
+	alive map[string]uint64
 }
 
 // Settings are what an Introducer needs to know.
 type Settings struct {
-	Self     spreader.Member
+	Self spreader.Member
+	// Started is when this process began, on the steady clock.
+	Started  time.Time
 	Seeds    []netip.AddrPort
 	Interval time.Duration
 	Degree   int
@@ -72,6 +83,9 @@
 		pool:     pool,
 		newest:   newest,
 		interval: s.Interval,
+		started:  s.Started,
+		compared: make(map[string]time.Time),
+		alive:    make(map[string]uint64),
 		spreader: spreader.New(s.Self, spreader.Settings{Expiry: expiryBeats * s.Interval, Degree: s.Degree}),
 	}
 	for _, seed := range s.Seeds {
@@ -124,7 +138,7 @@
 // Answer answers a peer's exchange.
 func (in *Introducer) Answer(message messenger.ExchangeMessage) messenger.ExchangeMessage {
 	in.mu.Lock()
-	reply := messenger.ExchangeMessage{Digest: in.spreader.Answer(time.Now(), message.Digest)}
+	reply := messenger.ExchangeMessage{Digest: in.spreader.Answer(time.Now(), message.Digest), Uptime: clocker.Since(in.started)}
 	in.mu.Unlock()
 	in.newest.Newest(&reply)
 	return reply
@@ -142,6 +156,29 @@
 	in.spreader.Forget(time.Now())
 	in.mu.Unlock()
 	in.exchangeWith(ctx, contacts)
+	in.logPeers()
+}
+
+// logPeers logs which peers have come and gone.
+func (in *Introducer) logPeers() {
+	alive := make(map[string]uint64)
+	for _, m := range in.Peers() {
+		alive[m.ID] = m.Epoch
+	}
+	in.mu.Lock()
+	before := in.alive
+	in.alive = alive
+	in.mu.Unlock()
+	for id, epoch := range alive {
+		if before[id] != epoch {
+			log.WithFields(log.Fields{logger.FieldPeer: id, logger.FieldPeerRun: logger.RunName(epoch), "peers": len(alive)}).Info(logger.LinePeer)
+		}
+	}
+	for id, epoch := range before {
+		if _, still := alive[id]; !still {
+			log.WithFields(log.Fields{logger.FieldPeer: id, logger.FieldPeerRun: logger.RunName(epoch), "peers": len(alive)}).Warn(logger.LineNoPeer)
+		}
+	}
 }
 
 func (in *Introducer) exchangeWith(ctx context.Context, contacts []spreader.Member) {
@@ -160,9 +197,11 @@
 	in.mu.Unlock()
 	in.newest.Newest(&message)
 	var reply messenger.ExchangeMessage
+	began := clocker.Now()
 	if err := in.pool.Call(ctx, contact.Peer, messenger.MethodExchange, &message, &reply); err != nil {
 		return
 	}
+	in.compareClocks(contact, began, reply.Uptime)
 	in.mu.Lock()
 	in.spreader.Merge(time.Now(), reply.Digest)
 	supply, wanted := in.spreader.Supply(reply.Digest)
--- /dev/null
+++ b/internal/logger/lines.go
@@ -0,0 +1,51 @@
+package logger
+
+// The messages of the lines that tell what became of a request, and what the
+// process believed. Operators' tools look for them.
+const (
+	LineQueued   = "request queued"
+	LineSent     = "request sent"
+	LineBroke    = "try broke"
+	LineRefused  = "request refused"
+	LineEnded    = "request ended"
+	LineCrash    = "server crashed under a request"
+	LineLost     = "instance held for lost"
+	LineFound    = "instance answers again"
+	LineGroups   = "groups"
+	LineOrder    = "order sent"
+	LineNoOrder  = "order not carried out"
+	LineControl  = "control taken"
+	LineConfig   = "configuration in force"
+	LineNoStore  = "store lost"
+	LineStore    = "store regained"
+	LineClock    = "peer clock"
+	LinePeer     = "peer seen"
+	LineNoPeer   = "peer silent"
+	LineDropped  = "log lines dropped"
+	LineServes   = "entry instance serves"
+	LineLeaves   = "entry instance leaves"
+	LineHasLeft  = "entry instance has left"
+	LineReloaded = "settings reloaded"
+)
+
+// Fields of these lines.
+const (
+	FieldRequest  = "request"
+	FieldLane     = "lane"
+	FieldInstance = "instance"
+	FieldGroup    = "group"
+	FieldModel    = "model"
+	FieldService  = "service"
+	FieldKind     = "kind"
+	FieldOutcome  = "outcome"
+	FieldComplete = "complete"
+	FieldError    = "error"
+
+	// Fields of LineClock: what a peer's clock showed halfway through a call,
+	// on the writer's own clock.
+	FieldPeer      = "peer"
+	FieldPeerRun   = "peer_run"
+	FieldPeerAt    = "peer_at_ms"
+	FieldOwnAt     = "own_at_ms"
+	FieldRoundTrip = "round_trip_ms"
+)
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -37,6 +37,8 @@
 // ExchangeMessage is a digest with the newest versions that its sender knows.
 type ExchangeMessage struct {
 	Digest spreader.Digest
+	// Uptime is how long the sender's process has run.
+	Uptime time.Duration
 	// Head is the configuration that the sender runs.
 	Head configurer.Head
 	// Fence is the highest fence of the groups that the sender knows.
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -73,6 +75,7 @@
 	Source    Source
 	Prober    Prober
 	Announcer Announcer
+	Scope     tally.Scope
 }
 
 // Observer holds one entry instance's view. It is safe for concurrent use.
@@ -118,6 +121,13 @@
 	return o.config
 }
 
+// Proved returns when the configuration was last proved newest.
+func (o *Observer) Proved() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.proved
+}
+
 // ConfigAge returns how long ago the configuration was last proved newest.
 func (o *Observer) ConfigAge() time.Duration {
 	o.mu.Lock()
@@ -125,6 +135,13 @@
 	return clocker.Since(o.proved)
 }
 
+// ListAge returns how old the list of the backend servers is.
+func (o *Observer) ListAge() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return clocker.Since(o.survey.Updated())
+}
+
 // Changed gets a value after the view has changed.
 func (o *Observer) Changed() <-chan struct{} { return o.changed }
 
@@ -202,7 +219,11 @@
 	o.mu.Lock()
 	news := false
 	for _, l := range losses {
-		news = o.survey.Lose(now, l.Instance, l.Incarnation) || news
+		if o.survey.Lose(now, l.Instance, l.Incarnation) {
+			news = true
+			o.Scope.Tagged(map[string]string{"source": "peer"}).Counter("losses").Inc(1)
+			log.WithFields(log.Fields{"instance": l.Instance, "incarnation": l.Incarnation, "source": "peer"}).Warn(logger.LineLost)
+		}
 	}
 	o.mu.Unlock()
 	if news {
@@ -249,8 +270,9 @@
 	if !news {
 		return
 	}
-	log.WithFields(log.Fields{"instance": in.ID, "incarnation": in.Incarnation, "group": in.Membership.Group}).
-		WithError(err).Warn("instance held for lost")
+	o.Scope.Tagged(map[string]string{"source": "probe"}).Counter("losses").Inc(1)
+	log.WithFields(log.Fields{"instance": in.ID, "incarnation": in.Incarnation, "group": in.Membership.Group, "source": "probe"}).
+		WithError(err).Warn(logger.LineLost)
 	o.signal()
 	o.Announcer.AnnounceLosses(ctx, []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}})
 }
@@ -268,7 +290,8 @@
 			o.mu.Lock()
 			o.survey.Find(in.ID)
 			o.mu.Unlock()
-			log.WithField("instance", in.ID).Info("instance answers again")
+			o.Scope.Counter("losses_taken_back").Inc(1)
+			log.WithField("instance", in.ID).Info(logger.LineFound)
 			o.signal()
 		}
 	}
@@ -330,7 +353,7 @@
 	}
 	o.config = s.Config
 	o.survey.SetSizes(sizes(s.Config))
-	log.WithFields(log.Fields{"version": s.Config.Version, "age": clocker.Since(s.ProvedAt).String()}).Info("configuration in force")
+	log.WithFields(log.Fields{"version": s.Config.Version, "age": clocker.Since(s.ProvedAt).String()}).Info(logger.LineConfig)
 }
 
 // answered notes whether the store answers, and logs each change of that.
@@ -342,9 +365,9 @@
 	switch {
 	case !changed:
 	case reachable:
-		log.Info("store regained")
+		log.Info(logger.LineStore)
 	default:
-		log.WithError(err).Warn("store lost")
+		log.WithError(err).Warn(logger.LineNoStore)
 	}
 }
 
--- a/internal/organiser/organiser.go
+++ b/internal/organiser/organiser.go
@@ -19,8 +19,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/internal/renewer"
@@ -87,6 +89,7 @@
 	Orderer  Orderer
 	Demand   Demand
 	Idler    Idler
+	Scope    tally.Scope
 	// Stands reports whether this instance may take control. The others leave
 	// the lease alone, which saves the store their reads of it.
 	Stands func() bool
@@ -214,7 +217,7 @@
 	if o.term == term && !o.resting {
 		return
 	}
-	log.WithFields(log.Fields{"term": term, "again": o.term == term}).Info("control taken")
+	log.WithFields(log.Fields{"term": term, "again": o.term == term}).Info(logger.LineControl)
 	o.resting = false
 	o.taken = clocker.Now()
 	if o.term != term {
@@ -265,7 +268,10 @@
 	}
 	o.tallies[service] = tallies
 	for model, t := range tallies {
-		log.WithFields(log.Fields{"service": service, "model": model, "open": t.Open, "forming": t.Forming, "ending": t.Ending, "spread": t.Spread, "ready": t.Ready, "loading": t.Loading, "demand": math.Round(demand[model]*100) / 100}).Info("groups")
+		scope := o.Scope.Tagged(map[string]string{"service": service, "model": model})
+		scope.Gauge("groups_open").Update(float64(t.Open))
+		scope.Gauge("groups_forming").Update(float64(t.Forming))
+		log.WithFields(log.Fields{"service": service, "model": model, "open": t.Open, "forming": t.Forming, "ending": t.Ending, "spread": t.Spread, "ready": t.Ready, "loading": t.Loading, "demand": math.Round(demand[model]*100) / 100}).Info(logger.LineGroups)
 	}
 }
 
@@ -282,9 +288,9 @@
 		"outcome": outcome.String(), "domain": order.Instance.FabricDomain, "staged": order.Instance.Staged,
 	})
 	if err != nil {
-		entry.WithError(err).Warn("order not carried out")
+		entry.WithError(err).Warn(logger.LineNoOrder)
 	} else {
-		entry.Info("order sent")
+		entry.Info(logger.LineOrder)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soaker/proxy_test.go
+++ b/internal/soaker/proxy_test.go
@@ -182,17 +182,27 @@
 		p, err := newProxy(netip.MustParseAddrPort("127.0.0.1:0"), target)
 		assert.NilError(t, err)
 		p.set(fault)
-		conn, err := net.Dial("tcp", p.listener.Addr().String())
-		assert.NilError(t, err)
-		conn.SetDeadline(time.Now().Add(5 * linkDelay))
-		conn.Write([]byte{1})
-		_, err = io.ReadFull(conn, make([]byte, 1))
-		assert.Equal(t, err == nil, arrives, "fault %d", fault)
-		conn.Close()
+		assert.Equal(t, echoes(p.listener.Addr().String()) == nil, arrives, "fault %d", fault)
 		p.close()
 	}
 }
 
+// echoes sends a byte and waits for it. A reset may come as early as the
+// opening of the connection.
+func echoes(address string) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * linkDelay))
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
 // anyFault picks a way for a link to misbehave.
 func anyFault(random *rand.Rand) linkFault {
 	return linkFault(1 + random.IntN(int(linkFaults)-1))
