Many entry instances: data centres tell each other what runs, losses are taken back together, askers share the readers

Load is told within a data centre, and half of each head's requests came from others; far heads looked idle. Ruled out: the queue's order (it was empty), old lists (0.7 s). Change: pkg/estimator.Book holds what all have told; where not all are told of all, each instance sends the sum of its data centre to one member of each other every 0.4 s. A loss told by a peer is probed by six instances at a time and an answer is told to all; a loss of one's own needs an answer of one's own. Each asker begins with a reader of its own. HTTP serving of hoster and starter is one package.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -106,7 +106,7 @@
 	random     *rand.Rand
 	tracker    *router.Tracker
 	lanes      map[string]*lane
-	peerLoads  map[string]peerLoad
+	book       *estimator.Book
 	pools      map[poolKey]*pool
 	meters     map[string]*estimator.Meter
 	quarantine *quarantiner.Quarantine
@@ -139,7 +139,7 @@
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		tracker:    router.NewTracker(),
 		lanes:      make(map[string]*lane),
-		peerLoads:  make(map[string]peerLoad),
+		book:       estimator.NewBook(),
 		pools:      make(map[poolKey]*pool),
 		meters:     make(map[string]*estimator.Meter),
 		quarantine: quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// peerLoadTTL is how long a peer's word of its load counts: five of its
-	// messages.
-	peerLoadTTL = time.Second
 	// farLoad is the load of a plain server that weighs as much as another
 	// data centre.
 	farLoad = 0.5
@@ -33,12 +30,6 @@
 	runningDelay = 3 * time.Millisecond
 )
 
-// peerLoad is what one peer has under way, by lane.
-type peerLoad struct {
-	at    time.Time
-	works map[string]estimator.Work
-}
-
 // Idle reports whether this instance and its peers have had no request yet.
 func (f *Forwarder) Idle() bool {
 	f.mu.Lock()
@@ -46,12 +37,7 @@
 	if !f.settings.Load().FirstStart || f.nextTicket > 0 {
 		return false
 	}
-	for _, load := range f.peerLoads {
-		if len(load.works) > 0 {
-			return false
-		}
-	}
-	return true
+	return f.book.Empty()
 }
 
 // Load returns what is under way, by lane, to tell the peers.
@@ -67,25 +53,33 @@
 	return works
 }
 
-// LearnLoad takes in what a peer has under way.
+// LearnLoad takes in what a near peer has under way.
 func (f *Forwarder) LearnLoad(peer string, works map[string]estimator.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerLoads[peer] = peerLoad{at: clocker.Now(), works: works}
+	f.book.Learn(clocker.Now(), peer, works)
+}
+
+// LearnFarLoad takes in what another data centre has under way.
+func (f *Forwarder) LearnFarLoad(dataCentre string, works map[string]estimator.Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book.LearnSum(clocker.Now(), dataCentre, works)
 }
 
-// work sums what this instance and its peers have under way at a lane.
+// NearLoad returns what this data centre has under way, to tell the others.
+func (f *Forwarder) NearLoad() map[string]estimator.Work {
+	own := f.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Sum(clocker.Now(), own)
+}
+
+// work sums what this instance and the others have under way at a lane.
 func (f *Forwarder) work(now time.Time, l *lane) estimator.Work {
-	sum := l.work()
-	for peer, load := range f.peerLoads {
-		if now.Sub(load.at) > peerLoadTTL {
-			delete(f.peerLoads, peer)
-			continue
-		}
-		w := load.works[l.name]
-		sum.Running += w.Running
-		sum.UnreadTokens += w.UnreadTokens
-	}
+	sum, others := l.work(), f.book.Work(now, l.name)
+	sum.Running += others.Running
+	sum.UnreadTokens += others.UnreadTokens
 	return sum
 }
 
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -77,7 +77,7 @@
 	return nil
 }
 
-func (p *platformStub) AnnounceLosses(context.Context, []messenger.Loss)  {}
+func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
 func (p *platformStub) Count() int                                        { return 1 }
 func (p *platformStub) TellStrikes(context.Context, []quarantiner.Strike) {}
 func (p *platformStub) set(change func(*platformStub))                    { p.mu.Lock(); defer p.mu.Unlock(); change(p) }
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -35,6 +35,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/organiser"
 	"github.com/waxwingmount/waxwingmount/internal/relayer"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/spreader"
@@ -110,11 +111,8 @@
 	takeShare   = 0.35
 	listenShare = 0.6
 
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 60 * time.Second
-	metricInterval    = time.Second
-	withdrawTime      = time.Second
+	metricInterval = time.Second
+	withdrawTime   = time.Second
 )
 
 // Node is one entry instance.
@@ -221,12 +219,12 @@
 	if err != nil {
 		return err
 	}
-	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read)
+	peers, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read)
 	if err != nil {
 		return err
 	}
-	go server.Serve(duties, listener)
-	callers, err := n.serve(n.settings.Caller, n.forwarder.Handler())
+	go peers.Serve(duties, listener)
+	callers, err := server.Start(n.settings.Caller, n.forwarder.Handler())
 	if err != nil {
 		return err
 	}
@@ -238,7 +236,7 @@
 		if !address.IsValid() {
 			continue
 		}
-		if _, err := n.serve(address, handler); err != nil {
+		if _, err := server.Start(address, handler); err != nil {
 			return err
 		}
 	}
@@ -247,6 +245,7 @@
 	n.forwarder.Start(duties)
 	n.organiser.Start(duties)
 	go n.peers.loop(duties)
+	go n.peers.farLoop(duties)
 	go n.memberLoop(duties)
 	go n.gaugeLoop(duties)
 	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "data_centre": n.settings.DataCentre}).Info(logger.LineServes)
@@ -256,7 +255,7 @@
 
 // stop tells everyone that the node leaves, serves on while callers may hold
 // its address, finishes what runs, and closes.
-func (n *Node) stop(callers *http.Server) error {
+func (n *Node) stop(callers *server.Server) error {
 	began := time.Now()
 	log.WithField(logger.FieldEntry, n.settings.ID).Info(logger.LineLeaves)
 	n.introducer.Update(func(m *spreader.Member) { m.Leaving = true })
@@ -277,25 +276,3 @@
 }
 
 func (n *Node) runResign(ctx context.Context) { n.organiser.Resign(ctx) }
-
-// serve serves a handler at an address in the background.
-func (n *Node) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	go n.run(server, listener)
-	return server, nil
-}
-
-func (n *Node) run(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		log.WithError(err).Error("listener ended")
-	}
-}
--- a/internal/hoster/peers.go
+++ b/internal/hoster/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/spreader"
@@ -24,6 +26,10 @@
 	minLoadInterval = 40 * time.Millisecond
 	// loadFanout is how many peers at most are all told of the load.
 	loadFanout = 12
+	// farInterval is the time between two messages with the sum of this data
+	// centre, one to each of the others: all members tell it, so that each of
+	// the others hears of it about as often.
+	farInterval = 400 * time.Millisecond
 	// sameInterval is the time between two messages while nothing changes: a
 	// third of the time for which a message counts.
 	sameInterval = 300 * time.Millisecond
@@ -50,9 +56,9 @@
 	go p.runTell(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes})
 }
 
-// AnnounceLosses implements [observer.Announcer].
-func (p *peers) AnnounceLosses(ctx context.Context, losses []messenger.Loss) {
-	p.runTell(ctx, messenger.MethodLosses, &messenger.LossesMessage{Losses: losses})
+// Announce implements [observer.Announcer].
+func (p *peers) Announce(ctx context.Context, message messenger.LossesMessage) {
+	p.runTell(ctx, messenger.MethodLosses, &message)
 }
 
 // loop tells the peers what this instance has under way.
@@ -86,6 +92,29 @@
 	return slices.DeleteFunc(all, func(m spreader.Member) bool { return m.DataCentre != p.node.settings.DataCentre })
 }
 
+// farLoop tells the other data centres, where not all are told of all, what
+// this one has under way.
+func (p *peers) farLoop(ctx context.Context) {
+	pacer.Repeat(ctx, farInterval, func(ctx context.Context) {
+		all := p.node.introducer.Peers()
+		if len(all) <= loadFanout {
+			return
+		}
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		told := map[string]bool{p.node.settings.DataCentre: true}
+		var to []spreader.Member
+		for _, m := range all {
+			if !told[m.DataCentre] {
+				told[m.DataCentre] = true
+				to = append(to, m)
+			}
+		}
+		p.tell(ctx, to, messenger.MethodLoad, &messenger.LoadMessage{
+			From: p.node.settings.ID, DataCentre: p.node.settings.DataCentre, Works: p.node.forwarder.NearLoad(),
+		})
+	})
+}
+
 // runTell sends a message to all peers.
 func (p *peers) runTell(ctx context.Context, method string, message any) {
 	p.tell(ctx, p.node.introducer.Peers(), method, message)
@@ -120,13 +149,17 @@
 
 // Load takes in what a peer has under way.
 func (s *peerService) Load(arguments messenger.LoadMessage, _ *messenger.Nothing) error {
+	if arguments.DataCentre != "" {
+		s.node.forwarder.LearnFarLoad(arguments.DataCentre, arguments.Works)
+		return nil
+	}
 	s.node.forwarder.LearnLoad(arguments.From, arguments.Works)
 	return nil
 }
 
 // Losses takes in instances that a peer found gone.
 func (s *peerService) Losses(arguments messenger.LossesMessage, _ *messenger.Nothing) error {
-	s.node.observer.Learn(arguments.Losses)
+	s.node.observer.Learn(arguments)
 	return nil
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -95,6 +95,8 @@
 // LoadMessage tells what its sender has under way.
 type LoadMessage struct {
 	From string
+	// DataCentre is set if Works is the sum of that data centre.
+	DataCentre string
 	// Works holds what is under way, by the name of where it runs.
 	Works map[string]estimator.Work
 }
@@ -105,9 +107,11 @@
 	Incarnation string
 }
 
-// LossesMessage tells of instances that are gone.
+// LossesMessage tells of instances that are gone, and of those that were held
+// for gone and answer.
 type LossesMessage struct {
 	Losses []Loss
+	Found  []Loss
 }
 
 // NewsArguments tells what the asker knows: a revision of an epoch of the peer's
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,9 +50,11 @@
 	Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error
 }
 
-// Announcer tells the peers of losses.
+// Announcer tells the peers of losses, and of those that were none.
 type Announcer interface {
-	AnnounceLosses(ctx context.Context, losses []messenger.Loss)
+	Announce(ctx context.Context, message messenger.LossesMessage)
+	// Count returns how many entry instances there are.
+	Count() int
 }
 
 const (
@@ -68,6 +72,9 @@
 	doubtInterval = 400 * time.Millisecond
 	// recheckInterval is the time between two probes of instances held for lost.
 	recheckInterval = 500 * time.Millisecond
+	// recheckers is how many of the entry instances that were told of a loss
+	// probe it in that time, besides those that found it.
+	recheckers = 6
 )
 
 // Dependencies are what an Observer works with.
@@ -89,7 +96,9 @@
 	proved time.Time
 	// doubted is when an instance was last checked.
 	doubted map[string]time.Time
-	pace    time.Duration
+	// probed holds the instances that this instance found lost itself.
+	probed map[string]bool
+	pace   time.Duration
 	// direct says that the store is to be read, not a peer asked.
 	direct bool
 	// reachable says whether the store answered the last call.
@@ -103,6 +112,7 @@
 		Dependencies: d,
 		survey:       surveyor.New(),
 		doubted:      make(map[string]time.Time),
+		probed:       make(map[string]bool),
 		pace:         lookInterval,
 		changed:      make(chan struct{}, 1),
 	}
@@ -213,24 +223,39 @@
 	return false
 }
 
-// Learn takes in losses that a peer has found.
-func (o *Observer) Learn(losses []messenger.Loss) {
+// Learn takes in what a peer found of instances. A loss that this instance has
+// seen itself, it takes back only when it gets an answer itself.
+func (o *Observer) Learn(message messenger.LossesMessage) {
 	now := clocker.Now()
 	o.mu.Lock()
 	news := false
-	for _, l := range losses {
+	for _, l := range message.Losses {
 		if o.survey.Lose(now, l.Instance, l.Incarnation) {
 			news = true
 			o.Scope.Tagged(map[string]string{"source": "peer"}).Counter("losses").Inc(1)
 			log.WithFields(log.Fields{"instance": l.Instance, "incarnation": l.Incarnation, "source": "peer"}).Warn(logger.LineLost)
 		}
 	}
+	for _, l := range message.Found {
+		if o.survey.Lost(l.Instance) && !o.probed[l.Instance] {
+			news = true
+			o.find(l.Instance, "peer")
+		}
+	}
 	o.mu.Unlock()
 	if news {
 		o.signal()
 	}
 }
 
+// find takes back a loss; o.mu is held.
+func (o *Observer) find(id, source string) {
+	o.survey.Find(id)
+	delete(o.probed, id)
+	o.Scope.Counter("losses_taken_back").Inc(1)
+	log.WithFields(log.Fields{"instance": id, "source": source}).Info(logger.LineFound)
+}
+
 func (o *Observer) signal() {
 	select {
 	case o.changed <- struct{}{}:
@@ -266,6 +291,7 @@
 	}
 	o.mu.Lock()
 	news := o.survey.Lose(clocker.Now(), in.ID, in.Incarnation)
+	o.probed[in.ID] = true
 	o.mu.Unlock()
 	if !news {
 		return
@@ -274,29 +300,36 @@
 	log.WithFields(log.Fields{"instance": in.ID, "incarnation": in.Incarnation, "group": in.Membership.Group, "source": "probe"}).
 		WithError(err).Warn(logger.LineLost)
 	o.signal()
-	o.Announcer.AnnounceLosses(ctx, []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}})
+	o.Announcer.Announce(ctx, messenger.LossesMessage{Losses: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
 }
 
 // recheckLoop takes back losses that were none.
 func (o *Observer) recheckLoop(ctx context.Context) {
 	for sleep(ctx, recheckInterval) {
-		o.mu.Lock()
-		lost := o.survey.LostInstances()
-		o.mu.Unlock()
-		for _, in := range lost {
+		for _, in := range o.doubtful() {
 			if o.Prober.Probe(ctx, in, probeTimeout) != nil {
 				continue
 			}
 			o.mu.Lock()
-			o.survey.Find(in.ID)
+			o.find(in.ID, "probe")
 			o.mu.Unlock()
-			o.Scope.Counter("losses_taken_back").Inc(1)
-			log.WithField("instance", in.ID).Info(logger.LineFound)
 			o.signal()
+			o.Announcer.Announce(ctx, messenger.LossesMessage{Found: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
 		}
 	}
 }
 
+// doubtful returns the instances held for lost that this instance probes now:
+// those that it found lost itself, and its part of the others.
+func (o *Observer) doubtful() []provider.Instance {
+	part := float64(recheckers) / float64(max(1, o.Announcer.Count()))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.DeleteFunc(o.survey.LostInstances(), func(in provider.Instance) bool {
+		return !o.probed[in.ID] && rand.Float64() >= part
+	})
+}
+
 func (o *Observer) lookLoop(ctx context.Context) {
 	for {
 		wait := o.look(ctx)
@@ -323,6 +356,11 @@
 		o.survey.Update(snapshot.ListedAt, snapshot.Instances)
 	}
 	o.takeConfig(snapshot)
+	for id := range o.probed {
+		if !o.survey.Lost(id) {
+			delete(o.probed, id)
+		}
+	}
 	now := clocker.Now()
 	for id, at := range o.doubted {
 		if now.Sub(at) > time.Minute {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -152,17 +152,13 @@
 }
 
 // ask asks the readers in turn, and reports whether one had a young answer.
+// Each instance begins with a reader of its own, so that they share the askers.
 func (r *Relayer) ask(ctx context.Context) bool {
 	self := r.Members.Self().ID
-	asked := 0
-	for _, peer := range r.ranked() {
-		if peer.ID == self {
-			continue
-		}
-		if asked++; asked > readers {
-			return false
-		}
-		if r.askOne(ctx, peer) {
+	ranked := slices.DeleteFunc(r.ranked(), func(m spreader.Member) bool { return m.ID == self })
+	ranked = ranked[:min(readers, len(ranked))]
+	for i := range ranked {
+		if r.askOne(ctx, ranked[(xxhash.Sum64String(self)+uint64(i))%uint64(len(ranked))]) {
 			return true
 		}
 	}
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -15,8 +15,6 @@
 	"context"
 	"crypto/rand"
 	"net"
-	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -36,6 +34,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/operator"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
 	"github.com/waxwingmount/waxwingmount/internal/receiver"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/sharer"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
@@ -44,10 +43,6 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	// readTimeout bounds how long a caller takes to send its request.
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
 	metricInterval = time.Second
 	withdrawTime   = time.Second
 	strikesRetry   = 500 * time.Millisecond
@@ -187,20 +182,20 @@
 func (n *Node) Run(ctx context.Context) error {
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
-	peers, err := n.listen(n.settings.Peer)
+	peers, err := net.Listen("tcp", n.settings.Peer.String())
 	if err != nil {
 		return err
 	}
-	server, err := messenger.NewServer(n.security(), messenger.PeerService, n.peer, rand.Read)
+	peerServer, err := messenger.NewServer(n.security(), messenger.PeerService, n.peer, rand.Read)
 	if err != nil {
 		return err
 	}
-	go server.Serve(duties, peers)
-	callers, err := n.serve(n.settings.Caller, n.receiver.Handler())
+	go peerServer.Serve(duties, peers)
+	callers, err := server.Start(n.settings.Caller, n.receiver.Handler(), server.WithTLS(n.tls.server))
 	if err != nil {
 		return err
 	}
-	operators, err := n.serve(n.settings.Operator, n.operator.Handler())
+	operators, err := server.Start(n.settings.Operator, n.operator.Handler(), server.WithTLS(n.tls.server))
 	if err != nil {
 		return err
 	}
@@ -237,7 +232,7 @@
 
 // stop publishes that the node leaves, serves on while callers may hold its
 // address, finishes what runs, and closes.
-func (n *Node) stop(callers, operators *http.Server) error {
+func (n *Node) stop(callers, operators *server.Server) error {
 	log.WithField("entry", n.settings.ID).Info("entry instance leaves")
 	n.introducer.Update(func(m *spreader.Member) { m.Leaving = true })
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTime)
@@ -260,36 +255,3 @@
 	log.WithField("entry", n.settings.ID).Info("entry instance has left")
 	return err
 }
-
-func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", address.String())
-}
-
-// serve serves a handler at an address in the background.
-func (n *Node) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
-	listener, err := n.listen(address)
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		TLSConfig:         n.tls.server,
-	}
-	go n.run(server, listener)
-	return server, nil
-}
-
-func (n *Node) run(server *http.Server, listener net.Listener) {
-	var err error
-	if n.tls.server != nil {
-		err = server.ServeTLS(listener, "", "")
-	} else {
-		err = server.Serve(listener)
-	}
-	if err != http.ErrServerClosed {
-		log.WithError(err).Error("listener ended")
-	}
-}
--- /dev/null
+++ b/pkg/estimator/book.go
@@ -0,0 +1,99 @@
+package estimator
+
+import "time"
+
+const (
+	// nearTTL is how long a peer's word of its work counts: some of its messages.
+	nearTTL = time.Second
+	// farTTL is how long the sum of another data centre counts: several of the
+	// messages by which its members tell of it, of which one a while comes here.
+	farTTL = 3 * time.Second
+)
+
+// Book holds what entry instances have told of their work under way, by the
+// name of where it runs. Near peers tell of their own; of other data centres
+// one of their members tells the sum. It is not safe for concurrent use.
+type Book struct {
+	near map[string]told
+	far  map[string]told
+}
+
+type told struct {
+	at    time.Time
+	works map[string]Work
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{near: make(map[string]told), far: make(map[string]told)}
+}
+
+// Learn takes in what a near peer has under way.
+func (b *Book) Learn(now time.Time, peer string, works map[string]Work) {
+	b.near[peer] = told{now, works}
+}
+
+// LearnSum takes in what a data centre's entry instances have under way.
+func (b *Book) LearnSum(now time.Time, dataCentre string, works map[string]Work) {
+	b.far[dataCentre] = told{now, works}
+}
+
+// Empty reports whether nobody has told of any work.
+func (b *Book) Empty() bool {
+	for _, t := range b.near {
+		if len(t.works) > 0 {
+			return false
+		}
+	}
+	for _, t := range b.far {
+		if len(t.works) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Work returns what others have under way at one place.
+func (b *Book) Work(now time.Time, place string) Work {
+	b.forget(now)
+	var sum Work
+	for _, t := range b.near {
+		sum = sum.plus(t.works[place])
+	}
+	for _, t := range b.far {
+		sum = sum.plus(t.works[place])
+	}
+	return sum
+}
+
+// Sum returns what this data centre has under way, given this instance's own.
+func (b *Book) Sum(now time.Time, own map[string]Work) map[string]Work {
+	b.forget(now)
+	sum := make(map[string]Work, len(own))
+	for place, w := range own {
+		sum[place] = w
+	}
+	for _, t := range b.near {
+		for place, w := range t.works {
+			sum[place] = sum[place].plus(w)
+		}
+	}
+	return sum
+}
+
+func (b *Book) forget(now time.Time) {
+	for peer, t := range b.near {
+		if now.Sub(t.at) > nearTTL {
+			delete(b.near, peer)
+		}
+	}
+	for dataCentre, t := range b.far {
+		if now.Sub(t.at) > farTTL {
+			delete(b.far, dataCentre)
+		}
+	}
+}
+
+func (w Work) plus(o Work) Work {
+	return Work{Running: w.Running + o.Running, UnreadTokens: w.UnreadTokens + o.UnreadTokens}
+}
