--- a/pkg/former/compact.go
+++ b/pkg/former/compact.go
@@ -16,12 +16,16 @@
 // less than that one.
 const maxClosedForOne = 2
 
+// groupsPerChange is how many open groups of a model there must be for each
+// that is being ended to be compacted, so that little is missing at a time.
+const groupsPerChange = 8
+
 // compact ends groups across domains where one domain could then hold a group
-// of its own. The groups end their requests first, one change of a model at a
-// time.
+// of its own. The groups end their requests first, few of a model at a time.
 func (f *Former) compact(now time.Time, v View, s stock) {
 	for _, m := range v.Engine.Models {
-		if f.ending(m.Name) {
+		open, ending := f.changing(m.Name)
+		if ending > 0 && ending+maxClosedForOne > (open+ending)/groupsPerChange {
 			continue
 		}
 		spread := f.spread(m)
@@ -36,14 +40,18 @@
 	}
 }
 
-// ending reports whether a group of the model is being ended.
-func (f *Former) ending(model string) bool {
+// changing counts the open groups of a model and those that are being ended.
+func (f *Former) changing(model string) (open, ending int) {
 	for _, g := range f.groups {
-		if g.model.Name == model && (!g.closedAt.IsZero() || !g.brokenAt.IsZero()) {
-			return true
+		switch {
+		case g.model.Name != model:
+		case !g.closedAt.IsZero() || !g.brokenAt.IsZero():
+			ending++
+		case g.opened:
+			open++
 		}
 	}
-	return false
+	return open, ending
 }
 
 // spread returns the open groups of a model that are not in one domain.
@@ -51,7 +59,7 @@
 	var found []*group
 	for _, name := range slices.Sorted(maps.Keys(f.groups)) {
 		g := f.groups[name]
-		if g.model.Name == m.Name && g.opened && (surveyor.Group{Members: g.members}).Spread() {
+		if g.model.Name == m.Name && g.opened && g.closedAt.IsZero() && (surveyor.Group{Members: g.members}).Spread() {
 			found = append(found, g)
 		}
 	}
