--- a/cmd/waxwingd/hosted_test.go
+++ b/cmd/waxwingd/hosted_test.go
@@ -123,3 +123,13 @@
 	err := runHosted(t.Context(), logger.New(io.Discard), nil)
 	assert.ErrorContains(t, err, "local.json: zone is missing")
 }
+
+// TestCheckSettings reads good and bad settings of both kinds.
+func TestCheckSettings(t *testing.T) {
+	assert.NilError(t, checkSettings("../../examples/entry.ini", false))
+	path := filepath.Join(t.TempDir(), "broken")
+	assert.NilError(t, os.WriteFile(path, []byte("[entry]\nid =\n"), 0o600))
+	assert.ErrorContains(t, checkSettings(path, false), "broken")
+	t.Setenv(platform.SettingsVariable, path)
+	assert.ErrorContains(t, checkSettings("", true), "broken")
+}
--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -4,6 +4,7 @@
 //
 //	waxwingd --settings entry.ini
 //	waxwingd --hosted
+//	waxwingd --settings entry.ini --check
 //
 // With --hosted the process takes its settings from the users' platform and
 // serves there; without it, from an INI file.
@@ -11,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -31,19 +33,54 @@
 )
 
 func main() {
-	path, hosted := "", false
+	path, hosted, check := "", false, false
 	flaggy.SetName("waxwingd")
 	flaggy.SetDescription("Runs one entry instance of waxwingmount.")
 	flaggy.String(&path, "s", "settings", "The INI file with this instance's settings.")
 	flaggy.Bool(&hosted, "", "hosted", "Take the settings from the users' platform and serve there.")
+	flaggy.Bool(&check, "c", "check", "Check the settings and end.")
+	flaggy.SetVersion(version())
 	flaggy.Parse()
-	if err := start(path, hosted); err != nil {
+	begin := start
+	if check {
+		begin = checkSettings
+	}
+	if err := begin(path, hosted); err != nil {
 		log.SetHandler(json.New(os.Stderr))
 		log.WithError(err).Error("entry instance ended")
 		os.Exit(1)
 	}
 }
 
+// version is the module's version and the commit that it was built from.
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "unknown"
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			text += " " + s.Value
+		}
+	}
+	return text
+}
+
+// checkSettings reads the settings as a start would, and says what is wrong.
+func checkSettings(path string, hosted bool) error {
+	if hosted {
+		path = os.Getenv(platform.SettingsVariable)
+		if _, err := platform.Load(path); err != nil {
+			return err
+		}
+	} else if _, err := loader.Load(path); err != nil {
+		return err
+	}
+	fmt.Println(path + ": the settings are sound")
+	return nil
+}
+
 func start(path string, hosted bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
