A try is excused only by a head that has been gone for a second

A try did not count when its head failed two probes of 80 ms at that moment; those heads lived and were only slow to answer. Change: a broken try counts, and is excused at a later break if its head is still gone a second later. Test: TestFreshLossExcusesNothing reached three heads before, two now.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -26,9 +26,6 @@
 	// answerMargin is how much before the end of the time a request is given
 	// up, so that its answer arrives in time.
 	answerMargin = 100 * time.Millisecond
-	// strikeDelay is how long the check of a head takes at most that broke a
-	// connection.
-	strikeDelay = 200 * time.Millisecond
 	// wayMargin is the way of a first event to the caller.
 	wayMargin = 30 * time.Millisecond
 	// resumeWait is how long a broken request may wait for another server:
@@ -71,6 +68,8 @@
 	delivered int
 	// failed holds the lanes that failed this request.
 	failed map[string]bool
+	// fallen are the heads whose tries broke and count against the attempts.
+	fallen []fallen
 	// withdrawn is set once the configuration no longer allows the request.
 	withdrawn *Refusal
 	// spare is the answer of a server that failed, told if there is no better.
@@ -339,47 +338,3 @@
 	}
 	return refusal
 }
-
-// blame keeps this request off a lane that failed it, has the members checked,
-// and counts a strike if the head has crashed.
-func (x *exchange) blame(l *lane, err error) retrier.Event {
-	event := retrier.Event{Kind: retrier.Broke}
-	if x.ctx.Err() != nil {
-		return event
-	}
-	x.failed[l.name] = true
-	x.failure = err
-	moved := errors.IsAny(err, errLost, errStalled)
-	// A try may have begun to run before its first event came, so that it
-	// counts against the attempts unless the server that ran it is gone.
-	event.Excused = x.f.Observer.Gone(l.at().members[:1])
-	if !moved {
-		x.f.Observer.Doubt(context.WithoutCancel(x.ctx), l.at().members)
-	}
-	log.WithFields(log.Fields{
-		logger.FieldRequest: x.request.ID, logger.FieldLane: l.name, logger.FieldInstance: l.head().ID, "delivered": x.delivered, "excused": event.Excused,
-	}).WithError(err).Info(logger.LineBroke)
-	return event
-}
-
-// runStrike counts a crash of a head against the request that it ran, if the
-// check of the head shows that it is gone.
-func (x *exchange) runStrike(l *lane) {
-	time.Sleep(strikeDelay)
-	if x.f.Observer.Gone(l.at().members[:1]) {
-		x.strike(l)
-	}
-}
-
-// strike counts a crash against the request and tells the peers.
-func (x *exchange) strike(l *lane) {
-	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: l.head().ID + "/" + l.head().Incarnation}
-	x.f.mu.Lock()
-	news := x.f.quarantine.Strike(clocker.Now(), strike)
-	x.f.mu.Unlock()
-	if !news {
-		return
-	}
-	log.WithFields(log.Fields{logger.FieldRequest: x.request.ID, logger.FieldInstance: l.head().ID}).Warn(logger.LineCrash)
-	x.f.Peers.TellStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
-}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -117,6 +117,28 @@
 	assert.Equal(t, tries.Load(), int32(2))
 }
 
+// TestFreshLossExcusesNothing breaks a stream at two heads in a row that no
+// longer answer probes. That they are gone for good is not known yet, so that
+// the route's two attempts are used up.
+func TestFreshLossExcusesNothing(t *testing.T) {
+	w := newWorld(t)
+	var reached atomic.Int32
+	for _, name := range []string{"a", "b", "c"} {
+		w.group(name, func(rw http.ResponseWriter, r *http.Request) {
+			n := int(reached.Add(1))
+			answer(rw, r, "text/event-stream")
+			write(rw, event(n))
+			w.platform.kill(name + "-head")
+			time.Sleep(20 * time.Millisecond)
+			reset(rw)
+		})
+	}
+	w.start()
+	_, _, err := w.call("POST", "/stream/", "r")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, reached.Load(), int32(2))
+}
+
 // TestOnceRunsOnce breaks requests that may run once at several points. What
 // may have run is never sent again, and never told as not run.
 func TestOnceRunsOnce(t *testing.T) {
