--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -17,13 +17,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
-	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/hoster"
 	"github.com/waxwingmount/waxwingmount/internal/loader"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
@@ -94,10 +92,10 @@
 		signal.Notify(hangups, syscall.SIGHUP)
 		return runHosted(ctx, writer, hangups)
 	}
-	return run(ctx, path)
+	return run(ctx, writer, path)
 }
 
-func run(ctx context.Context, path string) error {
+func run(ctx context.Context, writer *logger.Writer, path string) error {
 	settings, err := loader.Load(path)
 	if err != nil {
 		return err
@@ -107,7 +105,9 @@
 	if err != nil {
 		return err
 	}
-	node, err := starter.New(settings, platform)
+	process := logger.NewProcess(settings.ID)
+	log.SetHandler(process.Stamp(json.New(writer)))
+	node, err := starter.New(settings, process, platform)
 	if err != nil {
 		return err
 	}
@@ -123,13 +123,12 @@
 )
 
 func runHosted(ctx context.Context, writer *logger.Writer, hangups <-chan os.Signal) error {
-	started := clocker.Now()
 	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
 	}
-	process := hoster.Process{Epoch: uint64(time.Now().UnixNano()), Started: started, LinesDropped: writer.Dropped}
-	log.SetHandler(logger.Stamp(json.New(writer), settings.Hosted.ID, process.Epoch, started))
+	process := hoster.Process{Process: logger.NewProcess(settings.Hosted.ID), LinesDropped: writer.Dropped}
+	log.SetHandler(process.Stamp(json.New(writer)))
 	if settings.Hosted.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Hosted.MemoryBytes)))
 	}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -21,6 +21,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/engineemulator"
 	"github.com/waxwingmount/waxwingmount/internal/loader"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/platformemulator"
 	"github.com/waxwingmount/waxwingmount/internal/starter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -136,7 +137,7 @@
 			*address = free
 		}
 		seeds = append(seeds, settings.Peer)
-		node, err := starter.New(settings, provider.NewHTTP(platform))
+		node, err := starter.New(settings, logger.NewProcess(settings.ID), provider.NewHTTP(platform))
 		if err != nil {
 			return err
 		}
--- a/internal/hoster/node.go
+++ b/internal/hoster/node.go
@@ -73,10 +73,7 @@
 
 // Process is what the running process knows of itself.
 type Process struct {
-	// Epoch tells the runs of one instance apart; it rises with every start.
-	Epoch uint64
-	// Started is when this run began, on the steady clock.
-	Started time.Time
+	logger.Process
 	// LinesDropped counts the log lines that were dropped.
 	LinesDropped func() int64
 }
--- a/internal/logger/stamp.go
+++ b/internal/logger/stamp.go
@@ -22,14 +22,28 @@
 // RunName is how the life of a process with that epoch is named in its lines.
 func RunName(epoch uint64) string { return strconv.FormatUint(epoch, 36) }
 
+// Process is one life of an entry instance's process.
+type Process struct {
+	Entry string
+	// Epoch rises with every start of the instance.
+	Epoch uint64
+	// Started is when this life began, on the steady clock.
+	Started time.Time
+}
+
+// NewProcess returns the life that begins now.
+func NewProcess(entry string) Process {
+	return Process{Entry: entry, Epoch: uint64(time.Now().UnixNano()), Started: clocker.Now()}
+}
+
 // Stamp returns a handler that adds to each line which process wrote it and
 // when, on the process's steady clock.
-func Stamp(next log.Handler, entry string, epoch uint64, started time.Time) log.Handler {
-	run := RunName(epoch)
+func (p Process) Stamp(next log.Handler) log.Handler {
+	run := RunName(p.Epoch)
 	return log.HandlerFunc(func(e *log.Entry) error {
 		// The fields of an entry that is being handled are its own.
-		e.Fields[FieldEntry], e.Fields[FieldRun] = entry, run
-		e.Fields[FieldAt] = clocker.Since(started).Milliseconds()
+		e.Fields[FieldEntry], e.Fields[FieldRun] = p.Entry, run
+		e.Fields[FieldAt] = clocker.Since(p.Started).Milliseconds()
 		return next.HandleLog(e)
 	})
 }
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	node, err := starter.New(settings, platform)
+//	node, err := starter.New(settings, process, platform)
 //	err = node.Run(ctx)
 //
 // When ctx ends, or an operator drains it, the node publishes that it leaves,
@@ -30,6 +30,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/follower"
 	"github.com/waxwingmount/waxwingmount/internal/introducer"
 	"github.com/waxwingmount/waxwingmount/internal/loader"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/operator"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
@@ -51,6 +52,7 @@
 // Node is one entry instance.
 type Node struct {
 	settings   loader.Settings
+	process    logger.Process
 	tls        tlsConfigs
 	traces     *sdktrace.TracerProvider
 	pool       *messenger.Pool
@@ -71,8 +73,8 @@
 }
 
 // New joins the parts of an entry instance.
-func New(s loader.Settings, platform provider.Platform) (*Node, error) {
-	n := &Node{settings: s, leaving: make(chan struct{})}
+func New(s loader.Settings, process logger.Process, platform provider.Platform) (*Node, error) {
+	n := &Node{settings: s, process: process, leaving: make(chan struct{})}
 	var err error
 	if n.tls, err = loadTLS(s.TLS); err != nil {
 		return nil, err
@@ -111,13 +113,14 @@
 	n.follower = follower.New(platform, n.pool, n.applied)
 	self := spreader.Member{
 		ID:         s.ID,
-		Epoch:      uint64(time.Now().UnixNano()),
+		Epoch:      n.process.Epoch,
 		Caller:     s.Caller,
 		Peer:       s.Peer,
 		DataCentre: s.DataCentre,
 	}
 	n.introducer = introducer.New(introducer.Settings{
 		Self:     self,
+		Started:  n.process.Started,
 		Seeds:    s.Seeds,
 		Interval: s.HeartbeatInterval,
 		Degree:   s.Degree,
--- a/internal/starter/tls_test.go
+++ b/internal/starter/tls_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/waxwingmount/waxwingmount/internal/loader"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/platformemulator"
 )
@@ -72,7 +73,7 @@
 	s.ID, s.DataCentre, s.TLS = id, "hall-a", files
 	s.Caller, s.Peer, s.Operator = loopbackAddress(t), loopbackAddress(t), loopbackAddress(t)
 	s.KeepAnswer = 0
-	node, err := New(s, store)
+	node, err := New(s, logger.NewProcess("e"), store)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
