The last log lines are written before the process ends

The process ended as soon as it had told the log's writer to stop, and what was in the ring was lost under load. Change: the process waits for its writer, 0.3 s at most. Stories read *.jsonl. Tests: TestLastLinesAreWritten (100 times), TestEndDoesNotWaitForAReader.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -17,6 +17,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -79,13 +80,18 @@
 	return nil
 }
 
+// lastLines bounds how long the last log lines may hold up the end: less than
+// what a stop leaves of its time.
+const lastLines = 300 * time.Millisecond
+
 func start(path string, hosted bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	lines, end := context.WithCancel(context.Background())
-	defer end()
 	writer := logger.New(os.Stdout)
 	writer.Start(lines)
+	defer writer.Wait(lastLines)
+	defer end()
 	log.SetHandler(json.New(writer))
 	if hosted {
 		hangups := make(chan os.Signal, 1)
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -16,11 +16,11 @@
 // holds the stories that they tell against those that are stored. The first
 // line of a log names what to explain.
 func TestStories(t *testing.T) {
-	logs, err := filepath.Glob("testdata/*.log")
+	logs, err := filepath.Glob("testdata/*.jsonl")
 	assert.NilError(t, err)
 	assert.Assert(t, len(logs) > 0)
 	for _, path := range logs {
-		name := strings.TrimSuffix(filepath.Base(path), ".log")
+		name := strings.TrimSuffix(filepath.Base(path), ".jsonl")
 		t.Run(name, func(t *testing.T) {
 			golden.Assert(t, tell(t, path), name+".story")
 		})
--- a/internal/logger/writer.go
+++ b/internal/logger/writer.go
@@ -39,6 +39,7 @@
 	limit   *rate.Limiter
 	dropped atomic.Int64
 	total   atomic.Int64
+	ended   chan struct{}
 }
 
 // New returns a writer to out.
@@ -47,12 +48,22 @@
 		out:   out,
 		ring:  make(chan []byte, ringLines),
 		limit: rate.NewLimiter(linesPerSecond, burstLines),
+		ended: make(chan struct{}),
 	}
 }
 
-// Start begins the duty; it ends with ctx.
+// Start begins the duty; it ends with ctx, after the lines that wait then.
 func (w *Writer) Start(ctx context.Context) { go w.loop(ctx) }
 
+// Wait returns when the duty has ended, or after the time for which a reader
+// that has stopped may hold it up.
+func (w *Writer) Wait(limit time.Duration) {
+	select {
+	case <-w.ended:
+	case <-time.After(limit):
+	}
+}
+
 // Dropped returns how many lines have been dropped since the start.
 func (w *Writer) Dropped() int64 { return w.total.Load() }
 
@@ -76,6 +87,7 @@
 }
 
 func (w *Writer) loop(ctx context.Context) {
+	defer close(w.ended)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/logger/writer_test.go
+++ b/internal/logger/writer_test.go
@@ -40,3 +40,31 @@
 	w.loop(ctx)
 	assert.Equal(t, out.String(), "line 0\nline 1\nline 2\n")
 }
+
+// TestLastLinesAreWritten ends a writer at once after its last line.
+func TestLastLinesAreWritten(t *testing.T) {
+	for range 100 {
+		var out strings.Builder
+		w := New(&out)
+		ctx, end := context.WithCancel(t.Context())
+		w.Start(ctx)
+		fmt.Fprintln(w, "last")
+		end()
+		w.Wait(time.Minute)
+		assert.Equal(t, out.String(), "last\n")
+	}
+}
+
+// TestEndDoesNotWaitForAReader ends a writer whose reader has stopped.
+func TestEndDoesNotWaitForAReader(t *testing.T) {
+	reader, pipe := io.Pipe()
+	defer reader.Close()
+	w := New(pipe)
+	ctx, end := context.WithCancel(t.Context())
+	w.Start(ctx)
+	fmt.Fprintln(w, "stuck")
+	end()
+	began := time.Now()
+	w.Wait(10 * time.Millisecond)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
