--- a/internal/soaker/plan_test.go
+++ b/internal/soaker/plan_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/platform/emulator"
 )
 
@@ -195,7 +196,7 @@
 				return
 			}
 			there = true
-			c.Routes = append(c.Routes, emulator.Route{Prefix: pathExtra, Type: "idempotent", Service: serviceOfPlain, Timeout: routeTimeout})
+			c.Routes = append(c.Routes, emulator.Route{Prefix: pathExtra, Repeat: mapper.Idempotent, Service: serviceOfPlain, Timeout: routeTimeout})
 		})
 		w.checker.changed(there, err)
 	}}
--- a/internal/soaker/traffic_test.go
+++ b/internal/soaker/traffic_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/netip"
-	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -20,13 +16,11 @@
 	// pace is the mean pause of a caller between two requests.
 	pace = 60 * time.Millisecond
 	// patience is how long callers wait.
-	patience     = 4 * time.Second
-	askInterval  = time.Second
-	askTimeout   = time.Second
-	finalAsked   = 20
-	finalServed  = 0.25
-	mostEvents   = 30
-	directoryAsk = "/waxwingmount/resolve"
+	patience    = 4 * time.Second
+	askInterval = time.Second
+	finalAsked  = 20
+	finalServed = 0.25
+	mostEvents  = 30
 )
 
 // traffic is the callers of a day.
@@ -52,11 +46,12 @@
 // runDirectory asks where to connect, as callers do.
 func (f *traffic) runDirectory(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.seed, 0))
+	caller := emulator.NewCaller()
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		for range entries {
-			if found := f.ask(ctx, random.IntN(entries)); len(found) > 0 {
+			if found := f.ask(ctx, caller, random.IntN(entries)); len(found) > 0 {
 				f.mu.Lock()
 				f.open = found
 				f.mu.Unlock()
@@ -70,28 +65,13 @@
 	}
 }
 
-// ask asks one entry instance for the addresses of all.
-func (f *traffic) ask(ctx context.Context, entry int) []int {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	target := url.URL{Scheme: "http", Host: f.world.address(blockEntry, entry, portDirectory).String(), Path: directoryAsk,
-		RawQuery: url.Values{"name": {host}, "region": {""}, "zone": {dataCentre(entry)}}.Encode()}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return nil
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil
-	}
-	defer response.Body.Close()
-	var found struct{ Addresses []netip.AddrPort }
-	if json.NewDecoder(response.Body).Decode(&found) != nil {
-		return nil
-	}
+// ask asks one entry instance which of all to use.
+func (f *traffic) ask(ctx context.Context, caller *emulator.Caller, entry int) []int {
+	// Who gets no answer asks another.
+	addresses, _ := caller.Resolve(ctx, f.world.address(blockEntry, entry, portDirectory), host, dataCentre(entry))
 	var open []int
 	for i := range entries {
-		if slices.Contains(found.Addresses, f.world.address(blockEntry, i, portCaller)) {
+		if slices.Contains(addresses, f.world.address(blockEntry, i, portCaller)) {
 			open = append(open, i)
 		}
 	}
--- a/internal/soaker/world_test.go
+++ b/internal/soaker/world_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/platform"
 	"github.com/waxwingmount/waxwingmount/platform/emulator"
 )
@@ -225,9 +226,9 @@
 	w.config = emulator.Config{
 		Version: 1, Host: host, Slots: serverSlots,
 		Routes: []emulator.Route{
-			{Prefix: pathRepeat, Type: "idempotent", Service: serviceOfPlain, Timeout: routeTimeout},
-			{Prefix: pathOnce, Type: "non_idempotent", Service: serviceOfPlain, Timeout: routeTimeout},
-			{Prefix: pathStream, Type: "streaming", Service: serviceOfModel, Timeout: routeTimeout},
+			{Prefix: pathRepeat, Repeat: mapper.Idempotent, Service: serviceOfPlain, Timeout: routeTimeout},
+			{Prefix: pathOnce, Repeat: mapper.Once, Service: serviceOfPlain, Timeout: routeTimeout},
+			{Prefix: pathStream, Repeat: mapper.Streaming, Service: serviceOfModel, Timeout: routeTimeout},
 		},
 		Engines: map[string][]emulator.Model{serviceOfModel: {
 			{Name: "m0", Size: 2, Load: loadTime, Warm: warmTime}, {Name: "m1", Size: 2, Load: loadTime, Warm: warmTime},
