Scripts: a commit that is done seconds later, a suspended holder, a crashing request at several entry instances

Nothing was found: the late write's condition no longer holds, or it gives its suspended holder nothing back.

--- a/pkg/leaser/script_test.go
+++ b/pkg/leaser/script_test.go
@@ -24,6 +24,8 @@
 	leases  map[string]*Lease
 	pending map[string]Action
 	sent    map[string]time.Time
+	// late are the writes without an answer that the table has yet to do.
+	late map[string]Action
 }
 
 func newWorld(t *testing.T) *world {
@@ -32,6 +34,7 @@
 		leases:  make(map[string]*Lease),
 		pending: make(map[string]Action),
 		sent:    make(map[string]time.Time),
+		late:    make(map[string]Action),
 	}
 }
 
@@ -46,7 +49,10 @@
 
 // commit applies a holder's pending transaction to the row.
 func (w *world) commit(name string) provider.Outcome {
-	tx := w.pending[name].Transaction
+	return w.apply(w.pending[name].Transaction)
+}
+
+func (w *world) apply(tx provider.Transaction) provider.Outcome {
 	if len(tx.Writes) == 0 || tx.Guards[0].Version != w.row.Version {
 		return provider.Outcome{Conflicts: []provider.Row{w.row}}
 	}
@@ -76,6 +82,11 @@
 			case "commit_reply_lost":
 				w.commit(name)
 				l.Step(now, Event{Kind: Failed, SentAt: w.sent[name]})
+			case "unanswered":
+				w.late[name] = w.pending[name]
+				l.Step(now, Event{Kind: Failed, SentAt: w.sent[name]})
+			case "done_late":
+				return fmt.Sprintf("applied: %t\n", w.apply(w.late[name].Transaction).Committed)
 			case "ended":
 				holder := ""
 				d.ScanArgs(t, "holder", &holder)
--- a/pkg/quarantiner/script_test.go
+++ b/pkg/quarantiner/script_test.go
@@ -13,7 +13,7 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Now()
-		q := New(2, time.Minute, 2)
+		entries := map[string]*Quarantine{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var seconds int
 			var s Strike
@@ -22,9 +22,27 @@
 			d.ScanArgs(t, "request", &fingerprint)
 			d.MaybeScanArgs(t, "site", &s.Site)
 			s.Fingerprint = Fingerprint(fingerprint)
+			// Without a name there is one entry instance.
+			name := ""
+			d.MaybeScanArgs(t, "entry", &name)
+			if entries[name] == nil {
+				entries[name] = New(2, time.Minute, 2)
+			}
+			q := entries[name]
 			now := start.Add(time.Duration(seconds) * time.Second)
-			if d.Cmd == "strike" {
+			switch d.Cmd {
+			case "strike":
 				return fmt.Sprintf("new: %t\n", q.Strike(now, s))
+			case "tell":
+				news := 0
+				from := ""
+				d.ScanArgs(t, "from", &from)
+				for _, told := range entries[from].Strikes(now, s.Fingerprint) {
+					if q.Strike(now, told) {
+						news++
+					}
+				}
+				return fmt.Sprintf("new: %d\n", news)
 			}
 			return fmt.Sprintf("blocked: %t, strikes: %d\n", q.Blocked(now, s.Fingerprint), len(q.Strikes(now, s.Fingerprint)))
 		})
