--- a/internal/explainer/subject.go
+++ b/internal/explainer/subject.go
@@ -53,7 +53,7 @@
 	case logger.LineFound, logger.LineOrder, logger.LineNoOrder:
 		return slices.Contains(s.instances, l.text(logger.FieldInstance)) || slices.Contains(s.lanes, l.text(logger.FieldGroup))
 	case logger.LineGroups:
-		return s.model != "" && l.text(logger.FieldModel) == s.model && l.At >= s.from
+		return s.model != "" && l.text(logger.FieldModel) == s.model && l.At >= s.from && l.At <= s.to
 	case logger.LineConfig, logger.LineStore, logger.LineNoStore, logger.LineLeaves, logger.LineHasLeft, logger.LineDropped, logger.LineReloaded:
 		return l.process() == s.process && l.At >= s.from
 	}
@@ -92,8 +92,11 @@
 	kind, outcome := end.text(logger.FieldKind), end.text(logger.FieldOutcome)
 	text := fmt.Sprintf("refused %d %s (%s, %s)", int(end.number("status")), where, kind, strings.ReplaceAll(outcome, "_", " "))
 	reason := refusalReasons[kind]
-	if broke := s.broke(own); broke != "" {
+	switch {
+	case s.broke(own) != "":
 		reason = s.why(own, all)
+	case kind == kindExpired && len(s.lanes) > 0:
+		reason = fmt.Sprintf("it was sent to %s, from where no answer came within its time", s.lanes[len(s.lanes)-1])
 	}
 	if reason != "" {
 		text += ": " + reason
@@ -108,6 +111,8 @@
 	return text
 }
 
+const kindExpired = "expired"
+
 // refusalReasons say what a kind of refusal rests on.
 var refusalReasons = map[string]string{
 	"unready":     "the entry instance had no configuration yet",
@@ -120,7 +125,7 @@
 	"no_server":   "no server could be sent the request",
 	"leaving":     "the entry instance was about to stop",
 	"quarantined": "the request is known to crash servers",
-	"expired":     "its time was over",
+	kindExpired:   "its time was over",
 }
 
 // broke returns the error of the last try that broke.
--- a/internal/soaker/world_test.go
+++ b/internal/soaker/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -274,6 +273,3 @@
 		}
 	}
 }
-
-// String names the world in messages.
-func (w *world) String() string { return fmt.Sprintf("world %d", w.run) }
