--- a/internal/explainer/clock.go
+++ b/internal/explainer/clock.go
@@ -1,6 +1,7 @@
 package explainer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,11 +21,11 @@
 // processes' steady clocks are joined by the calls between them, the shortest
 // first; a process that is joined to no other goes by its time of day.
 func align(lines []Line) {
-	offsets := offsets(lines)
+	added := offsets(lines)
 	for i, l := range lines {
-		lines[i].At = l.Uptime + offsets[l.process()]
+		lines[i].At = l.Uptime + added[l.process()]
 	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return int(a.At - b.At) })
+	slices.SortStableFunc(lines, byTime)
 	if len(lines) == 0 {
 		return
 	}
@@ -34,6 +35,8 @@
 	}
 }
 
+func byTime(a, b Line) int { return cmp.Compare(a.At, b.At) }
+
 // offsets returns what to add to each process's uptime.
 func offsets(lines []Line) map[process]time.Duration {
 	readings := make(map[process][]reading)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -11,6 +11,7 @@
 package explainer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -69,7 +70,7 @@
 	subject := subjectOf(own)
 	lines := h.filter(func(l Line) bool { return l.text(logger.FieldRequest) == id || subject.bears(l) })
 	lines = append(h.beliefs(subject), lines...)
-	slices.SortStableFunc(lines, func(a, b Line) int { return int(a.At - b.At) })
+	slices.SortStableFunc(lines, byTime)
 	return Story{Subject: id, Lines: lines, Cause: subject.cause(own, lines)}, nil
 }
 
@@ -97,8 +98,8 @@
 // beliefs returns what the request's entry instance last believed before it:
 // the configuration, the store, and what stood before the request's model.
 func (h *History) beliefs(s subject) []Line {
-	last := make(map[string]Line)
-	for _, l := range h.lines {
+	last := make(map[string]int)
+	for i, l := range h.lines {
 		if l.At > s.from {
 			break
 		}
@@ -106,23 +107,23 @@
 		switch l.Message {
 		case logger.LineConfig:
 			if own {
-				last[l.Message] = l
+				last[l.Message] = i
 			}
 		case logger.LineStore, logger.LineNoStore:
 			if own {
-				last[logger.LineStore] = l
+				last[logger.LineStore] = i
 			}
 		case logger.LineGroups:
 			if s.model != "" && l.text(logger.FieldModel) == s.model {
-				last[l.Message] = l
+				last[l.Message] = i
 			}
 		case logger.LineControl:
-			last[l.Message] = l
+			last[l.Message] = i
 		}
 	}
 	var found []Line
-	for _, l := range last {
-		found = append(found, l)
+	for _, i := range slices.Sorted(maps.Values(last)) {
+		found = append(found, h.lines[i])
 	}
 	return found
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -248,14 +248,14 @@
 }
 
 // logSend logs where a request goes, and what that choice rests on.
-func (x *exchange) logSend(l *lane) {
+func (x *exchange) logSend(l *lane, running int) {
 	x.f.counts.tries.Inc(1)
 	if len(x.lanes) > 1 {
 		x.f.counts.moves.Inc(1)
 	}
 	log.WithFields(log.Fields{
 		logger.FieldRequest: x.request.ID, logger.FieldLane: l.name, logger.FieldInstance: l.head().ID, "try": len(x.lanes),
-		"delivered": x.delivered, "running": x.f.running(l), "predicted_ms": x.predicted.Milliseconds(),
+		"delivered": x.delivered, "running": running, "predicted_ms": x.predicted.Milliseconds(),
 		"list_age_ms": x.f.Observer.ListAge().Milliseconds(), "config_version": x.config.Version,
 	}).Info(logger.LineSent)
 }
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -265,19 +265,16 @@
 	return demand
 }
 
-// predict returns when a group's first token is expected.
-func (f *Forwarder) predict(x *exchange, l *lane) time.Duration {
-	now := clocker.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return l.at().speed.First(f.work(now, l), x.request.PromptTokens)
-}
-
-// running returns how many requests a lane has, as far as is known here.
-func (f *Forwarder) running(l *lane) int {
+// outlook returns how many requests a lane has, as far as is known here, and
+// when a group's first token is expected.
+func (f *Forwarder) outlook(x *exchange, l *lane) (running int, first time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.work(clocker.Now(), l).Running
+	w := f.work(clocker.Now(), l)
+	if l.at().group != nil {
+		first = l.at().speed.First(w, x.request.PromptTokens)
+	}
+	return w.Running, first
 }
 
 // observe counts a request towards the demand for its model.
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -63,10 +63,11 @@
 		x.f.observe(x, l)
 	}
 	x.lanes = append(x.lanes, l.name)
+	running, first := x.f.outlook(x, l)
 	if l.at().group != nil {
-		x.predicted = x.f.predict(x, l)
+		x.predicted = first
 	}
-	x.logSend(l)
+	x.logSend(l, running)
 	t, err := x.f.send(x, l)
 	if err != nil {
 		if t.sent() {
--- a/pkg/estimator/book.go
+++ b/pkg/estimator/book.go
@@ -1,6 +1,9 @@
 package estimator
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// nearTTL is how long a peer's word of its work counts: some of its messages.
@@ -55,12 +58,17 @@
 
 // Work returns what others have under way at one place.
 func (b *Book) Work(now time.Time, place string) Work {
-	b.forget(now)
+	return at(b.near, now, nearTTL, place).plus(at(b.far, now, farTTL, place))
+}
+
+// at sums what was told of one place, and forgets what is too old.
+func at(all map[string]told, now time.Time, ttl time.Duration, place string) Work {
 	var sum Work
-	for _, t := range b.near {
-		sum = sum.plus(t.works[place])
-	}
-	for _, t := range b.far {
+	for from, t := range all {
+		if now.Sub(t.at) > ttl {
+			delete(all, from)
+			continue
+		}
 		sum = sum.plus(t.works[place])
 	}
 	return sum
@@ -68,12 +76,12 @@
 
 // Sum returns what this data centre has under way, given this instance's own.
 func (b *Book) Sum(now time.Time, own map[string]Work) map[string]Work {
-	b.forget(now)
 	sum := make(map[string]Work, len(own))
-	for place, w := range own {
-		sum[place] = w
-	}
+	maps.Copy(sum, own)
 	for _, t := range b.near {
+		if now.Sub(t.at) > nearTTL {
+			continue
+		}
 		for place, w := range t.works {
 			sum[place] = sum[place].plus(w)
 		}
@@ -81,19 +89,6 @@
 	return sum
 }
 
-func (b *Book) forget(now time.Time) {
-	for peer, t := range b.near {
-		if now.Sub(t.at) > nearTTL {
-			delete(b.near, peer)
-		}
-	}
-	for dataCentre, t := range b.far {
-		if now.Sub(t.at) > farTTL {
-			delete(b.far, dataCentre)
-		}
-	}
-}
-
 func (w Work) plus(o Work) Work {
 	return Work{Running: w.Running + o.Running, UnreadTokens: w.UnreadTokens + o.UnreadTokens}
 }
