Forwarder: choose an upstream and register the attempt in one step

A new upstream has no attempts and a zero time of last progress, so checkUpstreams deleted it in between; the attempt then counted for no load and was not canceled when a member was lost.

Change: pick builds the upstreams, chooses and registers under one lock, and a new upstream counts as active from its creation. The prediction is taken in the same step. An attempt also counts as load for the next choice at once.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -56,20 +56,23 @@
 		return nil, retrier.Event{Kind: retrier.Blocked}
 	}
 	config := x.f.Observer.Config()
-	u, found := x.f.pick(config, x.pool, x.request.PromptTokens, x.failedUpstreams)
+	a := x.newAttempt()
+	chosen, found := x.f.pick(config, x.pool, a.active, x.failedUpstreams)
 	if !found {
+		a.active.cancel(context.Canceled)
 		return nil, retrier.Event{Kind: retrier.NoBackend}
 	}
+	u := chosen.upstream
+	a.upstream = u
 	if x.current == nil && x.deliveredEvents == 0 && len(x.failedUpstreams) == 0 {
-		x.f.recordDemand(x, u)
+		x.f.recordDemand(x, chosen)
 	}
 	x.triedUpstreams = append(x.triedUpstreams, u.name)
-	running, first := x.f.predict(x, u)
 	if u.state().group != nil {
-		x.predictedFirstEvent = first
+		x.predictedFirstEvent = chosen.firstEvent
 	}
-	x.logAttempt(u, running)
-	a, err := x.f.send(x, u)
+	x.logAttempt(u, chosen.running)
+	err := x.f.send(x, a)
 	if err != nil {
 		if a.mayHaveSent() {
 			event := x.handleBreak(a, err)
@@ -210,25 +213,29 @@
 	return err
 }
 
-// send sends the request to an upstream and waits for the response header. The
-// attempt is returned also with an error.
-func (f *Forwarder) send(x *exchange, u *upstream) (*attempt, error) {
-	a := &attempt{upstream: u}
+// newAttempt returns an attempt that has no upstream yet.
+func (x *exchange) newAttempt() *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a.active = &activeAttempt{upstream: u, cancel: cancel, promptTokens: x.request.PromptTokens}
-	f.registerAttempt(a.active)
-	ctx, a.span = f.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+	return &attempt{ctx: ctx, active: &activeAttempt{cancel: cancel, promptTokens: x.request.PromptTokens}}
+}
+
+// send sends the request to the attempt's upstream and waits for the response
+// header.
+func (f *Forwarder) send(x *exchange, a *attempt) error {
+	u := a.upstream
+	ctx, span := f.Tracer.Start(a.ctx, "try", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("request", x.request.ID), attribute.String("lane", u.name)))
+	a.span = span
 	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
 	})
 	a.body = bodychecker.New(x.request.Body, func() bool { return x.isAllowed() && f.isServing(u) })
 	request, err := f.serverRequest(a, x)
 	if err != nil {
-		return a, err
+		return err
 	}
 	a.response, err = f.transport.RoundTrip(request)
-	return a, err
+	return err
 }
 
 // isServing reports whether an upstream may be sent a request at this moment.
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
@@ -92,6 +93,8 @@
 	t        *testing.T
 	platform *platformStub
 	server   *httptest.Server
+	// forwarder is the forwarder under test.
+	forwarder *Forwarder
 }
 
 const testKeyTTL = 3 * time.Second
@@ -124,14 +127,14 @@
 	f := &fixture{t: t, platform: &platformStub{dead: make(map[string]bool)}}
 	ctx, cancel := context.WithCancel(context.Background())
 	o := observer.New(observer.Dependencies{Source: f.platform, Prober: f.platform, Announcer: f.platform, Scope: tally.NoopScope})
-	forwarder := New(Dependencies{
+	f.forwarder = New(Dependencies{
 		Settings: Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100},
 		Observer: o, Codec: testCodec{}, Peers: f.platform,
 		Tracer: noop.NewTracerProvider().Tracer(""), Scope: tally.NoopScope,
 	})
 	o.Start(ctx)
-	forwarder.Start(ctx)
-	f.server = httptest.NewServer(forwarder.Handler())
+	f.forwarder.Start(ctx)
+	f.server = httptest.NewServer(f.forwarder.Handler())
 	t.Cleanup(func() { f.server.Close(); cancel() })
 	return f
 }
@@ -235,3 +238,18 @@
 	conn.(*net.TCPConn).SetLinger(0)
 	conn.Close()
 }
+
+// onLogLine calls do each time the line is logged, in the goroutine that logs
+// it, until the test ends.
+func onLogLine(t *testing.T, line string, do func()) {
+	t.Helper()
+	logger := log.Log.(*log.Logger)
+	previous := logger.Handler
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == line {
+			do()
+		}
+		return previous.HandleLog(e)
+	}))
+	t.Cleanup(func() { log.SetHandler(previous) })
+}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 const (
@@ -91,31 +92,40 @@
 	return sum
 }
 
-// candidates returns the upstreams that may be sent a request of a pool now.
-func (f *Forwarder) candidates(config *mapper.RouteTable, key poolKey) []*upstream {
+// destination is a group or plain server that the view lists as available.
+type destination struct {
+	name    string
+	members []provider.Instance
+	// group and engine are nil for a plain server.
+	group  *tracker.Group
+	engine *mapper.Engine
+}
+
+// destinations returns what may be sent requests of a pool now.
+func (f *Forwarder) destinations(config *mapper.RouteTable, key poolKey) []destination {
 	service, found := config.Service(key.service)
 	if !found {
 		return nil
 	}
-	now := clocker.Now()
+	var available []destination
 	if service.Engine != nil && key.model != "" {
-		groups := f.Observer.Groups(key.service, key.model)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		upstreams := make([]*upstream, 0, len(groups))
-		for _, g := range groups {
-			if u := f.upstreamFor(g.Name, g.Members, &g, service.Engine); now.After(u.ejectedUntil) {
-				upstreams = append(upstreams, u)
-			}
+		for _, g := range f.Observer.Groups(key.service, key.model) {
+			available = append(available, destination{name: g.Name, members: g.Members, group: &g, engine: service.Engine})
 		}
-		return upstreams
+		return available
 	}
-	servers := f.Observer.Servers(key.service)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	upstreams := make([]*upstream, 0, len(servers))
-	for _, in := range servers {
-		if u := f.upstreamFor(in.ID, []provider.Instance{in}, nil, nil); now.After(u.ejectedUntil) {
+	for _, in := range f.Observer.Servers(key.service) {
+		available = append(available, destination{name: in.ID, members: []provider.Instance{in}})
+	}
+	return available
+}
+
+// candidates returns the upstreams of the destinations, except those that are
+// ejected. The caller holds f.mu.
+func (f *Forwarder) candidates(now time.Time, destinations []destination) []*upstream {
+	upstreams := make([]*upstream, 0, len(destinations))
+	for _, d := range destinations {
+		if u := f.upstreamFor(now, d); now.After(u.ejectedUntil) {
 			upstreams = append(upstreams, u)
 		}
 	}
@@ -143,33 +153,47 @@
 
 // freeSlots returns how many more requests a pool can run at once.
 func (f *Forwarder) freeSlots(config *mapper.RouteTable, key poolKey) int {
-	upstreams := f.candidates(config, key)
+	destinations := f.destinations(config, key)
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	free := 0
-	for _, u := range upstreams {
+	for _, u := range f.candidates(now, destinations) {
 		free += max(0, u.state().slots-f.totalWork(now, u).Running)
 	}
 	return free
 }
 
-// pick chooses an upstream for a request, preferring those that have not failed
-// it, and counts the request there. It reports whether there is any.
-func (f *Forwarder) pick(config *mapper.RouteTable, key poolKey, promptTokens int, failed map[string]bool) (*upstream, bool) {
-	upstreams := f.candidates(config, key)
+// choice is the upstream chosen for a request, with the state on which the
+// choice is based.
+type choice struct {
+	upstream *upstream
+	// running is how many requests the upstream has, as far as it is known here.
+	running int
+	// firstEvent is the predicted time to the first token, or zero for a plain
+	// server.
+	firstEvent time.Duration
+}
+
+// pick chooses an upstream for an attempt, preferring those that have not
+// failed the request, and registers the attempt there. It reports whether there
+// is any. Choosing and registering are one step, so that checkUpstreams finds
+// every chosen upstream in use.
+func (f *Forwarder) pick(config *mapper.RouteTable, key poolKey, a *activeAttempt, failed map[string]bool) (choice, bool) {
+	destinations := f.destinations(config, key)
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	upstreams := f.candidates(now, destinations)
 	var candidates []router.Candidate
 	byName := make(map[string]*upstream, len(upstreams))
 	for _, u := range f.sample(withoutFailed(upstreams, failed)) {
 		byName[u.name] = u
-		candidates = append(candidates, router.Candidate{Group: u.name, Load: f.cost(now, u, promptTokens)})
+		candidates = append(candidates, router.Candidate{Group: u.name, Load: f.cost(now, u, a.promptTokens)})
 	}
 	candidates = f.tracker.FilterEjected(now, candidates)
 	if len(candidates) == 0 {
-		return nil, false
+		return choice{}, false
 	}
 	best, ties := 0, 1
 	for i := 1; i < len(candidates); i++ {
@@ -183,8 +207,14 @@
 			}
 		}
 	}
-	f.tracker.Begin(candidates[best].Group)
-	return byName[candidates[best].Group], true
+	u := byName[candidates[best].Group]
+	w := f.totalWork(now, u)
+	chosen := choice{upstream: u, running: w.Running}
+	if u.state().group != nil {
+		chosen.firstEvent = u.state().estimate.TimeToFirstToken(w, a.promptTokens)
+	}
+	f.registerAttempt(now, u, a)
+	return chosen, true
 }
 
 // sample returns the upstreams that are compared for one request. A few entry
@@ -279,20 +309,9 @@
 	return demand
 }
 
-// predict returns how many requests an upstream has, as far as it is known
-// here, and the predicted time to the first token for a group.
-func (f *Forwarder) predict(x *exchange, u *upstream) (running int, first time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w := f.totalWork(clocker.Now(), u)
-	if u.state().group != nil {
-		first = u.state().estimate.TimeToFirstToken(w, x.request.PromptTokens)
-	}
-	return w.Running, first
-}
-
 // recordDemand counts a request towards the demand for its model.
-func (f *Forwarder) recordDemand(x *exchange, u *upstream) {
+func (f *Forwarder) recordDemand(x *exchange, c choice) {
+	u := c.upstream
 	if u.state().group == nil || x.route.Objective <= 0 {
 		return
 	}
@@ -310,7 +329,6 @@
 	if responseTokens <= 0 {
 		responseTokens = u.state().estimate.Engine.UsualAnswer
 	}
-	first := u.state().estimate.TimeToFirstToken(f.totalWork(now, u), x.request.PromptTokens)
 	meter.Observe(now, x.pool.model, len(u.state().members), compactGroup.Cost(x.request.PromptTokens, responseTokens),
-		float64(first)/float64(x.route.Objective))
+		float64(c.firstEvent)/float64(x.route.Objective))
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -7,7 +7,6 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
-	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
@@ -76,18 +75,18 @@
 	stallEjection = 4 * time.Second
 )
 
-// upstreamFor returns the upstream with that name. It creates a new one if
-// there is none or its head has changed.
-func (f *Forwarder) upstreamFor(name string, members []provider.Instance, group *tracker.Group, e *mapper.Engine) *upstream {
-	u, found := f.upstreams[name]
-	if !found || u.head().Incarnation != members[0].Incarnation || u.head().Address != members[0].Address {
-		u = &upstream{name: name, active: make(map[*activeAttempt]struct{})}
-		f.upstreams[name] = u
+// upstreamFor returns the upstream of a destination. It creates a new one if
+// there is none or its head has changed. The caller holds f.mu.
+func (f *Forwarder) upstreamFor(now time.Time, d destination) *upstream {
+	u, found := f.upstreams[d.name]
+	if !found || u.head().Incarnation != d.members[0].Incarnation || u.head().Address != d.members[0].Address {
+		u = &upstream{name: d.name, active: make(map[*activeAttempt]struct{}), lastProgress: now}
+		f.upstreams[d.name] = u
 	}
-	state := &upstreamState{members: members, group: group, slots: members[0].Slots, probeAfter: plainServerProbeAfter}
-	if group != nil {
-		model, _ := e.Model(group.Model)
-		state.estimate = estimator.Group{Engine: e, Pace: model.Pace, Spread: group.Spread()}
+	state := &upstreamState{members: d.members, group: d.group, slots: d.members[0].Slots, probeAfter: plainServerProbeAfter}
+	if d.group != nil {
+		model, _ := d.engine.Model(d.group.Model)
+		state.estimate = estimator.Group{Engine: d.engine, Pace: model.Pace, Spread: d.group.Spread()}
 		state.probeAfter = max(minProbeAfter, state.estimate.MaxEventGap())
 	}
 	state.stallAfter = stallFactor * state.probeAfter
@@ -95,14 +94,14 @@
 	return u
 }
 
-// registerAttempt registers the start of an attempt with its upstream.
-func (f *Forwarder) registerAttempt(a *activeAttempt) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(a.upstream.active) == 0 {
-		a.upstream.lastProgress = clocker.Now()
+// registerAttempt registers an attempt with its upstream. The caller holds f.mu.
+func (f *Forwarder) registerAttempt(now time.Time, u *upstream, a *activeAttempt) {
+	a.upstream = u
+	if len(u.active) == 0 {
+		u.lastProgress = now
 	}
-	a.upstream.active[a] = struct{}{}
+	u.active[a] = struct{}{}
+	f.tracker.Begin(u.name)
 }
 
 // unregisterAttempt removes an attempt from its upstream, records whether it
