--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -68,8 +68,9 @@
 		x.f.recordDemand(x, chosen)
 	}
 	x.triedUpstreams = append(x.triedUpstreams, u.name)
-	if u.state().group != nil {
+	if group := u.state().group; group != nil {
 		x.predictedFirstEvent = chosen.firstEvent
+		x.spread = x.spread || group.Spread()
 	}
 	x.logAttempt(u, chosen.running)
 	err := x.f.send(x, a)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -56,12 +56,17 @@
 	ctx              context.Context
 	cancel           context.CancelFunc
 
-	// admittedAt, firstEventAt, predictedFirstEvent and triedUpstreams are kept
-	// for the log line of the request.
+	// The following fields are kept for the log line of the request.
 	admittedAt          time.Time
 	firstEventAt        time.Time
 	predictedFirstEvent time.Duration
 	triedUpstreams      []string
+	// lastEventAt is when the last event arrived, maxGap the longest time
+	// between two events, and spread whether any of the tried groups spans
+	// several fabric domains.
+	lastEventAt time.Time
+	maxGap      time.Duration
+	spread      bool
 
 	current *attempt
 	// headerSent says that the response header has been sent to the caller.
@@ -245,10 +250,12 @@
 		logger.FieldRequest: x.request.ID, "route": x.route.Name, "organisation": x.organisation.Name, "config_version": x.config.Version,
 		"status": status, logger.FieldComplete: complete, "lanes": x.triedUpstreams, "events": x.deliveredEvents,
 		"queued_ms": milliseconds(x.request.Arrived, x.admittedAt), "took_ms": milliseconds(x.request.Arrived, now),
+		"objective_ms": x.route.Objective.Milliseconds(),
 	}
 	if !x.firstEventAt.IsZero() {
 		fields["first_ms"] = milliseconds(x.request.Arrived, x.firstEventAt)
 		fields["predicted_ms"] = x.predictedFirstEvent.Milliseconds()
+		fields["gap_objective_ms"], fields["max_gap_ms"], fields["spread"] = x.route.GapObjective.Milliseconds(), x.maxGap.Milliseconds(), x.spread
 	}
 	log.WithFields(fields).Info(logger.LineEnded)
 	x.f.metrics.recordResponse(x, status, complete, now)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -75,9 +75,13 @@
 
 // recordEvent records an event and the ID from which the stream would resume.
 func (x *exchange) recordEvent(event []byte) {
+	now := clocker.Now()
 	if x.deliveredEvents == 0 {
-		x.firstEventAt = clocker.Now()
+		x.firstEventAt = now
+	} else {
+		x.maxGap = max(x.maxGap, now.Sub(x.lastEventAt))
 	}
+	x.lastEventAt = now
 	x.deliveredEvents++
 	if id := eventID(event); id != "" {
 		x.lastEventID = id
