Scheduler: a ready head of an earlier term leaves its group before it joins another

The scheduler took every ready or joining head of a group that it had not formed for an instance that had loaded weights alone. The previous holder's Open may take effect after that.

Change: the scheduler remembers the groups of its own loads; a ready head of any other group is adopted. A complete group is opened instead of formed again, an incomplete one leaves first. Scripts takeover_while_opening and takeover_of_ready_group failed before (join without leave; leave of a ready group); takeover_during_load shows that a running load goes on.

--- a/pkg/scheduler/form.go
+++ b/pkg/scheduler/form.go
@@ -161,7 +161,7 @@
 func (s *Scheduler) inUnmanagedGroup(now time.Time, in provider.Instance) bool {
 	m := in.Membership
 	return m.Group != "" && m.State != provider.Unattached && m.State != provider.Joining &&
-		!s.recentlyLeft(now, in.ID, m.Group) && !s.loadingOrUnopened(in)
+		!s.recentlyLeft(now, in.ID, m.Group) && !s.loadsAlone(in)
 }
 
 // joinReportTimeout is how long it may take until an instance reports a join.
@@ -290,6 +290,7 @@
 		l.expectedAt = now.Add(s.estimateLoadTime(v, m, cold))
 		l.deadline = now.Add(2*l.expectedAt.Sub(now) + joinTimeoutMargin)
 		s.loading[in.ID] = l
+		s.loadGroups[in.ID] = g.name
 		if cold {
 			s.loadTokens.tokens--
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -93,6 +93,9 @@
 	readyCounts map[string]int
 	// loading holds the weight loads in progress, by instance ID.
 	loading map[string]weightLoad
+	// loadGroups holds the name of the single-member group of each instance's last
+	// load, by instance ID.
+	loadGroups map[string]string
 }
 
 // lastModel is the model of the last group that one incarnation of an instance
@@ -126,6 +129,7 @@
 		lastSent:   make(map[orderKey]time.Time),
 		lastModels: make(map[string]lastModel),
 		loading:    make(map[string]weightLoad),
+		loadGroups: make(map[string]string),
 	}
 }
 
@@ -152,7 +156,7 @@
 	found := make(map[string][]provider.Instance)
 	for _, in := range v.Tracker.Instances() {
 		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || s.groups[m.Group] != nil || s.recentlyLeft(now, in.ID, m.Group) || s.loadingOrUnopened(in) {
+		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || s.groups[m.Group] != nil || s.recentlyLeft(now, in.ID, m.Group) || s.loadsAlone(in) {
 			continue
 		}
 		found[m.Group] = append(found[m.Group], in)
@@ -168,13 +172,13 @@
 	}
 }
 
-// loadingOrUnopened reports whether an instance is in a single-member group that
-// only loads weights, or is the head of a group that has not been opened.
-func (s *Scheduler) loadingOrUnopened(in provider.Instance) bool {
+// loadsAlone reports whether an instance is in a single-member group that is
+// never opened, because it loads weights or has loaded them. A ready head of any
+// other group may have received an Open order that takes effect later, so it
+// must leave that group before it joins another.
+func (s *Scheduler) loadsAlone(in provider.Instance) bool {
 	m := in.Membership
-	l, loading := s.loading[in.ID]
-	return loading && l.group == m.Group ||
-		m.Rank == 0 && (m.State == provider.Joining || m.State == provider.MemberReady)
+	return s.loadGroups[in.ID] == m.Group || m.Rank == 0 && m.State == provider.Joining
 }
 
 // sortByRank sorts members by rank and reports whether they have consecutive
@@ -385,6 +389,11 @@
 			delete(s.departures, id)
 		}
 	}
+	for id := range s.loadGroups {
+		if _, listed := v.Tracker.Instance(id); !listed {
+			delete(s.loadGroups, id)
+		}
+	}
 }
 
 // nextGroupName returns the name and epoch of the next group of a model.
