--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -55,6 +55,8 @@
 	instances []provider.Instance
 	down      bool
 	dead      map[string]bool
+	// peers is the number of other entry instances.
+	peers int
 }
 
 var errDown = errors.New("the store is unavailable")
@@ -78,8 +80,13 @@
 	return nil
 }
 
+func (p *platformStub) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers + 1
+}
+
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage)      {}
-func (p *platformStub) Count() int                                             { return 1 }
 func (p *platformStub) BroadcastStrikes(context.Context, []quarantiner.Strike) {}
 func (p *platformStub) set(change func(*platformStub))                         { p.mu.Lock(); defer p.mu.Unlock(); change(p) }
 func (p *platformStub) kill(id string)                                         { p.set(func(p *platformStub) { p.dead[id] = true }) }
--- a/internal/forwarder/pick_test.go
+++ b/internal/forwarder/pick_test.go
@@ -40,3 +40,32 @@
 	_, err = io.ReadAll(response.Body)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// TestRequestsGoToFreeSlots lets 79 entry instances share eight groups, seven of
+// which are full after the loss of others. Each instance compares only a few
+// random groups for a request; it must still find the one with free slots, or the
+// queues inside the engines grow while slots are free.
+func TestRequestsGoToFreeSlots(t *testing.T) {
+	f := newFixture(t)
+	f.platform.set(func(p *platformStub) { p.peers = 78 })
+	for i := range 8 {
+		f.addGroup(string(rune('a'+i)), func(http.ResponseWriter, *http.Request) {})
+	}
+	f.applyConfig()
+	full := make(map[string]estimator.Work)
+	for i := range 7 {
+		full["m~"+string(rune('a'+i))] = estimator.Work{Running: testEngine.Slots}
+	}
+	config, pool := f.forwarder.Observer.Config(), poolKey{service: "engines", model: "m"}
+	for range 40 {
+		f.forwarder.UpdatePeerLoad("peer", full)
+		_, cancel := context.WithCancelCause(context.Background())
+		a := &activeAttempt{cancel: cancel, promptTokens: 100}
+		chosen, found := f.forwarder.pick(config, pool, a, nil)
+		assert.Assert(t, found)
+		assert.Equal(t, chosen.upstream.name, "m~h")
+		f.forwarder.unregisterAttempt(a, false)
+	}
+	f.forwarder.UpdatePeerLoad("peer", full)
+	assert.Equal(t, f.forwarder.freeSlots(config, pool), testEngine.Slots)
+}
