Forwarder: limit only groups across domains; demand as before

The limit on slots holds for groups across domains alone: when instances turn slow, a late first event raised the offset and would have limited groups within a domain, which costs throughput. The offset is bounded at 0.15 s.

--- a/pkg/estimator/workload.go
+++ b/pkg/estimator/workload.go
@@ -11,7 +11,7 @@
 	offsetStep = 3 * time.Millisecond
 	// maxOffset bounds the offset, so that a group that stands still does not
 	// spoil later predictions.
-	maxOffset = 300 * time.Millisecond
+	maxOffset = 150 * time.Millisecond
 	// promptWeight is the weight of a new request in the mean prompt length.
 	promptWeight = 0.05
 	// minSlotShare is the share of a group's slots that is used however slow the
@@ -53,11 +53,16 @@
 // Offset returns the time that first events take beyond the prediction.
 func (w *Workload) Offset() time.Duration { return w.offset }
 
-// UsableSlots returns how many requests a group can run at once so that one more
-// typical request still meets its objectives. It is at least minSlotShare of the
-// group's slots.
+// UsableSlots returns how many requests a group should run at once. A group within
+// one domain uses all of its slots: fewer would cost throughput whenever the
+// prediction is off, such as while instances are slow. A group across domains is
+// filled only as far as a typical request meets its objectives, but at least to
+// minSlotShare.
 func (w *Workload) UsableSlots(g Group) int {
 	slots := max(1, g.Engine.Slots)
+	if !g.Spread {
+		return slots
+	}
 	least := max(1, int(minSlotShare*float64(slots)))
 	tooMany := sort.Search(slots-least, func(i int) bool { return !w.meetsObjectives(g, least+1+i) })
 	return least + tooMany
