--- a/pkg/estimator/workload.go
+++ b/pkg/estimator/workload.go
@@ -9,8 +9,8 @@
 	// offsetStep is how far one observation moves the offset of first events; a
 	// few seconds of requests reach the true value.
 	offsetStep = 3 * time.Millisecond
-	// maxOffset bounds the offset, so that a group that stands still does not
-	// spoil later predictions.
+	// maxOffset bounds the offset, so that slow or overloaded groups do not make
+	// every request look late before it starts.
 	maxOffset = 150 * time.Millisecond
 	// promptWeight is the weight of a new request in the mean prompt length.
 	promptWeight = 0.05
