--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -5,28 +5,26 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 const (
 	// demandWindow is how long a request counts towards the demand: about the
 	// time to load a model's weights.
 	demandWindow = 10 * time.Second
-	// extraSharePerMember raises the share of a model for each member of its
-	// groups above extraShareAboveSize, because larger groups lose a member
-	// more often and wait longer for a spare instance. In simulated runs a
-	// larger share raised the score of groups of 8 from 0.51 to 0.66 and gained
-	// nothing for groups of 4.
-	extraSharePerMember = 0.1
-	extraShareAboveSize = 4
+	// unavailableShare is the fraction of the instances that are assumed to be
+	// lost, or to load weights, at any time.
+	unavailableShare = 0.1
 	// minDemandInstanceSeconds is how much work must have been requested before
 	// the demand is measured.
 	minDemandInstanceSeconds = 3
 )
 
 // Demand implements [orchestrator.DemandSource]. It returns the share of the
-// instances that each model needs: the mean of the configured and the measured
-// share once there are enough measurements, and the configured share until
-// then.
+// instances that each model needs. The share of the work is the mean of the
+// configured and the measured share once there are enough measurements, and the
+// configured share until then. A model gets more instances for its share of the
+// work if fewer of them can serve in whole groups.
 func (f *Forwarder) Demand(service string) map[string]float64 {
 	demand := make(map[string]float64)
 	config := f.Observer.Config()
@@ -37,24 +35,48 @@
 	if !found || s.Engine == nil {
 		return demand
 	}
-	sum := 0.0
 	for _, m := range s.Engine.Models {
-		demand[m.Name] = m.Share * (1 + extraSharePerMember*float64(max(0, m.Size-extraShareAboveSize)))
-		sum += demand[m.Name]
-	}
-	for name := range demand {
-		demand[name] /= sum
+		demand[m.Name] = m.Share
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if meter := f.demandMeters[service]; meter != nil {
 		for name, share := range meter.Shares(clocker.Now(), minDemandInstanceSeconds) {
 			demand[name] = (demand[name] + share) / 2
 		}
 	}
+	f.mu.Unlock()
+	domainSize := f.domainSize(service)
+	sum := 0.0
+	for _, m := range s.Engine.Models {
+		demand[m.Name] /= estimator.UsableShare(domainSize, m.Size, unavailableShare)
+		sum += demand[m.Name]
+	}
+	if sum > 0 {
+		for name := range demand {
+			demand[name] /= sum
+		}
+	}
 	return demand
 }
 
+// domainSize returns the number of instances of a service in its largest fabric
+// domain.
+func (f *Forwarder) domainSize(service string) int {
+	counts := make(map[string]int)
+	f.Observer.WithTracker(func(t *tracker.Tracker) {
+		for _, in := range t.Instances() {
+			if in.Service == service {
+				counts[in.FabricDomain]++
+			}
+		}
+	})
+	largest := 0
+	for _, n := range counts {
+		largest = max(largest, n)
+	}
+	return largest
+}
+
 // recordDemand counts a request towards the demand for its model.
 func (f *Forwarder) recordDemand(x *exchange, c choice) {
 	u := c.upstream
