--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -58,7 +58,6 @@
 	// served is the mean of the demand served, weighted by share.
 	served float64
 	loads  int
-	closes int
 }
 
 // churnInstance is one simulated instance.
