Read once more: work of an upstream computed once for a choice, one place for an attempt's upstream

Change: pick computes the work of each upstream once; the attempt's upstream is read from where it is registered; constants for the kinds; ScanArgs. Decisions stay as they are.

--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -51,9 +51,9 @@
 func causeOf(l Line, attemptFailed bool) Cause {
 	if l.Message == logger.LineRefused {
 		switch l.text(logger.FieldKind) {
-		case "overloaded":
+		case kindOverloaded:
 			return RefusedOverloaded
-		case "no_server":
+		case kindNoServer:
 			return RefusedNoServer
 		case kindDeadlineExceeded:
 			return RefusedExpired
--- a/internal/explainer/request.go
+++ b/internal/explainer/request.go
@@ -113,7 +113,12 @@
 	return text
 }
 
-const kindDeadlineExceeded = "expired"
+// Kinds of refusals as the forwarder logs them.
+const (
+	kindOverloaded       = "overloaded"
+	kindNoServer         = "no_server"
+	kindDeadlineExceeded = "expired"
+)
 
 // refusalReasons holds a description of each kind of refusal.
 var refusalReasons = map[string]string{
@@ -123,8 +128,8 @@
 	"stale_keys":         "the configuration was too old for its keys to be trusted",
 	"too_large":          "the body is longer than the limit",
 	"malformed":          "the request could not be read",
-	"overloaded":         "too many requests waited to be started in time",
-	"no_server":          "no server could be sent the request",
+	kindOverloaded:       "too many requests waited to be started in time",
+	kindNoServer:         "no server could be sent the request",
 	"leaving":            "the entry instance was about to stop",
 	"quarantined":        "the request is known to crash servers",
 	kindDeadlineExceeded: "its deadline had passed",
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -36,7 +36,6 @@
 // attempt is one sending of a request to one upstream.
 type attempt struct {
 	active   *activeAttempt
-	upstream *upstream
 	response *http.Response
 	reader   *bufio.Reader
 	body     *bodychecker.Body
@@ -63,7 +62,6 @@
 		return nil, retrier.Event{Kind: retrier.NoBackend}
 	}
 	u := chosen.upstream
-	a.upstream = u
 	if x.current == nil && x.deliveredEvents == 0 && len(x.failedUpstreams) == 0 {
 		x.f.recordDemand(x, chosen)
 	}
@@ -96,8 +94,8 @@
 // attempt at any time.
 func (x *exchange) handleBreak(a *attempt, err error) retrier.Event {
 	cause := a.cause(err)
-	event := x.excludeUpstream(a.upstream, cause)
-	x.checkForCrash(a.upstream, cause)
+	event := x.excludeUpstream(a.active.upstream, cause)
+	x.checkForCrash(a.active.upstream, cause)
 	return event
 }
 
@@ -136,14 +134,14 @@
 func (x *exchange) checkResponse(a *attempt, metadata ResponseMetadata) (retrier.Event, bool) {
 	switch {
 	case metadata.ID != "" && metadata.ID != x.request.ID:
-		return x.excludeUpstream(a.upstream, errors.Newf("response belongs to request %q", metadata.ID)), true
+		return x.excludeUpstream(a.active.upstream, errors.Newf("response belongs to request %q", metadata.ID)), true
 	case metadata.NotRun:
-		x.failedUpstreams[a.upstream.name] = true
+		x.failedUpstreams[a.active.upstream.name] = true
 		x.lastErr = errors.Newf("server did not run the request: status %d", a.response.StatusCode)
-		x.probeSuspect(a.upstream, metadata)
+		x.probeSuspect(a.active.upstream, metadata)
 		return retrier.Event{Kind: retrier.NotSent}, true
 	case !metadata.Verified && a.response.StatusCode < http.StatusMultipleChoices:
-		return x.excludeUpstream(a.upstream, errUnverified), true
+		return x.excludeUpstream(a.active.upstream, errUnverified), true
 	}
 	return retrier.Event{}, false
 }
@@ -184,7 +182,7 @@
 	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body}
 	if response.Status >= http.StatusInternalServerError && x.route.Retryable() {
 		x.fallback = response
-		x.failedUpstreams[a.upstream.name] = true
+		x.failedUpstreams[a.active.upstream.name] = true
 		x.lastErr = errors.Newf("server returned status %d", response.Status)
 		x.endAttempt(true)
 		return nil, retrier.Event{Kind: retrier.Interrupted}
@@ -223,7 +221,7 @@
 // send sends the request to the attempt's upstream and waits for the response
 // header.
 func (f *Forwarder) send(x *exchange, a *attempt) error {
-	u := a.upstream
+	u := a.active.upstream
 	ctx, span := f.Tracer.Start(a.ctx, "try", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("request", x.request.ID), attribute.String("lane", u.name)))
 	a.span = span
@@ -248,7 +246,7 @@
 }
 
 func (f *Forwarder) serverRequest(a *attempt, x *exchange) (*http.Request, error) {
-	head := a.upstream.head()
+	head := a.active.upstream.head()
 	target, err := url.ParseRequestURI(x.request.Target)
 	if err != nil {
 		return nil, err
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -132,11 +132,10 @@
 	return upstreams
 }
 
-// cost ranks an upstream for a request. It is the time to the first token in
+// cost ranks an upstream with work w for a request. It is the time to the first token in
 // milliseconds for a group, and the number of running requests for a plain
 // server; remote upstreams have a penalty added.
-func (f *Forwarder) cost(now time.Time, u *upstream, promptTokens int) float64 {
-	w := f.totalWork(now, u)
+func (f *Forwarder) cost(u *upstream, w estimator.Work, promptTokens int) float64 {
 	remote := u.head().DataCentre != f.settings.Load().DataCentre
 	if u.state().group == nil {
 		if remote {
@@ -178,10 +177,10 @@
 // withFreeSlots returns the upstreams that have a usable slot free, or all of
 // them if none has. Many entry instances compare only a few upstreams for a
 // request; without this, they fill the queue of one while others have free slots.
-func (f *Forwarder) withFreeSlots(now time.Time, p *pool, all []*upstream) []*upstream {
+func (p *pool) withFreeSlots(all []*upstream, works map[*upstream]estimator.Work) []*upstream {
 	var free []*upstream
 	for _, u := range all {
-		if f.totalWork(now, u).Running < p.usableSlots(u) {
+		if works[u].Running < p.usableSlots(u) {
 			free = append(free, u)
 		}
 	}
@@ -211,12 +210,16 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	upstreams := f.withFreeSlots(now, f.poolFor(key), withoutFailed(f.candidates(now, destinations), failed))
+	upstreams := withoutFailed(f.candidates(now, destinations), failed)
+	works := make(map[*upstream]estimator.Work, len(upstreams))
+	for _, u := range upstreams {
+		works[u] = f.totalWork(now, u)
+	}
 	var candidates []router.Candidate
 	byName := make(map[string]*upstream, len(upstreams))
-	for _, u := range f.sample(upstreams) {
+	for _, u := range f.sample(f.poolFor(key).withFreeSlots(upstreams, works)) {
 		byName[u.name] = u
-		candidates = append(candidates, router.Candidate{Group: u.name, Load: f.cost(now, u, a.promptTokens)})
+		candidates = append(candidates, router.Candidate{Group: u.name, Load: f.cost(u, works[u], a.promptTokens)})
 	}
 	candidates = f.tracker.FilterEjected(now, candidates)
 	if len(candidates) == 0 {
@@ -235,10 +238,9 @@
 		}
 	}
 	u := byName[candidates[best].Group]
-	w := f.totalWork(now, u)
-	chosen := choice{upstream: u, running: w.Running}
+	chosen := choice{upstream: u, running: works[u].Running}
 	if u.state().group != nil {
-		chosen.firstEvent = u.state().estimate.TimeToFirstToken(w, a.promptTokens)
+		chosen.firstEvent = u.state().estimate.TimeToFirstToken(works[u], a.promptTokens)
 	}
 	f.registerAttempt(now, u, a)
 	return chosen, true
--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -79,7 +79,7 @@
 	churnRejoin   = 200 * time.Millisecond
 	churnDrain    = 2 * time.Second
 	churnSpread   = 3.0
-	churnBusiness = 2.0
+	churnHeadroom = 2.0
 	churnCutStart = 12 * time.Second
 	churnCutTime  = 5 * time.Second
 	churnParallel = 3
@@ -310,7 +310,7 @@
 	c.result.unused += (live - float64(used)) * seconds
 	for _, m := range c.settings.engine.Models {
 		c.result.capacity[m.Name] += open[m.Name] * seconds
-		needed := c.settings.demand[m.Name] * float64(c.settings.domains*c.settings.domainSize) / churnBusiness / float64(m.Size)
+		needed := c.settings.demand[m.Name] * float64(c.settings.domains*c.settings.domainSize) / churnHeadroom / float64(m.Size)
 		c.result.served += c.settings.demand[m.Name] * servedShare(open[m.Name]/needed) * seconds
 	}
 }
@@ -333,19 +333,8 @@
 	datadriven.RunTest(t, "testdata_churn/installations", func(t *testing.T, d *datadriven.TestData) string {
 		engine := *testEngine
 		settings := churnSettings{engine: &engine, replacementDelay: 4 * time.Second, duration: 34 * time.Second, demand: make(map[string]float64)}
-		var sizes []int
-		var seeds, interval, large, atOnce, perSecond, cut int
-		for _, arg := range d.CmdArgs {
-			if arg.Key == "sizes" {
-				for _, v := range arg.Vals {
-					n, err := strconv.Atoi(v)
-					if err != nil {
-						t.Fatal(err)
-					}
-					sizes = append(sizes, n)
-				}
-			}
-		}
+		var largeSize, smallSize, seeds, interval, large, atOnce, perSecond, cut int
+		d.ScanArgs(t, "sizes", &largeSize, &smallSize)
 		d.ScanArgs(t, "domains", &settings.domains)
 		d.ScanArgs(t, "domain_size", &settings.domainSize)
 		d.ScanArgs(t, "loss_interval", &interval)
@@ -358,8 +347,8 @@
 		engine.SpreadFactor = churnSpread
 		engine.LoadsAtOnce, engine.LoadsPerSecond = atOnce, float64(perSecond)
 		engine.Models = []mapper.Model{
-			{Name: "large", Size: sizes[0], Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
-			{Name: "small", Size: sizes[1], Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+			{Name: "large", Size: largeSize, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+			{Name: "small", Size: smallSize, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
 		}
 		settings.lossInterval = time.Duration(interval) * time.Millisecond
 		settings.demand["large"], settings.demand["small"] = float64(large)/100, 1-float64(large)/100
