--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -180,16 +180,26 @@
 	d.mu.Unlock()
 	for id, epoch := range alive {
 		if previous[id] != epoch {
-			log.WithFields(log.Fields{logger.FieldPeer: id, logger.FieldPeerRun: logger.RunID(epoch), "peers": len(alive)}).Info(logger.LinePeerSeen)
+			d.peerLog(id, epoch, len(alive)).Info(logger.LinePeerSeen)
 		}
 	}
 	for id, epoch := range previous {
 		if _, still := alive[id]; !still {
-			log.WithFields(log.Fields{logger.FieldPeer: id, logger.FieldPeerRun: logger.RunID(epoch), "peers": len(alive)}).Warn(logger.LinePeerSilent)
+			d.peerLog(id, epoch, len(alive)).Warn(logger.LinePeerSilent)
 		}
 	}
 }
 
+// peerLog returns the log entry for a change of a peer's liveness.
+func (d *Discoverer) peerLog(id string, epoch uint64, peers int) *log.Entry {
+	d.mu.Lock()
+	heartbeats := d.gossiper.Heartbeats(id)
+	d.mu.Unlock()
+	return log.WithFields(log.Fields{
+		logger.FieldPeer: id, logger.FieldPeerRun: logger.RunID(epoch), "peers": peers, logger.FieldPeerHeartbeats: heartbeats,
+	})
+}
+
 func (d *Discoverer) exchangeWith(ctx context.Context, neighbours []gossiper.Member) {
 	var calls sync.WaitGroup
 	for _, neighbour := range neighbours {
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -49,4 +49,9 @@
 	FieldPeerUptime  = "peer_at_ms"
 	FieldLocalUptime = "own_at_ms"
 	FieldRoundTrip   = "round_trip_ms"
+
+	// FieldPeerHeartbeats is the heartbeat counter of the peer that
+	// LinePeerSeen and LinePeerSilent name. A peer that is seen again with the
+	// counter that it had when it fell silent has not run in between.
+	FieldPeerHeartbeats = "heartbeats"
 )
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -224,6 +224,16 @@
 	return members
 }
 
+// Heartbeats returns the heartbeat counter of a member, or zero if the member is
+// unknown.
+func (g *Gossiper) Heartbeats(id string) uint64 {
+	state, known := g.states[id]
+	if !known {
+		return 0
+	}
+	return state.version.Beat
+}
+
 // pruneAfterExpiries is the time without a heartbeat after which a member is
 // removed, in multiples of Settings.Expiry.
 const pruneAfterExpiries = 20
