Membership: scripts of an ended member that becomes live again (failing)

Three scripts fail on this code: a record that was removed is learned again from a member that still has it, and receiving it counts as a heartbeat; the same makes an ended member live at a new process.

--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -9,11 +9,13 @@
 )
 
 // cluster is a set of in-process members that exchange digests in rounds.
-// Paused members neither send nor respond.
+// Paused members neither send nor respond, nor do members reach those on the
+// other side of a cut.
 type cluster struct {
 	now     time.Time
 	members []*Gossiper
 	paused  map[string]bool
+	side    func(id string) bool
 }
 
 const (
@@ -22,7 +24,7 @@
 )
 
 func newCluster(n, degree int) *cluster {
-	c := &cluster{now: time.Now(), paused: make(map[string]bool)}
+	c := &cluster{now: time.Now(), paused: make(map[string]bool), side: func(string) bool { return false }}
 	for i := range n {
 		self := Member{ID: fmt.Sprintf("entry-%03d", i), Epoch: 1}
 		g := New(self, Settings{Expiry: testExpiry, Degree: degree})
@@ -48,9 +50,11 @@
 		if c.paused[g.Self().ID] {
 			continue
 		}
-		for _, peer := range g.Tick(c.now) {
+		peers := g.Tick(c.now)
+		g.Prune(c.now)
+		for _, peer := range peers {
 			other := c.byID(peer.ID)
-			if c.paused[peer.ID] {
+			if c.paused[peer.ID] || c.side(peer.ID) != c.side(g.Self().ID) {
 				continue
 			}
 			reply := other.HandleDigest(c.now, g.Digest())
