Membership: count heartbeats from their origin, not from their receipt

Cause: the receipt of a membership record counted as a heartbeat. A record that was removed 50 s after the last heartbeat was learned again from a peer that still had it, and was live for 2.5 s more; a new process listed ended members in the same way. Ruled out by the heartbeat counter in the log (57 before and after): a process that really answered; and the row in the table, which makes a seed and no live member.

Change: digests carry the age of each heartbeat, which grows along the way; a record alone is no sign of life, and one past the time of removal is not taken. The expiry grows with the binary digits of the number of members, since heartbeats keep their age on long paths, and stays 2.5 s at 9.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -29,8 +29,8 @@
 
 const (
 	// expiryHeartbeats is the number of missed heartbeats after which a member
-	// expires.
-	expiryHeartbeats = 10
+	// expires, beyond those that may still be on their way.
+	expiryHeartbeats = 6
 	// tableInterval is the base time between two syncs with the table. It grows
 	// with the number of instances.
 	tableInterval = 5 * time.Second
@@ -94,7 +94,9 @@
 		started:       s.Started,
 		clockLoggedAt: make(map[string]time.Time),
 		loggedPeers:   make(map[string]uint64),
-		gossiper:      gossiper.New(s.Self, gossiper.Settings{Expiry: expiryHeartbeats * s.Interval, Degree: s.Degree}),
+		gossiper: gossiper.New(s.Self, gossiper.Settings{
+			Expiry: expiryHeartbeats * s.Interval, Interval: s.Interval, Degree: s.Degree,
+		}),
 	}
 	for _, seed := range s.Seeds {
 		if seed != s.Self.Peer {
@@ -114,7 +116,7 @@
 func (d *Discoverer) Live() []gossiper.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.gossiper.Live(time.Now())
+	return d.gossiper.Live(clocker.Now())
 }
 
 // Peers returns the live entry instances, except this one.
@@ -146,7 +148,7 @@
 // HandleExchange merges a peer's digest and returns this instance's reply.
 func (d *Discoverer) HandleExchange(message messenger.ExchangeMessage) messenger.ExchangeMessage {
 	d.mu.Lock()
-	reply := messenger.ExchangeMessage{Digest: d.gossiper.HandleDigest(time.Now(), message.Digest), Uptime: clocker.Since(d.started)}
+	reply := messenger.ExchangeMessage{Digest: d.gossiper.HandleDigest(clocker.Now(), message.Digest), Uptime: clocker.Since(d.started)}
 	d.mu.Unlock()
 	d.versions.FillVersions(&reply)
 	return reply
@@ -161,8 +163,8 @@
 // expired members.
 func (d *Discoverer) exchangeRound(ctx context.Context) {
 	d.mu.Lock()
-	neighbours := d.gossiper.Tick(time.Now())
-	d.gossiper.Prune(time.Now())
+	neighbours := d.gossiper.Tick(clocker.Now())
+	d.gossiper.Prune(clocker.Now())
 	d.mu.Unlock()
 	d.exchangeWith(ctx, neighbours)
 	d.logPeers()
@@ -212,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	d.mu.Lock()
-	message := messenger.ExchangeMessage{Digest: d.gossiper.Digest()}
+	message := messenger.ExchangeMessage{Digest: d.gossiper.Digest(clocker.Now())}
 	d.mu.Unlock()
 	d.versions.FillVersions(&message)
 	var reply messenger.ExchangeMessage
@@ -222,8 +224,8 @@
 	}
 	d.logPeerClock(neighbour, began, reply.Uptime)
 	d.mu.Lock()
-	d.gossiper.Merge(time.Now(), reply.Digest)
-	records, wanted := d.gossiper.RequestedRecords(reply.Digest)
+	d.gossiper.Merge(began, reply.Digest)
+	records, wanted := d.gossiper.RequestedRecords(clocker.Now(), reply.Digest)
 	d.mu.Unlock()
 	d.versions.HandleVersions(neighbour.Peer, reply)
 	if wanted {
@@ -297,7 +299,7 @@
 // Publish sends this instance's record to the neighbours and the table at once.
 func (d *Discoverer) Publish(ctx context.Context) {
 	d.mu.Lock()
-	neighbours := d.gossiper.LiveNeighbours(time.Now())
+	neighbours := d.gossiper.LiveNeighbours(clocker.Now())
 	d.mu.Unlock()
 	d.exchangeWith(ctx, neighbours)
 	if err := d.writeRow(ctx, d.Self()); err != nil {
--- a/internal/simulator/gossip.go
+++ b/internal/simulator/gossip.go
@@ -86,7 +86,7 @@
 		n.indexByID[id] = i
 		s := gossiper.New(
 			gossiper.Member{ID: id, Epoch: uint64(time.Now().UnixNano()), DataCentre: "hall-a"},
-			gossiper.Settings{Expiry: 10 * roundInterval, Degree: degree})
+			gossiper.Settings{Expiry: 10 * roundInterval, Interval: roundInterval, Degree: degree})
 		s.AddSeed(gossiper.Member{ID: fmt.Sprintf("entry-%d", (i+1)%members)})
 		n.members = append(n.members, s)
 	}
@@ -128,7 +128,7 @@
 }
 
 func (n *gossipNetwork) exchange(i, j int) {
-	digest := n.members[i].Digest()
+	digest := n.members[i].Digest(n.now)
 	n.countMessage(i, j, digest)
 	if n.paused[j] {
 		return
@@ -136,7 +136,7 @@
 	reply := n.members[j].HandleDigest(n.now, digest)
 	n.countMessage(j, i, reply)
 	n.members[i].Merge(n.now, reply)
-	if records, wanted := n.members[i].RequestedRecords(reply); wanted {
+	if records, wanted := n.members[i].RequestedRecords(n.now, reply); wanted {
 		n.countMessage(i, j, records)
 		n.members[j].Merge(n.now, records)
 	}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -8,18 +8,22 @@
 //
 //	g := gossiper.New(self, gossiper.Settings{Expiry: 3 * time.Second, Degree: 4})
 //	for _, peer := range g.Tick(now) {
-//		reply := call(peer, g.Digest())
+//		reply := call(peer, g.Digest(now))
 //		g.Merge(now, reply)
-//		if requested, ok := g.RequestedRecords(reply); ok {
+//		if requested, ok := g.RequestedRecords(now, reply); ok {
 //			call(peer, requested)
 //		}
 //	}
 //
-// A member is live while its heartbeat keeps rising, timed by the local clock.
+// A member is live until the time of its last known heartbeat is too long ago.
+// Every digest says how old its heartbeats are, and the age grows along the way,
+// so that neither a long path nor a record that was forgotten and learned again
+// makes a heartbeat younger than it is.
 package gossiper
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -27,8 +31,12 @@
 
 // Settings configures a Gossiper.
 type Settings struct {
-	// Expiry is how long a member stays live without a new heartbeat.
+	// Expiry is how long a member stays live without a new heartbeat, beyond the
+	// time that heartbeats take to spread.
 	Expiry time.Duration
+	// Interval is the time between two calls of Tick. Heartbeats spread over the
+	// graph in about as many intervals as the number of members has binary digits.
+	Interval time.Duration
 	// Degree is the number of neighbours of each member in the graph.
 	Degree int
 }
@@ -58,8 +66,8 @@
 type memberState struct {
 	member  Member
 	version Version
-	// lastHeartbeat is when the heartbeat last rose or the record was replaced, by
-	// the local clock.
+	// lastHeartbeat is when the member sent the heartbeat in version, by the local
+	// clock, or later by at most the latency of the messages that carried it.
 	lastHeartbeat time.Time
 }
 
@@ -122,10 +130,14 @@
 }
 
 // Digest returns the digest to send to another member, without records.
-func (g *Gossiper) Digest() Digest {
+func (g *Gossiper) Digest(now time.Time) Digest {
 	d := Digest{Versions: make(map[string]Version, len(g.states))}
 	for id, state := range g.states {
-		d.Versions[id] = state.version
+		version := state.version
+		if id != g.self.ID {
+			version.Age = now.Sub(state.lastHeartbeat)
+		}
+		d.Versions[id] = version
 	}
 	return d
 }
@@ -135,7 +147,7 @@
 // this instance lacks.
 func (g *Gossiper) HandleDigest(now time.Time, d Digest) Digest {
 	g.Merge(now, d)
-	reply := g.Digest()
+	reply := g.Digest(now)
 	for id, state := range g.states {
 		if state.version.supersedes(d.Versions[id]) {
 			reply.Records = append(reply.Records, state.member)
@@ -153,11 +165,11 @@
 
 // RequestedRecords returns a digest with the records that a reply requested. It
 // returns false if the reply requested none.
-func (g *Gossiper) RequestedRecords(reply Digest) (Digest, bool) {
+func (g *Gossiper) RequestedRecords(now time.Time, reply Digest) (Digest, bool) {
 	if len(reply.Wanted) == 0 {
 		return Digest{}, false
 	}
-	d := g.Digest()
+	d := g.Digest(now)
 	for _, id := range reply.Wanted {
 		if state, known := g.states[id]; known {
 			d.Records = append(d.Records, state.member)
@@ -166,39 +178,45 @@
 	return d, true
 }
 
-// Merge applies the records and heartbeats of a received digest.
+// Merge applies the records and heartbeats of a received digest. The ages in it
+// count back from now: the time at which the digest was requested or, if it was
+// not, received.
 func (g *Gossiper) Merge(now time.Time, d Digest) {
 	for _, m := range d.Records {
-		g.mergeRecord(now, m)
+		if version, found := d.Versions[m.ID]; !found || !g.forgotten(version.Age) {
+			g.mergeRecord(m)
+		}
 	}
 	for id, version := range d.Versions {
 		state, known := g.states[id]
-		if known && id != g.self.ID && version.sameRecordAs(state.version) && version.Beat > state.version.Beat {
-			state.version.Beat = version.Beat
-			state.lastHeartbeat = now
+		if !known || id == g.self.ID || !version.sameRecordAs(state.version) || version.Beat <= state.version.Beat {
+			continue
+		}
+		state.version.Beat = version.Beat
+		if sentAt := now.Add(-version.Age); sentAt.After(state.lastHeartbeat) {
+			state.lastHeartbeat = sentAt
 		}
 	}
 }
 
-// mergeRecord stores a received record if it supersedes the local one. The
-// instance's own record is never overwritten.
-func (g *Gossiper) mergeRecord(now time.Time, m Member) {
+// mergeRecord stores a received record if it supersedes the local one. Receiving
+// a record is no sign of life of its member. The instance's own record is never
+// overwritten.
+func (g *Gossiper) mergeRecord(m Member) {
 	if m.ID == g.self.ID {
 		return
 	}
 	version := Version{Epoch: m.Epoch, Revision: m.Revision}
 	state, known := g.states[m.ID]
-	if !known {
-		g.states[m.ID] = &memberState{member: m, version: version, lastHeartbeat: now}
-		return
-	}
-	if !version.supersedes(state.version) {
-		return
-	}
-	if version.Epoch == state.version.Epoch {
-		version.Beat = state.version.Beat
+	switch {
+	case !known:
+		g.states[m.ID] = &memberState{member: m, version: version}
+	case version.supersedes(state.version):
+		if version.Epoch == state.version.Epoch {
+			version.Beat = state.version.Beat
+		}
+		state.member, state.version = m, version
 	}
-	state.member, state.version, state.lastHeartbeat = m, version, now
 }
 
 // needsRecord reports whether the local record of a member is missing or older
@@ -208,15 +226,24 @@
 		return false
 	}
 	state, known := g.states[id]
-	return !known || version.supersedes(state.version)
+	if !known {
+		return !g.forgotten(version.Age)
+	}
+	return version.supersedes(state.version)
 }
 
-// Live returns the members whose heartbeat rose within Settings.Expiry, sorted
-// by ID. The instance itself is always included.
+// expiry returns the age of a heartbeat from which its member is not live.
+func (g *Gossiper) expiry() time.Duration {
+	return g.settings.Expiry + time.Duration(bits.Len(uint(len(g.states))))*g.settings.Interval
+}
+
+// Live returns the members whose last heartbeat is recent, sorted by ID. The
+// instance itself is always included.
 func (g *Gossiper) Live(now time.Time) []Member {
 	members := make([]Member, 0, len(g.states))
+	expiry := g.expiry()
 	for id, state := range g.states {
-		if id == g.self.ID || now.Sub(state.lastHeartbeat) < g.settings.Expiry {
+		if id == g.self.ID || now.Sub(state.lastHeartbeat) < expiry {
 			members = append(members, state.member)
 		}
 	}
@@ -238,11 +265,16 @@
 // removed, in multiples of Settings.Expiry.
 const pruneAfterExpiries = 20
 
+// forgotten reports whether a member with a heartbeat of that age is removed.
+func (g *Gossiper) forgotten(age time.Duration) bool {
+	return age > pruneAfterExpiries*g.settings.Expiry
+}
+
 // Prune removes the members, and their seeds, whose last heartbeat is older
 // than pruneAfterExpiries times Settings.Expiry.
 func (g *Gossiper) Prune(now time.Time) {
 	for id, state := range g.states {
-		if id != g.self.ID && now.Sub(state.lastHeartbeat) > pruneAfterExpiries*g.settings.Expiry {
+		if id != g.self.ID && g.forgotten(now.Sub(state.lastHeartbeat)) {
 			delete(g.states, id)
 			delete(g.seeds, id)
 		}
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -27,7 +27,7 @@
 	c := &cluster{now: time.Now(), paused: make(map[string]bool), side: func(string) bool { return false }}
 	for i := range n {
 		self := Member{ID: fmt.Sprintf("entry-%03d", i), Epoch: 1}
-		g := New(self, Settings{Expiry: testExpiry, Degree: degree})
+		g := New(self, Settings{Expiry: testExpiry, Interval: testInterval, Degree: degree})
 		g.AddSeed(Member{ID: fmt.Sprintf("entry-%03d", (i+1)%n)})
 		c.members = append(c.members, g)
 	}
@@ -57,9 +57,9 @@
 			if c.paused[peer.ID] || c.side(peer.ID) != c.side(g.Self().ID) {
 				continue
 			}
-			reply := other.HandleDigest(c.now, g.Digest())
+			reply := other.HandleDigest(c.now, g.Digest(c.now))
 			g.Merge(c.now, reply)
-			if requested, wanted := g.RequestedRecords(reply); wanted {
+			if requested, wanted := g.RequestedRecords(c.now, reply); wanted {
 				other.Merge(c.now, requested)
 			}
 		}
--- a/pkg/gossiper/member.go
+++ b/pkg/gossiper/member.go
@@ -1,6 +1,9 @@
 package gossiper
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Member is the membership record that an entry instance publishes.
 type Member struct {
@@ -26,6 +29,9 @@
 	Revision uint64
 	// Beat is the heartbeat counter, which increases while the member is alive.
 	Beat uint64
+	// Age is how long before the digest was made the member sent that heartbeat.
+	// It is set in digests only.
+	Age time.Duration
 }
 
 // sameRecordAs reports whether v and other identify the same record content.
