Membership: exchange digests with silent members in turn

Digests went to live members and to seeds without a record only, so that two parts of a cluster which a cut had divided for longer than the expiry, or a frozen instance and the others, did not find each other until the records were removed (50 s) and the table made seeds of them. In the hosted mode the seeds of the settings, which were contacted at every tick for ever, hid it: played with a cut and a freeze on, both are seen again within 1 s of their end.

Change: every fourth tick goes to one silent member or unanswered seed in turn, several at once where there is no live one. Seeds are tried at every tick for 12 ticks, then in that turn, so that rows of instances which are gone no longer cost a dial each tick.

Before and after: scripts healed_cut and resumed_member of TestMembershipScripts failed (2 of 6 members see the far side after 25 rounds; the resumed one is never seen), pass now.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -57,9 +57,18 @@
 	settings Settings
 	self     Member
 	states   map[string]*memberState
-	seeds    map[string]Member
+	seeds    map[string]*seed
 	// ticks counts the calls of Tick and selects the next neighbour.
 	ticks int
+	// silentTurn selects the next silent member.
+	silentTurn int
+}
+
+// seed is a member that may exist, and whose record has not been received.
+type seed struct {
+	member Member
+	// attempts counts the exchanges that Tick requested with it.
+	attempts int
 }
 
 // memberState is the local state of one member.
@@ -77,7 +86,7 @@
 		settings: settings,
 		self:     self,
 		states:   make(map[string]*memberState),
-		seeds:    make(map[string]Member),
+		seeds:    make(map[string]*seed),
 	}
 	g.states[self.ID] = &memberState{member: self, version: Version{Epoch: self.Epoch, Revision: self.Revision, Beat: 1}}
 	return g
@@ -104,14 +113,20 @@
 // AddSeed adds a member that may exist, read from the table or the settings.
 // Tick returns it until its record has been received.
 func (g *Gossiper) AddSeed(m Member) {
-	if m.ID != g.self.ID {
-		g.seeds[m.ID] = m
+	if m.ID == g.self.ID {
+		return
+	}
+	if known, found := g.seeds[m.ID]; found {
+		known.member = m
+		return
 	}
+	g.seeds[m.ID] = &seed{member: m}
 }
 
 // Tick increments the instance's own heartbeat and returns the members to
-// exchange digests with: the next neighbour in round-robin order, and all seeds
-// whose records have not been received.
+// exchange digests with: the next neighbour in round-robin order, the seeds that
+// have not been tried often, and now and then a silent member, through which
+// parts of the cluster that were cut apart find each other again.
 func (g *Gossiper) Tick(now time.Time) []Member {
 	own := g.states[g.self.ID]
 	own.version.Beat++
@@ -122,11 +137,60 @@
 		peers = append(peers, neighbours[g.ticks%len(neighbours)])
 	}
 	for _, id := range slices.Sorted(maps.Keys(g.seeds)) {
-		if _, known := g.states[id]; !known {
-			peers = append(peers, g.seeds[id])
+		if _, known := g.states[id]; !known && g.seeds[id].attempts < maxSeedAttempts {
+			g.seeds[id].attempts++
+			peers = append(peers, g.seeds[id].member)
+		}
+	}
+	return append(peers, g.nextSilent(now, len(peers) > 0)...)
+}
+
+const (
+	// maxSeedAttempts is the number of consecutive ticks for which a seed is tried.
+	// After them it is tried in turn with the silent members.
+	maxSeedAttempts = 12
+	// silentInterval is the number of ticks between two exchanges with silent
+	// members while there are live ones.
+	silentInterval = 4
+)
+
+// nextSilent returns the members that may have come back, in round-robin order:
+// one at every silentInterval, or several at once if there is nobody else to
+// exchange digests with.
+func (g *Gossiper) nextSilent(now time.Time, othersFound bool) []Member {
+	count := g.settings.Degree
+	if othersFound {
+		if g.ticks%silentInterval != 0 {
+			return nil
 		}
+		count = 1
 	}
-	return peers
+	silent := g.silentMembers(now)
+	var chosen []Member
+	for range min(count, len(silent)) {
+		g.silentTurn++
+		chosen = append(chosen, silent[g.silentTurn%len(silent)])
+	}
+	return chosen
+}
+
+// silentMembers returns, sorted by ID, the known members that are not live and the
+// seeds that did not respond.
+func (g *Gossiper) silentMembers(now time.Time) []Member {
+	var members []Member
+	expiry := g.expiry()
+	for id, state := range g.states {
+		if id != g.self.ID && now.Sub(state.lastHeartbeat) >= expiry {
+			members = append(members, state.member)
+		}
+	}
+	for id, s := range g.seeds {
+		if _, known := g.states[id]; !known && s.attempts >= maxSeedAttempts {
+			members = append(members, s.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
 }
 
 // Digest returns the digest to send to another member, without records.
