Forwarder: read the limit that a backend server states and log its changes

The adapter reads the header; a line and nothing else follows from it. A value that is no decimal number of at least zero is logged and ignored, and the last one holds.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -44,6 +45,8 @@
 	connected atomic.Bool
 	ctx       context.Context
 	span      trace.Span
+	// sentAt is when the attempt began.
+	sentAt time.Time
 	// complete says that the response has been read to its end.
 	complete bool
 }
@@ -115,6 +118,9 @@
 // event before anything is sent to the caller.
 func (x *exchange) receive(a *attempt) (*Response, retrier.Event) {
 	metadata := x.f.Codec.ParseResponse(a.response.StatusCode, a.response.Header)
+	if !metadata.Misdirected && (metadata.Verified || metadata.NotRun) {
+		x.f.permits.observe(a.active.upstream.head(), a.sentAt, metadata)
+	}
 	if event, bad := x.checkResponse(a, metadata); bad {
 		x.f.finishAttempt(a, !metadata.NotRun)
 		return nil, event
@@ -215,7 +221,7 @@
 // newAttempt returns an attempt that has no upstream yet.
 func (x *exchange) newAttempt() *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	return &attempt{ctx: ctx, active: &activeAttempt{cancel: cancel, promptTokens: x.request.PromptTokens}}
+	return &attempt{ctx: ctx, sentAt: clocker.Now(), active: &activeAttempt{cancel: cancel, promptTokens: x.request.PromptTokens}}
 }
 
 // send sends the request to the attempt's upstream and waits for the response
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,6 +108,7 @@
 	settings  atomic.Pointer[Settings]
 	transport *http.Transport
 	metrics   *metrics
+	permits   *permits
 
 	mu           sync.Mutex
 	random       *rand.Rand
@@ -144,6 +145,7 @@
 			DisableCompression:  true,
 		},
 		metrics:        newMetrics(d.Scope),
+		permits:        newPermits(),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
@@ -54,6 +55,10 @@
 	// FailedInstance is the ID of the instance that kept the server from
 	// serving the request, or empty.
 	FailedInstance string
+	// Limit is the rate of requests that the server takes from all entry instances
+	// together. LimitErr is set if the response states a rate that can't be read.
+	Limit    limiter.RateLimit
+	LimitErr error
 }
 
 // Codec translates between HTTP headers and the metadata of requests and
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -12,6 +12,7 @@
 	LineServerCrashed     = "server crashed under a request"
 	LineInstanceLost      = "instance held for lost"
 	LineInstanceRecovered = "instance answers again"
+	LineServerLimit       = "server limit changed"
 	LineGroups            = "groups"
 	LineOrderSent         = "order sent"
 	LineOrderFailed       = "order not carried out"
