--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -23,6 +23,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -43,7 +44,11 @@
 }
 
 func (testCodec) ParseResponse(_ int, h http.Header) ResponseMetadata {
-	return ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Verified: h.Get("Proof") != ""}
+	m := ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Verified: h.Get("Proof") != ""}
+	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		m.Limit = limiter.RateLimit{Limited: true, PerSecond: rate}
+	}
+	return m
 }
 
 func (testCodec) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
