Forwarder: send to a server with a rate limit only with a permit of its owner

The class is a bound over all entry instances where each decides by itself. Ruled out: requests under way or resumed (the excess lasts, and they are first attempts), and limits that some instances learn late.

Change: pkg/permitter. One entry instance per server, by rendezvous hashing over the live members, issues permits at the stated rate; an upstream without a permit is no candidate, and permits are asked for when a request could use one. Limits travel with the load reports; the newest statement wins. Dividing the rate among the members was ruled out (one request at any moment for each is 79 at 79 members).

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -23,8 +23,8 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
-	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
@@ -46,7 +46,7 @@
 func (testCodec) ParseResponse(_ int, h http.Header) ResponseMetadata {
 	m := ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Verified: h.Get("Proof") != ""}
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
-		m.Limit = limiter.RateLimit{Limited: true, PerSecond: rate}
+		m.Limit = permitter.RateLimit{Limited: true, PerSecond: rate}
 	}
 	return m
 }
@@ -55,6 +55,9 @@
 
 // platformStub is the platform and the peers of one forwarder.
 type platformStub struct {
+	// issuePermit is the permit owner of all servers.
+	issuePermit func(permitter.Request) permitter.Reply
+
 	mu        sync.Mutex
 	config    *mapper.RouteTable
 	instances []provider.Instance
@@ -93,8 +96,11 @@
 
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage)      {}
 func (p *platformStub) BroadcastStrikes(context.Context, []quarantiner.Strike) {}
-func (p *platformStub) set(change func(*platformStub))                         { p.mu.Lock(); defer p.mu.Unlock(); change(p) }
-func (p *platformStub) kill(id string)                                         { p.set(func(p *platformStub) { p.dead[id] = true }) }
+func (p *platformStub) RequestPermit(_ context.Context, r permitter.Request) (permitter.Reply, error) {
+	return p.issuePermit(r), nil
+}
+func (p *platformStub) set(change func(*platformStub)) { p.mu.Lock(); defer p.mu.Unlock(); change(p) }
+func (p *platformStub) kill(id string)                 { p.set(func(p *platformStub) { p.dead[id] = true }) }
 func (p *platformStub) configure(config mapper.Config) {
 	p.set(func(p *platformStub) { p.config = mapper.New(config) })
 }
@@ -144,6 +150,7 @@
 		Observer: o, Codec: testCodec{}, Peers: f.platform,
 		Tracer: noop.NewTracerProvider().Tracer(""), Scope: tally.NoopScope,
 	})
+	f.platform.issuePermit = f.forwarder.IssuePermit
 	o.Start(ctx)
 	f.forwarder.Start(ctx)
 	f.server = httptest.NewServer(f.forwarder.Handler())
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
@@ -47,6 +48,8 @@
 	// BroadcastStrikes reports requests that crashed backend servers to all
 	// peers.
 	BroadcastStrikes(ctx context.Context, strikes []quarantiner.Strike)
+	// RequestPermit sends a request for a permit to the server's permit owner.
+	RequestPermit(ctx context.Context, request permitter.Request) (permitter.Reply, error)
 }
 
 const (
@@ -145,7 +148,7 @@
 			DisableCompression:  true,
 		},
 		metrics:        newMetrics(d.Scope),
-		permits:        newPermits(),
+		permits:        newPermits(d.Scope),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
@@ -204,6 +207,14 @@
 	}
 }
 
+// wakeQueues makes loop start queued requests and send requests for permits.
+func (f *Forwarder) wakeQueues() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // loop checks the upstreams of the requests in progress and starts queued
 // requests.
 func (f *Forwarder) loop(ctx context.Context) {
@@ -216,9 +227,11 @@
 		case <-ticker.C:
 		case <-f.Observer.Changed():
 		case <-f.wake:
+			f.requestPermits(ctx)
 			f.startQueuedInAllPools()
 			continue
 		}
+		f.requestPermits(ctx)
 		f.checkUpstreams(ctx)
 		f.startQueuedInAllPools()
 	}
--- a/internal/forwarder/permits.go
+++ b/internal/forwarder/permits.go
@@ -1,14 +1,19 @@
 package forwarder
 
 import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
-	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -16,10 +21,15 @@
 // the rate of their requests.
 type permits struct {
 	mu     sync.Mutex
-	limits *limiter.ServerLimits
+	limits *permitter.ServerLimits
+	// issuer issues the permits of the servers whose owner this instance is.
+	issuer *permitter.Issuer
+	scope  tally.Scope
 }
 
-func newPermits() *permits { return &permits{limits: limiter.NewServerLimits()} }
+func newPermits(scope tally.Scope) *permits {
+	return &permits{limits: permitter.NewServerLimits(), issuer: permitter.NewIssuer(rand.Float64), scope: scope}
+}
 
 // limitKey returns the name under which a server's limit is known. A restarted
 // server has a new one.
@@ -35,11 +45,121 @@
 	p.mu.Lock()
 	previous, changed := p.limits.Observe(clocker.Now(), sentAt, limitKey(in), metadata.Limit)
 	p.mu.Unlock()
-	if !changed {
+	if changed {
+		logServerLimit(limitKey(in), metadata.Limit, log.Fields{"source": "response", "was_limited": previous.Limited, "was_per_second": previous.PerSecond})
+	}
+}
+
+// split divides upstreams into those that may be sent a request now and those
+// whose server has a limit for which no permit is held.
+func (p *permits) split(now time.Time, upstreams []*upstream) (usable, withoutPermit []*upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limits.Empty() {
+		return upstreams, nil
+	}
+	for _, u := range upstreams {
+		if p.limits.Usable(now, limitKey(u.head())) {
+			usable = append(usable, u)
+		} else {
+			withoutPermit = append(withoutPermit, u)
+		}
+	}
+	return usable, withoutPermit
+}
+
+// isLimited reports whether a server limits the rate of its requests.
+func (p *permits) isLimited(in provider.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.limits.Empty() && p.limits.Limited(limitKey(in))
+}
+
+// want records that requests could use permits for the heads of the upstreams. It
+// reports whether there are new requests for permits to send.
+func (p *permits) want(now time.Time, upstreams []*upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := false
+	for _, u := range upstreams {
+		due = p.limits.Want(now, limitKey(u.head())) || due
+	}
+	return due
+}
+
+// use consumes the permit for a server, if it has a limit.
+func (p *permits) use(in provider.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.limits.Empty() {
+		p.limits.Use(limitKey(in))
+	}
+}
+
+// ServerLimits returns the limits of backend servers to tell peers.
+func (f *Forwarder) ServerLimits() map[string]permitter.Statement {
+	f.permits.mu.Lock()
+	defer f.permits.mu.Unlock()
+	return f.permits.limits.Statements(clocker.Now())
+}
+
+// MergeServerLimits records the limits of backend servers that a peer has told.
+func (f *Forwarder) MergeServerLimits(statements map[string]permitter.Statement) {
+	if len(statements) == 0 {
+		return
+	}
+	f.permits.mu.Lock()
+	changed := f.permits.limits.Merge(clocker.Now(), statements)
+	f.permits.mu.Unlock()
+	for _, server := range changed {
+		statement := statements[server]
+		logServerLimit(server, statement.Limit, log.Fields{"source": "peer", "age_ms": statement.Age.Milliseconds()})
+	}
+}
+
+// logServerLimit logs a changed limit of a server.
+func logServerLimit(server string, limit permitter.RateLimit, details log.Fields) {
+	id, _, _ := strings.Cut(server, "/")
+	log.WithFields(log.Fields{logger.FieldInstance: id, "limited": limit.Limited, "per_second": limit.PerSecond}).
+		WithFields(details).Info(logger.LineServerLimit)
+}
+
+// IssuePermit decides on a peer's request for a permit.
+func (f *Forwarder) IssuePermit(request permitter.Request) permitter.Reply {
+	f.permits.mu.Lock()
+	reply := f.permits.issuer.Issue(clocker.Now(), request)
+	f.permits.mu.Unlock()
+	if request.Wanted {
+		f.permits.scope.Tagged(map[string]string{"granted": strconv.FormatBool(reply.Granted)}).Counter("server_permits").Inc(1)
+	}
+	return reply
+}
+
+// requestPermits sends the requests for permits that are due.
+func (f *Forwarder) requestPermits(ctx context.Context) {
+	f.permits.mu.Lock()
+	requests := f.permits.limits.Requests(clocker.Now())
+	f.permits.mu.Unlock()
+	for _, request := range requests {
+		go f.runPermitRequest(ctx, request)
+	}
+}
+
+func (f *Forwarder) runPermitRequest(ctx context.Context, request permitter.Request) {
+	sentAt := clocker.Now()
+	reply, err := f.Peers.RequestPermit(ctx, request)
+	f.permits.mu.Lock()
+	if err != nil {
+		f.permits.limits.Fail(clocker.Now(), request.Server)
+	} else {
+		f.permits.limits.Complete(clocker.Now(), sentAt, request.Server, reply)
+	}
+	f.permits.mu.Unlock()
+	if err != nil {
+		log.WithField("server", request.Server).WithError(err).Debug("request for a permit failed")
 		return
 	}
-	log.WithFields(log.Fields{
-		logger.FieldInstance: in.ID, "limited": metadata.Limit.Limited, "per_second": metadata.Limit.PerSecond,
-		"was_limited": previous.Limited, "was_per_second": previous.PerSecond,
-	}).Info(logger.LineServerLimit)
+	if reply.Granted || !reply.Statement.Limit.Limited {
+		f.wakeQueues()
+	}
 }
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -121,15 +121,34 @@
 }
 
 // candidates returns the upstreams of the destinations, except those that are
-// ejected. The caller holds f.mu.
-func (f *Forwarder) candidates(now time.Time, destinations []destination) []*upstream {
+// ejected. Those whose server limits its requests are returned separately if there
+// is no permit for them. The caller holds f.mu.
+func (f *Forwarder) candidates(now time.Time, destinations []destination) (usable, withoutPermit []*upstream) {
 	upstreams := make([]*upstream, 0, len(destinations))
 	for _, d := range destinations {
 		if u := f.upstreamFor(now, d); now.After(u.ejectedUntil) {
 			upstreams = append(upstreams, u)
 		}
 	}
-	return upstreams
+	return f.permits.split(now, upstreams)
+}
+
+// wantPermits asks for permits for a few upstreams that have a usable slot free.
+// The caller holds f.mu.
+func (f *Forwarder) wantPermits(now time.Time, p *pool, withoutPermit []*upstream) {
+	var wanted []*upstream
+	for _, u := range withoutPermit {
+		if f.totalWork(now, u).Running < p.usableSlots(u) {
+			wanted = append(wanted, u)
+		}
+	}
+	if len(wanted) == 0 {
+		return
+	}
+	f.random.Shuffle(len(wanted), func(i, j int) { wanted[i], wanted[j] = wanted[j], wanted[i] })
+	if f.permits.want(now, wanted[:min(minChoices, len(wanted))]) {
+		f.wakeQueues()
+	}
 }
 
 // cost ranks an upstream with work w for a request. It is the time to the first token in
@@ -158,8 +177,17 @@
 	defer f.mu.Unlock()
 	p := f.poolFor(key)
 	free := 0
-	for _, u := range f.candidates(now, destinations) {
-		free += max(0, p.usableSlots(u)-f.totalWork(now, u).Running)
+	usable, withoutPermit := f.candidates(now, destinations)
+	for _, u := range usable {
+		slots := max(0, p.usableSlots(u)-f.totalWork(now, u).Running)
+		if f.permits.isLimited(u.head()) {
+			// A permit is for one request.
+			slots = min(slots, 1)
+		}
+		free += slots
+	}
+	if free == 0 {
+		f.wantPermits(now, p, withoutPermit)
 	}
 	return free
 }
@@ -210,7 +238,9 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	upstreams := withoutFailed(f.candidates(now, destinations), failed)
+	usable, withoutPermit := f.candidates(now, destinations)
+	f.wantPermits(now, f.poolFor(key), withoutPermit)
+	upstreams := withoutFailed(usable, failed)
 	works := make(map[*upstream]estimator.Work, len(upstreams))
 	for _, u := range upstreams {
 		works[u] = f.totalWork(now, u)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
@@ -57,7 +57,7 @@
 	FailedInstance string
 	// Limit is the rate of requests that the server takes from all entry instances
 	// together. LimitErr is set if the response states a rate that can't be read.
-	Limit    limiter.RateLimit
+	Limit    permitter.RateLimit
 	LimitErr error
 }
 
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -102,6 +102,7 @@
 	}
 	u.active[a] = struct{}{}
 	f.tracker.Begin(u.name)
+	f.permits.use(u.head())
 }
 
 // unregisterAttempt removes an attempt from its upstream, records whether it
@@ -112,10 +113,7 @@
 	defer f.mu.Unlock()
 	delete(a.upstream.active, a)
 	f.tracker.End(now, a.upstream.name, failed)
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	f.wakeQueues()
 }
 
 // recordProgress records that an upstream has sent an event.
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -14,8 +14,10 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
+	"github.com/waxwingmount/waxwingmount/pkg/assigner"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
@@ -36,6 +38,11 @@
 	unchangedLoadInterval = 300 * time.Millisecond
 	// messageTimeout limits sending one message to the peers.
 	messageTimeout = 300 * time.Millisecond
+	// permitTimeout limits one request to a permit owner.
+	permitTimeout = 100 * time.Millisecond
+	// permitOwners is the number of members that may issue the permits of a server:
+	// the owner, and the one that stands in for it.
+	permitOwners = 2
 )
 
 // peers sends messages to the other entry instances.
@@ -59,6 +66,35 @@
 	go p.runBroadcast(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes})
 }
 
+// RequestPermit implements [forwarder.Peers]. The permit owner of a server follows
+// from the live members; the next one stands in for an owner that does not reply.
+func (p *peers) RequestPermit(ctx context.Context, request permitter.Request) (permitter.Reply, error) {
+	self := p.node.settings.ID
+	addresses := make(map[string]netip.AddrPort)
+	for _, m := range p.node.discoverer.Live() {
+		if !m.Leaving {
+			addresses[m.ID] = m.Peer
+		}
+	}
+	var err error
+	for _, owner := range assigner.Assign(request.Server, slices.Collect(maps.Keys(addresses)), permitOwners) {
+		if owner == self {
+			return p.node.forwarder.IssuePermit(request), nil
+		}
+		var reply permitter.Reply
+		if err = p.callPermitOwner(ctx, addresses[owner], request, &reply); err == nil {
+			return reply, nil
+		}
+	}
+	return permitter.Reply{}, err
+}
+
+func (p *peers) callPermitOwner(ctx context.Context, address netip.AddrPort, request permitter.Request, reply *permitter.Reply) error {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return p.node.pool.Call(ctx, address, messenger.MethodPermit, &request, reply)
+}
+
 // Announce implements [observer.Announcer].
 func (p *peers) Announce(ctx context.Context, message messenger.LossesMessage) {
 	p.runBroadcast(ctx, messenger.MethodLosses, &message)
@@ -80,7 +116,9 @@
 			continue
 		}
 		last, sentAt = works, clocker.Now()
-		p.send(ctx, p.loadRecipients(), messenger.MethodLoad, &messenger.LoadMessage{From: p.node.settings.ID, Works: works})
+		p.send(ctx, p.loadRecipients(), messenger.MethodLoad, &messenger.LoadMessage{
+			From: p.node.settings.ID, Works: works, Limits: p.node.forwarder.ServerLimits(),
+		})
 	}
 }
 
@@ -114,6 +152,7 @@
 		}
 		p.send(ctx, recipients, messenger.MethodLoad, &messenger.LoadMessage{
 			From: p.node.settings.ID, DataCentre: p.node.settings.DataCentre, Works: p.node.forwarder.DataCentreLoad(),
+			Limits: p.node.forwarder.ServerLimits(),
 		})
 	})
 }
@@ -150,8 +189,10 @@
 	return nil
 }
 
-// Load stores the load of a peer, or of its data centre if the message names one.
+// Load stores the load of a peer, or of its data centre if the message names one,
+// and the limits of backend servers that the peer knows.
 func (s *peerService) Load(arguments messenger.LoadMessage, _ *messenger.Empty) error {
+	s.node.forwarder.MergeServerLimits(arguments.Limits)
 	if arguments.DataCentre != "" {
 		s.node.forwarder.UpdateRemoteLoad(arguments.DataCentre, arguments.Works)
 		return nil
@@ -172,6 +213,12 @@
 	return nil
 }
 
+// Permit decides on a request for a permit to send a request to a server.
+func (s *peerService) Permit(request permitter.Request, reply *permitter.Reply) error {
+	*reply = s.node.forwarder.IssuePermit(request)
+	return nil
+}
+
 // News returns the changes of the platform's state since the caller's revision.
 func (s *peerService) News(arguments messenger.ChangesArguments, reply *messenger.ChangesReply) error {
 	*reply = s.node.relayer.ChangesSince(arguments)
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/reconciler"
@@ -29,6 +30,7 @@
 	MethodLoad     = PeerService + ".Load"
 	MethodLosses   = PeerService + ".Losses"
 	MethodNews     = PeerService + ".News"
+	MethodPermit   = PeerService + ".Permit"
 )
 
 // Empty is the argument or reply of a method that needs none.
@@ -101,6 +103,8 @@
 	DataCentre string
 	// Works holds the work in progress, by the name of the backend that runs it.
 	Works map[string]estimator.Work
+	// Limits holds the limits that the sender knows, by backend server.
+	Limits map[string]permitter.Statement
 }
 
 // Loss identifies a lost instance by its ID and incarnation.
--- a/pkg/limiter/server_limits.go
+++ b/pkg/permitter/limit_table.go
@@ -1,28 +1,15 @@
-package limiter
+package permitter
 
 import "time"
 
-// RateLimit is the rate of requests that a backend server takes from all entry
-// instances together.
-type RateLimit struct {
-	// Limited is false if the server takes requests at any rate.
-	Limited   bool
-	PerSecond float64
-}
-
-// Statement is the newest limit that is known of a backend server. It is sent
-// between entry instances and therefore carries an age instead of a time.
-type Statement struct {
-	Limit RateLimit
-	Age   time.Duration
-}
-
 // limitTable holds the newest stated limit of each backend server. A server is
 // named by its ID and incarnation, since a restart ends its limit.
 type limitTable struct {
 	limits map[string]statedLimit
 }
 
+func newLimitTable() limitTable { return limitTable{limits: make(map[string]statedLimit)} }
+
 // statedLimit is a limit and when the server stated it.
 type statedLimit struct {
 	limit RateLimit
@@ -64,27 +51,3 @@
 		}
 	}
 }
-
-// ServerLimits holds the limits of the backend servers to which one entry
-// instance sends requests. It does no I/O and is not safe for concurrent use.
-type ServerLimits struct {
-	table limitTable
-}
-
-// NewServerLimits returns a ServerLimits that knows no limit.
-func NewServerLimits() *ServerLimits {
-	return &ServerLimits{table: limitTable{limits: make(map[string]statedLimit)}}
-}
-
-// Observe records the limit in a response to a request that was sent at sentAt. A
-// response without a limit ends only a limit that was stated before its request
-// was sent, because responses of one server may overtake each other. Observe
-// returns the previous limit and whether it has changed.
-func (s *ServerLimits) Observe(now, sentAt time.Time, server string, limit RateLimit) (previous RateLimit, changed bool) {
-	s.table.prune(now)
-	at := now
-	if !limit.Limited {
-		at = sentAt
-	}
-	return s.table.update(server, statedLimit{limit: limit, at: at})
-}
