Store eras: versions carry the era; lease, list and configuration hold across an older copy

The users' store may come back from a copy some seconds old; versions are then given out again, and the header Store-Era rises. Nothing read it: a lease could be renewed on a row of the past, fences and group epochs could repeat, a draining server came back as ready, and an older configuration confirmed the keys that a newer one had removed.

Entries of servers count by the servers' own count for 8 s; a configuration from the copy isn't taken as confirmed for 3 s. No orders for 2.5 s.

Ruled out: restarting everything at a step (new processes know least), a quorum of entry instances (a coordination service), and making the holder wait too.

--- a/internal/hostedrunner/metrics.go
+++ b/internal/hostedrunner/metrics.go
@@ -8,7 +8,6 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/internal/relayer"
-	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -49,6 +48,9 @@
 // to 2 s, above the timeout of a store call.
 var callTimeBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 10)
 
+// Era implements [relayer.Platform].
+func (m *storeMetrics) Era() uint64 { return m.source.Era() }
+
 // Read implements [provider.Reader].
 func (m *storeMetrics) Read(ctx context.Context, key string) (provider.Row, error) {
 	started := time.Now()
@@ -82,9 +84,9 @@
 }
 
 // ReadConfig implements [relayer.Platform].
-func (m *storeMetrics) ReadConfig(ctx context.Context) (*mapper.RouteTable, error) {
+func (m *storeMetrics) ReadConfig(ctx context.Context) (relayer.ConfigReading, error) {
 	started := time.Now()
-	config, err := m.source.ReadConfig(ctx)
+	reading, err := m.source.ReadConfig(ctx)
 	m.recordCall("read_config", started, err)
-	return config, err
+	return reading, err
 }
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -161,7 +161,7 @@
 		Interval: heartbeatInterval,
 		Degree:   gossipDegree,
 	}, store, n.pool, n.peers)
-	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch})
+	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled})
 	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
@@ -173,6 +173,7 @@
 	})
 	n.orchestrator = orchestrator.New(orchestrator.Dependencies{
 		Holder:      holderName(s.ID, epoch),
+		FirstStart:  s.FirstStart,
 		Table:       store,
 		Observer:    n.observer,
 		OrderSender: p.OrderSender,
@@ -185,6 +186,11 @@
 	return n, nil
 }
 
+// eraSettled implements the dependency of the relayer.
+func (n *Node) eraSettled(ctx context.Context, era uint64) bool {
+	return n.orchestrator.EraSettled(ctx, era)
+}
+
 // holderName returns the lease holder name of one process of an entry instance.
 func holderName(id string, epoch uint64) string { return id + "/" + strconv.FormatUint(epoch, 10) }
 
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -20,6 +20,7 @@
 	LineConfigInForce     = "configuration in force"
 	LineStoreLost         = "store lost"
 	LineStoreRegained     = "store regained"
+	LineStoreEra          = "store era changed"
 	LinePeerClock         = "peer clock"
 	LinePeerSeen          = "peer seen"
 	LinePeerSilent        = "peer silent"
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -134,6 +134,8 @@
 	Epoch    uint64
 	Revision uint64
 	ListAge  time.Duration
+	// Era is the era of the platform's table in which the list was read.
+	Era uint64
 	// Whole means that Changed holds all instances.
 	Whole   bool
 	Changed []provider.Instance
@@ -141,6 +143,9 @@
 
 	ConfigVersion uint64
 	ConfigAge     time.Duration
+	// ConfigRewritten reports whether the configuration is known to have been
+	// written in Era.
+	ConfigRewritten bool
 	// Config is set if the caller has an older version.
 	Config *mapper.Config
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -32,6 +32,8 @@
 	Instances []provider.Instance
 	// ListedAt is a time at which the list was current.
 	ListedAt time.Time
+	// Era is the era of the platform's table in which the list was read.
+	Era uint64
 	// Config is nil if the operator has not set a configuration yet.
 	Config *mapper.RouteTable
 	// ConfirmedAt is a time at which the configuration was the newest.
@@ -109,7 +111,9 @@
 	readStore bool
 	// storeReachable reports whether the last read succeeded.
 	storeReachable bool
-	changed        chan struct{}
+	// eraChanged reports whether a later era than the first one was read.
+	eraChanged bool
+	changed    chan struct{}
 }
 
 // New returns an Observer with an empty view.
@@ -160,6 +164,14 @@
 	return clocker.Since(o.tracker.UpdatedAt())
 }
 
+// EraChanged reports whether the platform's table has come back from an older copy
+// since this process started.
+func (o *Observer) EraChanged() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.eraChanged
+}
+
 // Changed returns a channel that receives a value after the view has changed.
 func (o *Observer) Changed() <-chan struct{} { return o.changed }
 
@@ -268,7 +280,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if snapshot.ListedAt.After(o.tracker.UpdatedAt()) {
-		o.tracker.Update(snapshot.ListedAt, snapshot.Instances)
+		o.logEra(snapshot)
+		o.tracker.Update(snapshot.ListedAt, snapshot.Era, snapshot.Instances)
 	}
 	o.updateConfig(snapshot)
 	for id := range o.ownLosses {
@@ -289,6 +302,25 @@
 	return o.interval
 }
 
+// logEra logs a new era of the platform's table: the table has come back from an
+// older copy. The caller holds o.mu.
+func (o *Observer) logEra(s Snapshot) {
+	previous := o.tracker.Era()
+	if o.tracker.UpdatedAt().IsZero() || s.Era <= previous {
+		return
+	}
+	var version uint64
+	if o.config != nil {
+		version = o.config.Version
+	}
+	o.eraChanged = true
+	o.Scope.Counter("store_eras").Inc(1)
+	log.WithFields(log.Fields{
+		"era": s.Era, "previous_era": previous, "instances_known": len(o.tracker.Instances()), "instances_listed": len(s.Instances),
+		"config_version": version, "action": "older entries and configurations are ignored, no orders until instances have reported again",
+	}).Warn(logger.LineStoreEra)
+}
+
 // updateConfig applies a configuration. An older version than the one in force
 // is ignored.
 func (o *Observer) updateConfig(s Snapshot) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -91,7 +91,9 @@
 // Dependencies are the collaborators of an Orchestrator.
 type Dependencies struct {
 	// Holder identifies this process as a lease holder and changes on restart.
-	Holder      string
+	Holder string
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart  bool
 	Table       provider.Table
 	Observer    *observer.Observer
 	OrderSender OrderSender
@@ -136,10 +138,11 @@
 		epochs:       make(map[string]uint64),
 		loggedStats:  make(map[string]map[string]scheduler.ModelStats),
 		lease: renewer.New(d.Table, leaser.Settings{
-			Key:    leaseKey,
-			Holder: d.Holder,
-			Term:   leaseTerm,
-			Margin: clockError,
+			Key:        leaseKey,
+			Holder:     d.Holder,
+			Term:       leaseTerm,
+			Margin:     clockError,
+			FirstStart: d.FirstStart,
 		}, clocker.Now),
 	}
 }
@@ -171,6 +174,18 @@
 	}
 }
 
+// EraSettled reports whether an era of the table is known to have lasted for so long
+// that nobody has to write anything again. It reads the lease's row, in which a
+// holder says so.
+func (o *Orchestrator) EraSettled(ctx context.Context, era uint64) bool {
+	row, err := o.Table.Read(ctx, leaseKey)
+	if err != nil {
+		log.WithError(err).Debug("read of the lease's row failed")
+		return false
+	}
+	return leaser.RowSettled(row, era)
+}
+
 // Resign releases the lease, so that another instance can take it before it
 // expires.
 func (o *Orchestrator) Resign(ctx context.Context) { o.lease.Resign(ctx) }
@@ -241,11 +256,19 @@
 	}
 }
 
-// listIsCurrent reports whether the instance list is younger than maxListAge and
-// was read after the previous holder's last order can have been delivered.
+// listIsCurrent reports whether the instance list is younger than maxListAge, was
+// read after the previous holder's last order can have been delivered, and does not
+// come from an older copy of the table.
 func (o *Orchestrator) listIsCurrent() bool {
 	var updated time.Time
-	o.Observer.WithTracker(func(t *tracker.Tracker) { updated = t.UpdatedAt() })
+	var era uint64
+	relisted := false
+	o.Observer.WithTracker(func(t *tracker.Tracker) { updated, era, relisted = t.UpdatedAt(), t.Era(), t.Relisted() })
+	if relisted || o.FirstStart && !o.Observer.EraChanged() {
+		o.lease.MarkSettled(era)
+	} else if !o.lease.Settled(era) {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return updated.After(o.controlSince.Add(takeoverDelay)) && clocker.Since(updated) < maxListAge
--- a/internal/platformemulator/store.go
+++ b/internal/platformemulator/store.go
@@ -128,7 +128,7 @@
 		return
 	}
 	s.lastVersion++
-	s.rows[write.Key] = provider.Row{Key: write.Key, Version: s.lastVersion, Value: write.Value}
+	s.rows[write.Key] = provider.Row{Key: write.Key, Version: provider.Version{Number: s.lastVersion}, Value: write.Value}
 }
 
 func (s *Store) rowLocked(key string) provider.Row {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,9 +46,21 @@
 // Platform is the platform's store.
 type Platform interface {
 	provider.Lister
-	// ReadConfig returns the operator's newest configuration, or nil if there is
-	// none.
-	ReadConfig(ctx context.Context) (*mapper.RouteTable, error)
+	// Era returns the newest era that the table's responses have shown.
+	Era() uint64
+	// ReadConfig reads the operator's configuration.
+	ReadConfig(ctx context.Context) (ConfigReading, error)
+}
+
+// ConfigReading is the operator's configuration as it was read.
+type ConfigReading struct {
+	// Table is nil if there is no configuration.
+	Table *mapper.RouteTable
+	// Era is the era of the platform's table.
+	Era uint64
+	// Rewritten reports whether the configuration is known to have been written in
+	// this era, so that it does not come from an older copy.
+	Rewritten bool
 }
 
 // Members returns this entry instance and all live ones.
@@ -64,6 +76,13 @@
 	Pool     *messenger.Pool
 	// Epoch differs between the runs of this process.
 	Epoch uint64
+	// FirstStart is true when the whole system starts for the first time, so that
+	// the first era is no return from an older copy.
+	FirstStart bool
+	// EraSettled reports whether an era of the platform's table is known to have
+	// lasted for so long that nobody has to write anything again. A process that
+	// has just started can't tell by itself.
+	EraSettled func(ctx context.Context, era uint64) bool
 }
 
 // Relayer holds one entry instance's copy of the platform's state. It is safe
@@ -82,7 +101,9 @@
 
 // New returns a Relayer with an empty state.
 func New(d Dependencies) *Relayer {
-	return &Relayer{Dependencies: d, state: newVersionedState(d.Epoch)}
+	state := newVersionedState(d.Epoch)
+	state.firstStart = d.FirstStart
+	return &Relayer{Dependencies: d, state: state}
 }
 
 // rankedMembers returns the live members by rank; the first readerCount of them
@@ -126,11 +147,31 @@
 			}
 		}
 	}
+	r.fetchNewerConfig(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state.snapshot(), nil
 }
 
+// fetchNewerConfig fetches the configuration from a peer that runs a newer version
+// than the known one. A process that has just started has no other way to learn of
+// it while the store shows an older copy.
+func (r *Relayer) fetchNewerConfig(ctx context.Context) {
+	var version uint64
+	r.mu.Lock()
+	if r.state.config != nil {
+		version = r.state.config.Version
+	}
+	r.mu.Unlock()
+	self := r.Members.Self().ID
+	for _, m := range r.Members.Live() {
+		if m.ID != self && m.ConfigVersion > version {
+			r.fetchFromPeer(ctx, m)
+			return
+		}
+	}
+}
+
 // readStore updates the state from the store.
 func (r *Relayer) readStore(ctx context.Context) error {
 	began := clocker.Now()
@@ -139,20 +180,25 @@
 		return err
 	}
 	r.mu.Lock()
-	r.state.updateList(began, instances)
+	r.state.updateList(began, r.Platform.Era(), instances)
 	fresh := began.Sub(r.state.configConfirmedAt) < configInterval
 	r.mu.Unlock()
 	if fresh {
 		return nil
 	}
 	began = clocker.Now()
-	config, err := r.Platform.ReadConfig(ctx)
+	reading, err := r.Platform.ReadConfig(ctx)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
+	r.state.observeEra(began, reading.Era)
+	undecided := r.state.eraIsNew(began) && !reading.Rewritten
+	r.mu.Unlock()
+	settled := undecided && r.EraSettled(ctx, reading.Era)
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.updateConfig(began, config)
+	r.state.updateConfig(began, reading.Table, reading.Rewritten || settled)
 	return nil
 }
 
@@ -191,11 +237,14 @@
 		log.WithField("peer", peer.ID).WithError(err).Debug("fetch of platform state from peer failed")
 		return false
 	}
-	if reply.ConfigVersion == 0 || reply.ListAge > maxAge || reply.ConfigAge > maxAge {
-		return false
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if reply.ConfigVersion == 0 || reply.ListAge > maxAge || reply.ConfigAge > maxAge || reply.Era < r.state.era {
+		// A version of the configuration only rises, so that a newer one counts
+		// whatever its age.
+		r.applyConfig(began, reply)
+		return false
+	}
 	r.applyReply(began, peer.ID, reply)
 	return true
 }
@@ -208,15 +257,21 @@
 		// so that the list must not be dropped as older than the known one.
 		at = r.state.listedAt
 	}
-	if r.state.updateList(at, r.mergeInstances(reply)) {
+	if r.state.updateList(at, reply.Era, r.mergeInstances(reply)) {
 		r.lastPeer, r.lastPeerEpoch, r.lastPeerRevision = peer, reply.Epoch, reply.Revision
 	}
+	r.applyConfig(began, reply)
+}
+
+// applyConfig applies the configuration in a peer's reply to a call that began at
+// that time.
+func (r *Relayer) applyConfig(began time.Time, reply messenger.ChangesReply) {
 	config := r.state.config
 	if reply.Config != nil {
 		config = mapper.New(*reply.Config)
 	}
 	if config != nil && config.Version == reply.ConfigVersion {
-		r.state.updateConfig(began.Add(-reply.ConfigAge), config)
+		r.state.updateConfig(began.Add(-reply.ConfigAge), config, reply.ConfigRewritten && reply.Era == r.state.era)
 	}
 }
 
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -20,11 +20,25 @@
 	// removed holds the revision at which each removed instance was removed.
 	removed  map[string]uint64
 	listedAt time.Time
+	// era is the highest era of the platform's table in which a list was read.
+	era uint64
+	// eraSince is when the era began, as far as it is known here, or zero if there
+	// was none before it.
+	eraSince time.Time
+	// firstStart is true when the whole system starts for the first time.
+	firstStart bool
 
 	config            *mapper.RouteTable
 	configConfirmedAt time.Time
+	// configRewritten reports whether the configuration is known to have been
+	// written in the era.
+	configRewritten bool
 }
 
+// rewriteTimeout is how long the operator may take to write a configuration again
+// that an older copy of the table has lost.
+const rewriteTimeout = 3 * time.Second
+
 type versionedInstance struct {
 	instance provider.Instance
 	revision uint64
@@ -38,20 +52,23 @@
 	return &versionedState{epoch: epoch, instances: make(map[string]versionedInstance), removed: make(map[string]uint64)}
 }
 
-// updateList replaces the list of instances by one that was current at that
-// time. An older list than the known one is ignored. It reports whether the list
-// was replaced.
-func (v *versionedState) updateList(at time.Time, instances []provider.Instance) bool {
-	if at.Before(v.listedAt) {
+// updateList replaces the list of instances by one that was current at that time
+// in an era of the platform's table. An older list than the known one, or one of an
+// earlier era, is ignored. It reports whether the list was replaced.
+func (v *versionedState) updateList(at time.Time, era uint64, instances []provider.Instance) bool {
+	if at.Before(v.listedAt) || era < v.era {
 		return false
 	}
+	v.observeEra(at, era)
 	v.listedAt = at
 	next := v.revision + 1
 	changed := false
 	seen := make(map[string]bool, len(instances))
 	for _, in := range instances {
 		seen[in.ID] = true
-		if old, known := v.instances[in.ID]; known && reflect.DeepEqual(old.instance, in) {
+		if old, known := v.instances[in.ID]; known && sameReport(old.instance, in) {
+			// Peers are not sent a report that only repeats the last one.
+			v.instances[in.ID] = versionedInstance{instance: in, revision: old.revision}
 			continue
 		}
 		v.instances[in.ID] = versionedInstance{instance: in, revision: next}
@@ -75,15 +92,46 @@
 	return true
 }
 
+// observeEra records the era of the platform's table at a time.
+func (v *versionedState) observeEra(at time.Time, era uint64) {
+	if era <= v.era {
+		return
+	}
+	if !v.firstStart || !v.listedAt.IsZero() {
+		v.eraSince = at
+	}
+	v.era, v.configRewritten = era, false
+}
+
+// eraIsNew reports whether the operator may still have to write a configuration
+// again that was lost at the beginning of the era.
+func (v *versionedState) eraIsNew(at time.Time) bool {
+	return !v.eraSince.IsZero() && at.Before(v.eraSince.Add(rewriteTimeout))
+}
+
+// sameReport reports whether two reports of an instance differ in their count at
+// most.
+func sameReport(a, b provider.Instance) bool {
+	a.Sequence = b.Sequence
+	return reflect.DeepEqual(a, b)
+}
+
 // updateConfig applies a configuration that was the newest at that time. An
-// older version than the known one is ignored.
-func (v *versionedState) updateConfig(at time.Time, config *mapper.RouteTable) {
+// older version than the known one is ignored. In a new era of the platform's table
+// a configuration that may come from an older copy is no proof that there is no
+// newer one; it does not count as confirmed until the operator has had the time to
+// write the newest one again.
+func (v *versionedState) updateConfig(at time.Time, config *mapper.RouteTable, rewritten bool) {
 	if config == nil || v.config != nil && config.Version < v.config.Version {
 		return
 	}
 	if v.config == nil || config.Version > v.config.Version {
 		v.config = config
 	}
+	v.configRewritten = v.configRewritten || rewritten
+	if !rewritten && v.eraIsNew(at) {
+		return
+	}
 	if at.After(v.configConfirmedAt) {
 		v.configConfirmedAt = at
 	}
@@ -91,7 +139,7 @@
 
 // snapshot returns the whole state.
 func (v *versionedState) snapshot() observer.Snapshot {
-	s := observer.Snapshot{ListedAt: v.listedAt, Config: v.config, ConfirmedAt: v.configConfirmedAt}
+	s := observer.Snapshot{ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt}
 	for _, e := range v.instances {
 		s.Instances = append(s.Instances, e.instance)
 	}
@@ -104,6 +152,7 @@
 	reply := messenger.ChangesReply{
 		Epoch:    v.epoch,
 		Revision: v.revision,
+		Era:      v.era,
 		ListAge:  now.Sub(v.listedAt),
 		Whole:    arguments.Epoch != v.epoch || arguments.Revision > v.revision,
 	}
@@ -123,7 +172,7 @@
 	}
 	if v.config != nil {
 		reply.ConfigAge = now.Sub(v.configConfirmedAt)
-		reply.ConfigVersion = v.config.Version
+		reply.ConfigVersion, reply.ConfigRewritten = v.config.Version, v.configRewritten
 		if arguments.ConfigVersion < v.config.Version {
 			reply.Config = &v.config.Config
 		}
--- a/internal/relayer/state_test.go
+++ b/internal/relayer/state_test.go
@@ -23,7 +23,8 @@
 		readers := map[string]*versionedState{"r1": newVersionedState(1), "r2": newVersionedState(2)}
 		client := New(Dependencies{Epoch: 3})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			at, took, version := 0, 0, 0
+			at, took, version, era := 0, 0, 0, uint64(0)
+			d.MaybeScanArgs(t, "era", &era)
 			reader := "r1"
 			d.ScanArgs(t, "at", &at)
 			d.MaybeScanArgs(t, "took", &took)
@@ -37,9 +38,9 @@
 					id, zone, _ := strings.Cut(word, "=")
 					listed = append(listed, provider.Instance{ID: id, DataCentre: zone})
 				}
-				readers[reader].updateList(now, listed)
+				readers[reader].updateList(now, era, listed)
 				if version > 0 {
-					readers[reader].updateConfig(now, mapper.New(mapper.Config{Version: uint64(version)}))
+					readers[reader].updateConfig(now, mapper.New(mapper.Config{Version: uint64(version)}), d.HasArg("rewritten"))
 				}
 				return ""
 			case "fetch":
--- a/internal/renewer/renewer.go
+++ b/internal/renewer/renewer.go
@@ -96,6 +96,22 @@
 	return r.lease.Holder()
 }
 
+// MarkSettled records that this process relies on what others have written in the
+// table in an era.
+func (r *Renewer) MarkSettled(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease.MarkSettled(era)
+}
+
+// Settled reports whether a holder relies on what others have written in the table
+// in an era.
+func (r *Renewer) Settled(era uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Settled(era)
+}
+
 // MarkHolderEnded records that the process of a holder has ended.
 func (r *Renewer) MarkHolderEnded(holder string) {
 	r.mu.Lock()
--- a/pkg/configurer/version.go
+++ b/pkg/configurer/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 
 	"github.com/waxwingmount/waxwingmount/pkg/decoder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
@@ -72,7 +71,7 @@
 		// A change that failed with a conflict may be retried on the new row under
 		// the same operation ID; the row's version makes it another operation for
 		// the table.
-		OperationID: head.OperationID + "/" + strconv.FormatUint(row.Version, 10),
+		OperationID: head.OperationID + "/" + row.Version.String(),
 		Guards:      []provider.Guard{{Key: HeadKey, Version: row.Version}},
 		Writes:      []provider.Write{{Key: HeadKey, Value: value}},
 	}, nil
--- a/pkg/grouper/snapshot.go
+++ b/pkg/grouper/snapshot.go
@@ -37,7 +37,7 @@
 	// Fence is the highest fence of any change.
 	Fence uint64
 
-	versions    map[string]uint64
+	versions    map[string]provider.Version
 	assignments map[string]string
 }
 
@@ -71,7 +71,7 @@
 func Decode(rows []provider.Row) (Snapshot, error) {
 	s := Snapshot{
 		Groups:      make(map[string]Group),
-		versions:    make(map[string]uint64, len(rows)),
+		versions:    make(map[string]provider.Version, len(rows)),
 		assignments: make(map[string]string),
 	}
 	for _, row := range rows {
--- a/pkg/provider/errors.go
+++ b/pkg/provider/errors.go
@@ -16,6 +16,9 @@
 	KindNotFound
 	// KindInvalid means that the platform rejected the call as malformed.
 	KindInvalid
+	// KindStale means that a guard of the transaction is a version of an earlier era
+	// of the table; nothing was committed.
+	KindStale
 )
 
 // Error is the error type of this package.
--- a/pkg/provider/instance.go
+++ b/pkg/provider/instance.go
@@ -42,6 +42,9 @@
 	// Incarnation distinguishes the runs of one instance; it changes with every
 	// restart.
 	Incarnation string `json:"incarnation,omitempty"`
+	// Sequence increases with every report of one incarnation, or is zero if the
+	// platform does not count them.
+	Sequence uint64 `json:"sequence,omitempty"`
 	// Service is the name of the service that the instance belongs to.
 	Service string `json:"service,omitempty"`
 	// Address is the listen address of the instance's model engine.
--- a/pkg/provider/kind_string.go
+++ b/pkg/provider/kind_string.go
@@ -11,11 +11,12 @@
 	_ = x[KindUnavailable-0]
 	_ = x[KindNotFound-1]
 	_ = x[KindInvalid-2]
+	_ = x[KindStale-3]
 }
 
-const _Kind_name = "UnavailableNotFoundInvalid"
+const _Kind_name = "UnavailableNotFoundInvalidStale"
 
-var _Kind_index = [...]uint8{0, 11, 19, 26}
+var _Kind_index = [...]uint8{0, 11, 19, 26, 31}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pkg/provider/transaction.go
+++ b/pkg/provider/transaction.go
@@ -2,8 +2,8 @@
 
 // Guard is the precondition that a row still has the version that was read.
 type Guard struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
 }
 
 // Write sets or deletes one row.
--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -205,7 +205,7 @@
 	for _, in := range c.instances {
 		all = append(all, in.Instance)
 	}
-	c.tracker.Update(c.now, all)
+	c.tracker.Update(c.now, 0, all)
 	for _, in := range c.instances {
 		if !in.lostAt.IsZero() && c.now.Sub(in.lostAt) > churnDetect {
 			c.tracker.MarkLost(c.now, in.ID, in.Incarnation)
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -106,7 +106,7 @@
 			all = append(all, *in)
 		}
 	}
-	s.tracker.Update(now, all)
+	s.tracker.Update(now, 0, all)
 }
 
 func describe(o Order) string {
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -15,7 +15,8 @@
 	"joining": provider.Joining, "ready": provider.MemberReady, "serving": provider.Serving, "closing": provider.Closing, "broken": provider.Broken,
 }
 
-// parseInstance parses a line "id incarnation group epoch rank state [leaving]".
+// parseInstance parses a line "id incarnation group epoch rank state [sequence=N]
+// [leaving]".
 func parseInstance(t *testing.T, line string) provider.Instance {
 	t.Helper()
 	in := provider.Instance{Service: "s"}
@@ -26,6 +27,11 @@
 	}
 	m.State = memberStates[state]
 	in.Leaving = strings.HasSuffix(line, "leaving")
+	if _, count, found := strings.Cut(line, "sequence="); found {
+		if _, err := fmt.Sscan(count, &in.Sequence); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+	}
 	return in
 }
 
@@ -49,7 +55,9 @@
 				for line := range strings.Lines(d.Input) {
 					listed = append(listed, parseInstance(t, strings.TrimSpace(line)))
 				}
-				tracker.Update(at(d), listed)
+				era := uint64(0)
+				d.MaybeScanArgs(t, "era", &era)
+				tracker.Update(at(d), era, listed)
 			case "mark_lost":
 				id, incarnation := "", ""
 				d.ScanArgs(t, "instance", &id)
@@ -71,6 +79,16 @@
 					lines = append(lines, line)
 				}
 				return strings.Join(lines, "\n") + "\n"
+			case "instances":
+				var lines []string
+				for _, in := range tracker.Instances() {
+					line := fmt.Sprintf("%s %s %s %d", in.ID, in.Incarnation, in.Membership.Group, in.Membership.Epoch)
+					if in.Leaving {
+						line += " leaving"
+					}
+					lines = append(lines, line)
+				}
+				return strings.Join(lines, "\n") + fmt.Sprintf("\nrelisted: %t\n", tracker.Relisted())
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
 			}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -6,7 +6,7 @@
 //
 //	t := tracker.New()
 //	t.SetGroupSizes(map[string]int{"model": 4})
-//	t.Update(now, instances)
+//	t.Update(now, era, instances)
 //	t.MarkLost(now, "instance-3", incarnation)
 //	for _, group := range t.Groups("service", "model") { ... }
 //
@@ -18,6 +18,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -35,6 +36,13 @@
 	// relistTimeout is how long it may take until expired entries are listed again:
 	// two seconds on the platform plus one poll of the list.
 	relistTimeout = 2500 * time.Millisecond
+	// restoredListTTL is how long after the start of an era of the platform's table
+	// entries may still come from an older copy: three heartbeats of a server that
+	// has gone, and the list's lag.
+	restoredListTTL = 8 * time.Second
+	// departureTTL is how long an instance that was removed from the list is
+	// remembered. It exceeds the age of an older copy.
+	departureTTL = time.Minute
 )
 
 // ModelOf returns the model in a group's name.
@@ -81,6 +89,15 @@
 	updatedAt time.Time
 	// trustRemovalsAt is the time from which a missing entry counts as removed.
 	trustRemovalsAt time.Time
+	// era is the era of the platform's table, and eraSince when a list of it was
+	// first requested.
+	era      uint64
+	eraSince time.Time
+	// restoredUntil is the time until which listed entries may come from an older
+	// copy of the table.
+	restoredUntil time.Time
+	// departures holds the instances that were removed from the list, by ID.
+	departures map[string]departure
 
 	// groupSizes holds the number of members per group, by model.
 	groupSizes map[string]int
@@ -95,17 +112,35 @@
 	at          time.Time
 }
 
+// departure is an incarnation of an instance that was removed from the list.
+type departure struct {
+	incarnation string
+	at          time.Time
+}
+
 // New returns an empty tracker.
 func New() *Tracker {
 	return &Tracker{
-		instances: make(map[string]provider.Instance),
-		losses:    make(map[string]loss),
+		instances:  make(map[string]provider.Instance),
+		losses:     make(map[string]loss),
+		departures: make(map[string]departure),
 	}
 }
 
 // UpdatedAt returns the time at which the last list was requested.
 func (t *Tracker) UpdatedAt() time.Time { return t.updatedAt }
 
+// Era returns the era of the platform's table.
+func (t *Tracker) Era() uint64 { return t.era }
+
+// EraSince returns when a list of the present era of the platform's table was first
+// requested.
+func (t *Tracker) EraSince() time.Time { return t.eraSince }
+
+// Relisted reports whether the list was requested so long after the start of an era
+// that instances which live and reach the table have written their entries again.
+func (t *Tracker) Relisted() bool { return !t.updatedAt.Before(t.eraSince.Add(relistTimeout)) }
+
 // SetGroupSizes sets the number of members per group, by model.
 func (t *Tracker) SetGroupSizes(sizes map[string]int) {
 	t.groupSizes = sizes
@@ -113,16 +148,27 @@
 }
 
 // Update replaces the instances by the platform's list, which was requested at
-// the given time. After a gap of more than maxListGap, missing instances are
-// kept for relistTimeout.
-func (t *Tracker) Update(at time.Time, list []provider.Instance) {
+// the given time in an era of the platform's table. After a gap of more than
+// maxListGap, and in a new era, missing instances are kept for relistTimeout. In a
+// new era entries may come from an older copy of the table; those of which newer
+// ones are known are ignored.
+func (t *Tracker) Update(at time.Time, era uint64, list []provider.Instance) {
 	if !t.updatedAt.IsZero() && at.Sub(t.updatedAt) > maxListGap {
 		t.trustRemovalsAt = at.Add(relistTimeout)
 	}
+	if t.updatedAt.IsZero() || era > t.era {
+		if !t.updatedAt.IsZero() {
+			t.trustRemovalsAt = at.Add(relistTimeout)
+			t.restoredUntil = at.Add(restoredListTTL)
+		}
+		t.era, t.eraSince = era, at
+	}
 	t.updatedAt = at
 	next := make(map[string]provider.Instance, len(list))
 	for _, in := range list {
-		next[in.ID] = in
+		if current, listed := t.newest(at, in); listed {
+			next[in.ID] = current
+		}
 	}
 	for id, in := range t.instances {
 		if _, listed := next[id]; listed {
@@ -130,13 +176,63 @@
 		}
 		if at.Before(t.trustRemovalsAt) {
 			next[id] = in
+		} else {
+			t.departures[id] = departure{incarnation: in.Incarnation, at: at}
 		}
 	}
 	t.instances = next
+	t.pruneDepartures(at)
 	t.pruneLosses(at)
 	t.rebuild()
 }
 
+// newest returns the listed instance, or the known one if the listed entry may come
+// from an older copy of the table. It reports false for an instance that has been
+// removed from the list since that copy was made.
+func (t *Tracker) newest(at time.Time, listed provider.Instance) (provider.Instance, bool) {
+	if at.After(t.restoredUntil) {
+		return listed, true
+	}
+	if gone, found := t.departures[listed.ID]; found && !startedLater(listed.Incarnation, gone.incarnation) {
+		return provider.Instance{}, false
+	}
+	known, found := t.instances[listed.ID]
+	switch {
+	case !found:
+		return listed, true
+	case known.Incarnation == listed.Incarnation:
+		uncounted := known.Sequence == 0 && listed.Sequence == 0
+		if listed.Sequence > known.Sequence || uncounted && !known.Leaving {
+			return listed, true
+		}
+		return known, true
+	case startedLater(listed.Incarnation, known.Incarnation):
+		return listed, true
+	}
+	return known, true
+}
+
+// startedLater reports whether an incarnation of an instance is later than another
+// one. Incarnations are compared as numbers; those that are none have no order and
+// count as later if they differ.
+func startedLater(incarnation, other string) bool {
+	a, errA := strconv.ParseInt(incarnation, 10, 64)
+	b, errB := strconv.ParseInt(other, 10, 64)
+	if errA != nil || errB != nil {
+		return incarnation != other
+	}
+	return a > b
+}
+
+// pruneDepartures forgets instances that departed long ago or are listed again.
+func (t *Tracker) pruneDepartures(now time.Time) {
+	for id, gone := range t.departures {
+		if _, listed := t.instances[id]; listed || now.Sub(gone.at) > departureTTL {
+			delete(t.departures, id)
+		}
+	}
+}
+
 // pruneLosses removes evidence that has expired or concerns an earlier
 // incarnation.
 func (t *Tracker) pruneLosses(now time.Time) {
