--- a/internal/soaker/fixture_test.go
+++ b/internal/soaker/fixture_test.go
@@ -268,6 +268,13 @@
 	return emulator.Operator{Store: f.address(blockStore, 0, portOther)}.Write(context.Background(), f.config)
 }
 
+// rewriteConfig writes the present configuration to the store again.
+func (f *fixture) rewriteConfig() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return emulator.Operator{Store: f.address(blockStore, 0, portOther)}.Write(context.Background(), f.config)
+}
+
 func (f *fixture) await(description string, check func() bool) {
 	for range 200 {
 		if check() {
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -26,6 +26,8 @@
 	settingsVariable = "WAXWING_SOAK_SETTINGS"
 	roleStore        = "store"
 	roleServer       = "worker"
+	// commandComeBack makes the store come back from a copy of a given age.
+	commandComeBack = "come_back"
 )
 
 // storeSettings are the settings of the store process.
@@ -51,6 +53,13 @@
 		}
 		store := emulator.NewStore(s.Heartbeat)
 		go readCommands(func(fields []string) {
+			if fields[0] == commandComeBack {
+				age, err := time.ParseDuration(fields[1])
+				if err == nil {
+					store.ComeBack(age)
+				}
+				return
+			}
 			var fault emulator.StoreFault
 			if _, err := fmt.Sscan(fields[0], &fault); err == nil {
 				store.SetFault(fault)
--- a/internal/soaker/schedule_test.go
+++ b/internal/soaker/schedule_test.go
@@ -46,6 +46,48 @@
 	disruptEntryLink, disruptStoreLink, disruptAllStoreLinks, disruptServerLink, disruptServerLink, toggleRoute, revokeKey, revokeKey,
 }
 
+// maxReturns is the largest number of times that the store comes back from an
+// older copy in a scenario.
+const maxReturns = 3
+
+// generateReturns generates steps in which the store comes back from an older copy.
+// They come on top of those of generateSteps, which stay the same for each seed.
+func generateReturns(f *fixture, seed uint64) []step {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	steps := make([]step, random.IntN(maxReturns+1))
+	for i := range steps {
+		steps[i] = returnOfStore(f, random)
+		steps[i].startAfter = time.Duration(random.Int64N(int64(faultPhase)))
+		steps[i].duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
+	}
+	return steps
+}
+
+// maxCopyAge is the largest age of the copy from which the store comes back, and
+// rewriteTime how long the operator then takes to write its configuration again.
+const (
+	maxCopyAge  = 5 * time.Second
+	rewriteTime = time.Second
+	retryTime   = 50 * time.Millisecond
+)
+
+// returnOfStore makes the store unavailable and lets it come back from an older
+// copy, after which the operator writes its configuration again.
+func returnOfStore(f *fixture, random *rand.Rand) step {
+	age := time.Duration(random.Int64N(int64(maxCopyAge)))
+	name := fmt.Sprintf("store comes back from a copy %v old", age.Round(time.Millisecond))
+	return step{name: name, run: func(duration time.Duration) {
+		f.store.writeLine(fmt.Sprint(int(emulator.FaultUnavailable)))
+		time.Sleep(duration / 2)
+		f.store.writeLine(fmt.Sprint(commandComeBack, " ", age))
+		f.store.writeLine(fmt.Sprint(int(emulator.FaultNone)))
+		time.Sleep(rewriteTime)
+		for f.rewriteConfig() != nil && !f.stopping.Load() {
+			time.Sleep(retryTime)
+		}
+	}}
+}
+
 // generateSteps generates the steps of a scenario from its seed.
 func generateSteps(f *fixture, seed uint64) []step {
 	random := rand.New(rand.NewPCG(seed, seed))
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -38,35 +38,41 @@
 	os.Exit(m.Run())
 }
 
+// scenario is a seed and whether the store may come back from an older copy.
+type scenario struct {
+	seed    uint64
+	returns bool
+}
+
 // TestSoak runs the real daemon through seeded fault scenarios: by default those
-// of testdata/seeds.txt, which failed before, and one new scenario.
+// of testdata, which failed before, and one new scenario.
 func TestSoak(t *testing.T) {
 	daemon := filepath.Join(t.TempDir(), "waxwingd")
 	build, err := exec.Command("go", "build", "-o", daemon, "../../cmd/waxwingd").CombinedOutput()
 	assert.NilError(t, err, "%s", build)
-	scenarios := regressionSeeds(t)
+	scenarios := append(regressions(t, "testdata/seeds.txt", false), regressions(t, "testdata/seeds_with_returns.txt", true)...)
 	if *seeds > 0 || *first > 0 {
 		scenarios = nil
 	}
 	start := max(*first, defaultFirstSeed)
 	for i := range max(1, *seeds) {
-		scenarios = append(scenarios, start+uint64(i))
+		scenarios = append(scenarios, scenario{seed: start + uint64(i), returns: true})
 	}
-	for i, seed := range scenarios {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+	for i, s := range scenarios {
+		t.Run(strconv.FormatUint(s.seed, 10), func(t *testing.T) {
 			t.Parallel()
-			violations := runScenario(t, byte(os.Getpid()+i), daemon, seed)
+			violations := runScenario(t, byte(os.Getpid()+i), daemon, s)
 			assert.Equal(t, len(violations), 0, strings.Join(violations, "\n"))
 		})
 	}
 }
 
-// regressionSeeds reads the seeds of scenarios that failed before.
-func regressionSeeds(t *testing.T) []uint64 {
-	file, err := os.Open("testdata/seeds.txt")
+// regressions reads the seeds of scenarios that failed before.
+func regressions(t *testing.T, path string, returns bool) []scenario {
+	file, err := os.Open(path)
 	assert.NilError(t, err)
 	defer file.Close()
-	var regressions []uint64
+	var found []scenario
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		text, _, _ := strings.Cut(lines.Text(), " ")
 		if text == "" || text == "#" {
@@ -74,26 +80,29 @@
 		}
 		seed, err := strconv.ParseUint(text, 10, 64)
 		assert.NilError(t, err)
-		regressions = append(regressions, seed)
+		found = append(found, scenario{seed: seed, returns: returns})
 	}
-	return regressions
+	return found
 }
 
-// runScenario runs the scenario of a seed and returns the violated guarantees.
-func runScenario(t *testing.T, run byte, daemon string, seed uint64) []string {
+// runScenario runs a scenario and returns the violated guarantees.
+func runScenario(t *testing.T, run byte, daemon string, s scenario) []string {
 	f := newFixture(t, run, daemon, *keepLogs)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := &traffic{fixture: f, seed: seed}
+	callers := &traffic{fixture: f, seed: s.seed}
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
 		callers.run(ctx)
 	}()
 	time.Sleep(warmUp)
-	steps := generateSteps(f, seed)
+	steps := generateSteps(f, s.seed)
+	if s.returns {
+		steps = append(steps, generateReturns(f, s.seed)...)
+	}
 	for _, s := range steps {
 		t.Logf("%6.2f s for %.2f s: %s", s.startAfter.Seconds(), s.duration.Seconds(), s.name)
 	}
