Forwarder: a stalled stream that no attempt can go on with is kept

The first head answered 503 as not run, the second one's group stood still for 1.5 s, and the forwarder cut its streams in favour of another attempt, of which the route allowed none. The class: an attempt is given up before it is known that a better one exists.

Change: attempts on a stalled upstream are cancelled only if their requests would get another one (idempotent, attempts and retry budget left); the others wait for the server or the deadline. Losses, which probes have proved, cancel as before.

TestStalledStreamIsKeptWithoutAnotherAttempt failed before ('unexpected EOF'), passes now.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -221,7 +221,9 @@
 // newAttempt returns an attempt that has no upstream yet.
 func (x *exchange) newAttempt() *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	return &attempt{ctx: ctx, sentAt: clocker.Now(), active: &activeAttempt{cancel: cancel, promptTokens: x.request.PromptTokens}}
+	return &attempt{ctx: ctx, sentAt: clocker.Now(), active: &activeAttempt{
+		cancel: cancel, canRetry: x.canRetry, promptTokens: x.request.PromptTokens,
+	}}
 }
 
 // send sends the request to the attempt's upstream and waits for the response
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -78,7 +78,7 @@
 	// request.
 	failedUpstreams map[string]bool
 	// brokenAttempts are the broken attempts that count against the route's
-	// maximum.
+	// maximum. The forwarder's lock guards them.
 	brokenAttempts []brokenAttempt
 	// revoked is set once the configuration no longer allows the request.
 	revoked *Refusal
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -39,8 +39,7 @@
 	canceledHere := errors.IsAny(err, errMemberLost, errStalled)
 	// An attempt may have run before its first event arrived, so it counts
 	// against the maximum. Only an earlier attempt may be excused.
-	event.RefundAttempt = x.excuseEarlier(clocker.Now())
-	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: clocker.Now()})
+	event.RefundAttempt = x.excuseEarlier(u)
 	if !canceledHere {
 		x.f.Observer.Suspect(context.WithoutCancel(x.ctx), u.state().members)
 	}
@@ -56,18 +55,34 @@
 	at   time.Time
 }
 
-// excuseEarlier reports whether an earlier attempt no longer counts against the
-// maximum, because it broke at least excuseDelay ago and its server is lost or
-// has restarted. A server that was marked lost only just now may respond again.
-func (x *exchange) excuseEarlier(now time.Time) bool {
-	i := slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
+// excuseEarlier records an attempt that broke at an upstream, and reports whether an
+// earlier one no longer counts against the maximum.
+func (x *exchange) excuseEarlier(u *upstream) bool {
+	now := clocker.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	i := x.excusableAttempt(now)
+	if i >= 0 {
+		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
+	}
+	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
+	return i >= 0
+}
+
+// excusableAttempt returns the index of a broken attempt that need not count against
+// the maximum, because it broke at least excuseDelay ago and its server is lost or
+// has restarted, or -1. A server that was marked lost only just now may respond
+// again. The caller holds f.mu.
+func (x *exchange) excusableAttempt(now time.Time) int {
+	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
 		return now.Sub(b.at) >= excuseDelay && x.f.Observer.AnyLostOrRestarted([]provider.Instance{b.head})
 	})
-	if i < 0 {
-		return false
-	}
-	x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
-	return true
+}
+
+// canRetry reports whether the request would get another attempt if the current one
+// broke now. The caller holds f.mu.
+func (x *exchange) canRetry(now time.Time) bool {
+	return x.retryMachine.CanRetry(now, x.excusableAttempt(now) >= 0)
 }
 
 // runCrashCheck records a strike against the request if one of maxCrashChecks
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -401,3 +401,29 @@
 	}
 	assert.Assert(t, reached.Load() <= strikeLimit+1, "the request reached %d servers", reached.Load())
 }
+
+// TestStalledStreamIsKeptWithoutAnotherAttempt guards against a stream being cut
+// because its server is silent, when no other attempt is left that could go on with
+// it.
+func TestStalledStreamIsKeptWithoutAnotherAttempt(t *testing.T) {
+	f := newFixture(t)
+	var stalled atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if stalled.Add(1) == 1 {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeHeader(w, r, "text/event-stream")
+		writeAndFlush(w, testEvent(1))
+		time.Sleep(1500 * time.Millisecond)
+		writeAndFlush(w, testEvent(2))
+	}
+	f.addGroup("a", handler)
+	f.addGroup("b", handler)
+	f.applyConfig()
+	status, body, err := f.call("POST", "/stream/", "s1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, testEvent(1)+testEvent(2))
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -51,6 +51,9 @@
 type activeAttempt struct {
 	upstream *upstream
 	cancel   context.CancelCauseFunc
+	// canRetry reports whether the request would get another attempt if this one
+	// broke now. It is called with the forwarder's lock held.
+	canRetry func(now time.Time) bool
 	// streaming says that events have been received.
 	streaming bool
 	// promptTokens is the length of the prompt, which the group prefills before
@@ -171,7 +174,7 @@
 	}
 	for _, u := range stalled {
 		f.eject(u, stallEjection)
-		f.cancelAttempts(u, errStalled)
+		f.cancelStalled(u)
 	}
 	for _, u := range busy {
 		if f.Observer.AnyLostOrRestarted(u.state().members) {
@@ -201,6 +204,19 @@
 	return false
 }
 
+// cancelStalled cancels the attempts on a stalled upstream whose requests can go on
+// elsewhere. The others wait, because the upstream may still go on with them.
+func (f *Forwarder) cancelStalled(u *upstream) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range u.active {
+		if a.canRetry(now) {
+			a.cancel(errStalled)
+		}
+	}
+}
+
 func (f *Forwarder) cancelAttempts(u *upstream, cause error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -26,9 +26,12 @@
 // Deposit adds the retries allowed for one new request.
 func (b *Budget) Deposit() { b.balance = min(b.balance+b.ratio, b.reserve) }
 
+// Available reports whether a retry is left.
+func (b *Budget) Available() bool { return b.balance >= 1 }
+
 // Withdraw takes one retry from the budget. It returns false if none is left.
 func (b *Budget) Withdraw() bool {
-	if b.balance < 1 {
+	if !b.Available() {
 		return false
 	}
 	b.balance--
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -167,6 +167,16 @@
 	return m.expired()
 }
 
+// CanRetry reports whether a request whose attempt broke now would get another one.
+// With refund, an earlier attempt no longer counts.
+func (m *Machine) CanRetry(now time.Time, refund bool) bool {
+	attempts := m.attempts
+	if refund {
+		attempts--
+	}
+	return m.request.Idempotent && now.Before(m.request.Deadline) && attempts < m.request.MaxAttempts && m.budget.Available()
+}
+
 // expired ends the request because of its deadline.
 func (m *Machine) expired() Action {
 	action := m.respond(m.failure())
