Lease: a holder that resigns frees the row at once

Found by the script race: 'a holder that resigns frees the lease at once', whose recorded result said that it does not. The release was guarded by the version from before the holder's own last renewal, and never committed; others waited for 2.45 s, unless a new process of the holder was known.

Change: resigning reads the row first, then releases it; the process doesn't take the lease again, and a renewal under way starts no term any more.

--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -81,7 +81,7 @@
 	// Failed means that the table service did not respond; the outcome of a commit
 	// is unknown then.
 	Failed // failed
-	// Resigned is the request to give up the lease.
+	// Resigned is the request to give up the lease for good.
 	Resigned // resigned
 )
 
@@ -135,6 +135,8 @@
 	// settledEra is the era that the caller relies on; it counts if settled is set.
 	settledEra uint64
 	settled    bool
+	// resigned says that this process gives the lease up and does not take it again.
+	resigned bool
 	// pendingValue is the value that the last Commit action writes.
 	pendingValue Value
 	// endedHolder is the ID of a holder whose process is known to have ended.
@@ -196,7 +198,9 @@
 		l.handleOutcome(event)
 		return Action{Kind: Idle}
 	case Resigned:
-		return l.resign()
+		l.termEnd = time.Time{}
+		l.resigned = true
+		return Action{Kind: Read, Key: l.settings.Key}
 	}
 	return Action{Kind: Idle}
 }
@@ -219,6 +223,9 @@
 	restored := l.isRestored(event.Row, value)
 	expired := now.Sub(l.unchangedSince) >= l.settings.Term+l.settings.Margin
 	free := value.Holder == "" || value.Holder == l.endedHolder
+	if l.resigned {
+		return l.release(value, restored)
+	}
 	switch {
 	case restored && l.Remaining(now) > 0:
 		return l.acquire(Value{Epoch: l.epoch, Renewals: value.Renewals + 1})
@@ -292,18 +299,16 @@
 	}
 	l.value = l.pendingValue
 	l.epoch = max(l.epoch, l.value.Epoch)
-	if l.pendingValue.Holder == l.settings.Holder {
+	if l.pendingValue.Holder == l.settings.Holder && !l.resigned {
 		l.termEnd = event.SentAt.Add(l.settings.Term)
 	}
 }
 
-// resign ends the term at once and, if this process held the lease, clears the
-// holder in the row.
-func (l *Lease) resign() Action {
-	held := l.value.Holder == l.settings.Holder
-	l.termEnd = time.Time{}
-	if !held {
+// release returns the action that clears the holder in the row, if it names this
+// process.
+func (l *Lease) release(value Value, restored bool) Action {
+	if restored || value.Holder != l.settings.Holder {
 		return Action{Kind: Idle}
 	}
-	return l.commit(Value{Epoch: l.value.Epoch, Renewals: l.value.Renewals + 1, Settled: l.value.Settled})
+	return l.commit(Value{Epoch: value.Epoch, Renewals: value.Renewals + 1, Settled: value.Settled})
 }
