--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -280,7 +280,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if snapshot.ListedAt.After(o.tracker.UpdatedAt()) {
-		o.logEra(snapshot)
+		o.recordEra(snapshot)
 		o.tracker.Update(snapshot.ListedAt, snapshot.Era, snapshot.Instances)
 	}
 	o.updateConfig(snapshot)
@@ -302,9 +302,9 @@
 	return o.interval
 }
 
-// logEra logs a new era of the platform's table: the table has come back from an
-// older copy. The caller holds o.mu.
-func (o *Observer) logEra(s Snapshot) {
+// recordEra records and logs a new era of the platform's table: the table has come
+// back from an older copy. The caller holds o.mu.
+func (o *Observer) recordEra(s Snapshot) {
 	previous := o.tracker.Era()
 	if o.tracker.UpdatedAt().IsZero() || s.Era <= previous {
 		return
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -260,18 +260,28 @@
 // read after the previous holder's last order can have been delivered, and does not
 // come from an older copy of the table.
 func (o *Orchestrator) listIsCurrent() bool {
+	if !o.settleEra() {
+		return false
+	}
 	var updated time.Time
+	o.Observer.WithTracker(func(t *tracker.Tracker) { updated = t.UpdatedAt() })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return updated.After(o.controlSince.Add(takeoverDelay)) && clocker.Since(updated) < maxListAge
+}
+
+// settleEra reports whether the instances have had the time to write their entries
+// again since the table came back from an older copy, and records it in the lease
+// for later holders.
+func (o *Orchestrator) settleEra() bool {
 	var era uint64
 	relisted := false
-	o.Observer.WithTracker(func(t *tracker.Tracker) { updated, era, relisted = t.UpdatedAt(), t.Era(), t.Relisted() })
+	o.Observer.WithTracker(func(t *tracker.Tracker) { era, relisted = t.Era(), t.Relisted() })
 	if relisted || o.FirstStart && !o.Observer.EraChanged() {
 		o.lease.MarkSettled(era)
-	} else if !o.lease.Settled(era) {
-		return false
+		return true
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return updated.After(o.controlSince.Add(takeoverDelay)) && clocker.Since(updated) < maxListAge
+	return o.lease.Settled(era)
 }
 
 // reconcileService runs the scheduler of one service and sends its orders.
