Store eras: a process that starts learns from its peers that the era is old

Found while reading the change again. A process that has just started can't tell how long the present era has lasted. Those that read the store ask the lease's row; the others waited 3 s for each configuration to be written again, and would have refused keyed requests for that time after every restart, in any era after the first.

Change: replies between entry instances say whether the era is known to be old.

--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -136,6 +136,9 @@
 	ListAge  time.Duration
 	// Era is the era of the platform's table in which the list was read.
 	Era uint64
+	// EraSettled reports whether that era is known to have lasted for so long that
+	// nobody has to write anything again.
+	EraSettled bool
 	// Whole means that Changed holds all instances.
 	Whole   bool
 	Changed []provider.Instance
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -198,7 +198,10 @@
 	settled := undecided && r.EraSettled(ctx, reading.Era)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.updateConfig(began, reading.Table, reading.Rewritten || settled)
+	if settled {
+		r.state.settleEra(reading.Era)
+	}
+	r.state.updateConfig(began, reading.Table, reading.Rewritten)
 	return nil
 }
 
@@ -260,6 +263,9 @@
 	if r.state.updateList(at, reply.Era, r.mergeInstances(reply)) {
 		r.lastPeer, r.lastPeerEpoch, r.lastPeerRevision = peer, reply.Epoch, reply.Revision
 	}
+	if reply.EraSettled {
+		r.state.settleEra(reply.Era)
+	}
 	r.applyConfig(began, reply)
 }
 
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -22,8 +22,8 @@
 	listedAt time.Time
 	// era is the highest era of the platform's table in which a list was read.
 	era uint64
-	// eraSince is when the era began, as far as it is known here, or zero if there
-	// was none before it.
+	// eraSince is when the era began, as far as it is known here, or zero if it is
+	// known to be old.
 	eraSince time.Time
 	// firstStart is true when the whole system starts for the first time.
 	firstStart bool
@@ -103,6 +103,13 @@
 	v.era, v.configRewritten = era, false
 }
 
+// settleEra records that the era is known to be old.
+func (v *versionedState) settleEra(era uint64) {
+	if era == v.era {
+		v.eraSince = time.Time{}
+	}
+}
+
 // eraIsNew reports whether the operator may still have to write a configuration
 // again that was lost at the beginning of the era.
 func (v *versionedState) eraIsNew(at time.Time) bool {
@@ -153,8 +160,10 @@
 		Epoch:    v.epoch,
 		Revision: v.revision,
 		Era:      v.era,
-		ListAge:  now.Sub(v.listedAt),
-		Whole:    arguments.Epoch != v.epoch || arguments.Revision > v.revision,
+		// A peer that has just started can't tell by itself.
+		EraSettled: !v.eraIsNew(now),
+		ListAge:    now.Sub(v.listedAt),
+		Whole:      arguments.Epoch != v.epoch || arguments.Revision > v.revision,
 	}
 	since := arguments.Revision
 	if reply.Whole {
