--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -153,16 +153,20 @@
 	return r.state.snapshot(), nil
 }
 
-// fetchNewerConfig fetches the configuration from a peer that runs a newer version
-// than the known one. A process that has just started has no other way to learn of
-// it while the store shows an older copy.
+// fetchNewerConfig fetches the configuration, in a new era of the platform's table,
+// from a peer that runs a newer version than the known one. A process that has just
+// started has no other way to learn of it while the store shows an older copy.
 func (r *Relayer) fetchNewerConfig(ctx context.Context) {
 	var version uint64
 	r.mu.Lock()
 	if r.state.config != nil {
 		version = r.state.config.Version
 	}
+	eraIsNew := r.state.eraIsNew(clocker.Now())
 	r.mu.Unlock()
+	if !eraIsNew {
+		return
+	}
 	self := r.Members.Self().ID
 	for _, m := range r.Members.Live() {
 		if m.ID != self && m.ConfigVersion > version {
--- a/pkg/permitter/server_limits.go
+++ b/pkg/permitter/server_limits.go
@@ -8,8 +8,8 @@
 
 // ServerLimits decides to which backend servers one entry instance may send its
 // next request. To a server with a limit it needs a permit, which one entry
-// instance, the server's permit owner, issues with a [Issuer]. It does no
-// I/O and is not safe for concurrent use.
+// instance, the server's permit owner, issues with an [Issuer]. It does no I/O and
+// is not safe for concurrent use.
 type ServerLimits struct {
 	table limitTable
 	// permits holds the servers for which a permit is held, wanted or requested.
