Tracker: drop a method that nothing calls any more

EraSince was superseded by Relisted when control began to ask whether entries had been written again. No behaviour changes; vet and the tests of pkg/tracker, internal/relayer and internal/observer pass.

--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -133,10 +133,6 @@
 // Era returns the era of the platform's table.
 func (t *Tracker) Era() uint64 { return t.era }
 
-// EraSince returns when a list of the present era of the platform's table was first
-// requested.
-func (t *Tracker) EraSince() time.Time { return t.eraSince }
-
 // Relisted reports whether the list was requested so long after the start of an era
 // that instances which live and reach the table have written their entries again.
 func (t *Tracker) Relisted() bool { return !t.updatedAt.Before(t.eraSince.Add(relistTimeout)) }
