Membership by summaries; the platform's state by feed, from sources beside each other

Each reader read the list whole, a page after the other, and the configuration only after the list; the others asked three readers in turn at 300 ms, and the old view was used meanwhile.

Ruled out: fewer rounds (a silent member is noticed later in proportion); pings with suspicion (docs/design/spread.md).

Readers follow the store's feed; list and configuration are read beside each other and neither waits for the other; sources are asked 80 ms apart; relays in each data centre where there are over 12 instances; after its start an instance that is no seed leaves the store to its peers for 1.5 s; 32 instances keep rows in the table.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -12,11 +12,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
@@ -40,8 +43,16 @@
 	tableSyncsPerInterval = 10
 	// tableRetryInterval is the time before the next sync after a failed one.
 	tableRetryInterval = 200 * time.Millisecond
-	peerCallTimeout    = 300 * time.Millisecond
-	rowPrefix          = "entries/"
+	// seedTime is how long after its start an instance waits for its seeds before it
+	// reads the table.
+	seedTime = time.Second
+	// minKnownPeers is the number of peers from which an instance counts as connected
+	// to the others.
+	minKnownPeers = 2
+	// maxRows is the number of instances that keep a row in the table.
+	maxRows         = 32
+	peerCallTimeout = 300 * time.Millisecond
+	rowPrefix       = "entries/"
 )
 
 // StateVersions exchanges the versions of the shared state with peers.
@@ -59,12 +70,21 @@
 	pool     *messenger.Pool
 	versions StateVersions
 	interval time.Duration
+	// hasSeeds reports whether the settings name a peer.
+	hasSeeds bool
+	// syncedTable reports whether the first sync is over or was put off. It belongs to
+	// tableLoop.
+	syncedTable bool
 
 	// started is when this process began, on the monotonic clock.
 	started time.Time
 
 	mu       sync.Mutex
 	gossiper *gossiper.Gossiper
+	// live is the last result of gossiper.Live, and liveAt when it was computed. A
+	// change of a record clears liveAt.
+	live   []gossiper.Member
+	liveAt time.Time
 	// clockLoggedAt is when each peer's clock was last logged, by peer ID.
 	clockLoggedAt map[string]time.Time
 	// loggedPeers holds the epochs of the live peers as last logged, by peer ID.
@@ -101,6 +121,7 @@
 	for _, seed := range s.Seeds {
 		if seed != s.Self.Peer {
 			d.gossiper.AddSeed(gossiper.Member{ID: seed.String(), Peer: seed})
+			d.hasSeeds = true
 		}
 	}
 	return d
@@ -112,11 +133,31 @@
 	go d.tableLoop(ctx)
 }
 
+// liveCacheTime is how long the list of live members is reused. It is short against
+// the time after which a member expires.
+const liveCacheTime = 50 * time.Millisecond
+
 // Live returns the live entry instances, including this one.
 func (d *Discoverer) Live() []gossiper.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.gossiper.Live(clocker.Now())
+	return slices.Clone(d.cachedLive())
+}
+
+// Count returns the number of live entry instances, including this one.
+func (d *Discoverer) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.cachedLive())
+}
+
+// cachedLive returns the live members. The caller holds d.mu and does not change
+// the result.
+func (d *Discoverer) cachedLive() []gossiper.Member {
+	if now := clocker.Now(); d.liveAt.IsZero() || now.Sub(d.liveAt) >= liveCacheTime {
+		d.live, d.liveAt = d.gossiper.Live(now), now
+	}
+	return d.live
 }
 
 // Peers returns the live entry instances, except this one.
@@ -143,12 +184,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gossiper.Update(change)
+	d.liveAt = time.Time{}
 }
 
 // HandleExchange merges a peer's digest and returns this instance's reply.
 func (d *Discoverer) HandleExchange(message messenger.ExchangeMessage) messenger.ExchangeMessage {
 	d.mu.Lock()
 	reply := messenger.ExchangeMessage{Digest: d.gossiper.HandleDigest(clocker.Now(), message.Digest), Uptime: clocker.Since(d.started)}
+	if len(message.Digest.Records) > 0 {
+		d.liveAt = time.Time{}
+	}
 	d.mu.Unlock()
 	d.versions.FillVersions(&reply)
 	return reply
@@ -195,10 +240,10 @@
 // peerLog returns the log entry for a change of a peer's liveness.
 func (d *Discoverer) peerLog(id string, epoch uint64, peers int) *log.Entry {
 	d.mu.Lock()
-	heartbeats := d.gossiper.Heartbeats(id)
+	age := d.gossiper.HeartbeatAge(clocker.Now(), id)
 	d.mu.Unlock()
 	return log.WithFields(log.Fields{
-		logger.FieldPeer: id, logger.FieldPeerRun: logger.RunID(epoch), "peers": peers, logger.FieldPeerHeartbeats: heartbeats,
+		logger.FieldPeer: id, logger.FieldPeerRun: logger.RunID(epoch), "peers": peers, logger.FieldPeerHeartbeatAge: age.String(),
 	})
 }
 
@@ -214,46 +259,81 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	d.mu.Lock()
-	message := messenger.ExchangeMessage{Digest: d.gossiper.Digest(clocker.Now())}
+	digest := d.gossiper.Request()
 	d.mu.Unlock()
-	d.versions.FillVersions(&message)
-	var reply messenger.ExchangeMessage
 	began := clocker.Now()
-	if err := d.pool.Call(ctx, neighbour.Peer, messenger.MethodExchange, &message, &reply); err != nil {
+	reply, err := d.call(ctx, neighbour, digest)
+	if err != nil {
 		return
 	}
 	d.logPeerClock(neighbour, began, reply.Uptime)
-	d.mu.Lock()
-	d.gossiper.Merge(began, reply.Digest)
-	records, wanted := d.gossiper.RequestedRecords(clocker.Now(), reply.Digest)
-	d.mu.Unlock()
 	d.versions.HandleVersions(neighbour.Peer, reply)
-	if wanted {
-		message.Digest = records
-		// An error is ignored, since the peer requests the records again at the
-		// next exchange.
-		_ = d.pool.Call(ctx, neighbour.Peer, messenger.MethodExchange, &message, &messenger.ExchangeMessage{})
+	next, more := d.handleReply(began, digest, reply)
+	if !more {
+		return
+	}
+	began = clocker.Now()
+	// After an error the records are requested again at the next exchange.
+	if reply, err = d.call(ctx, neighbour, next); err == nil {
+		d.handleReply(began, next, reply)
+	}
+}
+
+// handleReply merges the reply to a digest that was sent at that time, and returns the
+// digest to send next, if any.
+func (d *Discoverer) handleReply(began time.Time, request gossiper.Digest, reply messenger.ExchangeMessage) (gossiper.Digest, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(reply.Digest.Records) > 0 {
+		d.liveAt = time.Time{}
 	}
+	return d.gossiper.HandleReply(began, request, reply.Digest)
+}
+
+// call sends a digest to a peer and returns its reply.
+func (d *Discoverer) call(ctx context.Context, peer gossiper.Member, digest gossiper.Digest) (messenger.ExchangeMessage, error) {
+	message := messenger.ExchangeMessage{Digest: digest}
+	d.versions.FillVersions(&message)
+	var reply messenger.ExchangeMessage
+	err := d.pool.Call(ctx, peer.Peer, messenger.MethodExchange, &message, &reply)
+	return reply, err
 }
 
-// tableLoop syncs with the table until ctx ends.
+// tableLoop syncs with the table until ctx ends. An instance that finds peers through
+// its seeds has no need of the rows at once.
 func (d *Discoverer) tableLoop(ctx context.Context) {
+	wait := time.Duration(0)
+	if d.hasSeeds {
+		wait = seedTime
+	}
 	for {
-		// The interval grows with the number of instances, which bounds the
-		// load on the table.
-		wait := tableInterval * time.Duration(1+len(d.Live())/tableSyncsPerInterval)
-		if err := d.syncTable(ctx); err != nil {
-			log.WithError(err).Debug("sync of entry rows with the table failed")
-			wait = tableRetryInterval
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(wait):
 		}
+		wait = d.tableWait()
+		if d.hasSeeds && !d.syncedTable && d.Count() > minKnownPeers {
+			// The first sync falls at a random time of the interval, so that instances
+			// that start together do not sync together.
+			wait = rand.N(wait)
+			d.syncedTable = true
+			continue
+		}
+		d.syncedTable = true
+		if err := d.syncTable(ctx); err != nil {
+			log.WithError(err).Debug("sync of entry rows with the table failed")
+			wait = tableRetryInterval
+		}
 	}
 }
 
+// tableWait returns the time between two syncs. It grows with the number of instances,
+// which bounds the load on the table.
+func (d *Discoverer) tableWait() time.Duration {
+	return tableInterval * time.Duration(1+d.Count()/tableSyncsPerInterval)
+}
+
 func (d *Discoverer) syncTable(ctx context.Context) error {
 	rows, err := d.table.Scan(ctx, rowPrefix)
 	if err != nil {
@@ -271,12 +351,28 @@
 		d.gossiper.AddSeed(m)
 		d.mu.Unlock()
 	}
-	if written {
+	if written || !d.keepsRow() {
 		return nil
 	}
 	return d.writeRow(ctx, self)
 }
 
+// keepsRow reports whether this instance keeps a row in the table: a bounded number of
+// instances do, by a hash of their IDs. An instance that knows nobody writes one too,
+// through which the others find it.
+func (d *Discoverer) keepsRow() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	live := d.cachedLive()
+	own, lower := xxhash.Sum64String(d.gossiper.Self().ID), 0
+	for _, m := range live {
+		if xxhash.Sum64String(m.ID) < own {
+			lower++
+		}
+	}
+	return lower < maxRows || len(live) == 1
+}
+
 // sameRow reports whether a row matches the instance's own record, except for
 // the fields that change often and that peers learn from exchanges.
 func sameRow(row, self gossiper.Member) bool {
@@ -300,8 +396,18 @@
 func (d *Discoverer) Publish(ctx context.Context) {
 	d.mu.Lock()
 	neighbours := d.gossiper.LiveNeighbours(clocker.Now())
+	announcement := d.gossiper.Announcement()
 	d.mu.Unlock()
-	d.exchangeWith(ctx, neighbours)
+	var calls sync.WaitGroup
+	for _, neighbour := range neighbours {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+			defer cancel()
+			// A neighbour that misses the announcement asks for the record itself.
+			_, _ = d.call(ctx, neighbour, announcement)
+		})
+	}
+	calls.Wait()
 	if err := d.writeRow(ctx, d.Self()); err != nil {
 		log.WithError(err).Warn("write of this instance's entry row failed")
 	}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -69,6 +69,8 @@
 
 var errDown = errors.New("the store is unavailable")
 
+func (*platformStub) Interval() time.Duration { return 0 }
+
 func (p *platformStub) Fetch(context.Context, bool) (observer.Snapshot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/hostedrunner/directory.go
+++ b/internal/hostedrunner/directory.go
@@ -43,15 +43,21 @@
 	return n.observer.Config() != nil && n.observer.ConfigAge() < age
 }
 
-// publishConfigVersionLoop publishes whether this instance can serve. A member
-// whose configuration version is zero is not offered to callers.
-func (n *Node) publishConfigVersionLoop(ctx context.Context) {
+// publishFreshnessLoop publishes whether this instance can serve. A member whose
+// configuration version is zero is not offered to callers. The record keeps the first
+// version after that: if it followed each one, every change of the configuration would
+// change the records of all members. Exchanges carry the current version.
+func (n *Node) publishFreshnessLoop(ctx context.Context) {
 	pacer.Repeat(ctx, heartbeatInterval, func(context.Context) {
-		version := uint64(0)
-		if n.configFresh() {
-			version = n.observer.Config().Version
-		}
-		n.discoverer.Update(func(m *gossiper.Member) { m.ConfigVersion = version })
+		fresh := n.configFresh()
+		n.discoverer.Update(func(m *gossiper.Member) {
+			switch {
+			case !fresh:
+				m.ConfigVersion = 0
+			case m.ConfigVersion == 0:
+				m.ConfigVersion = max(1, n.observer.Config().Version)
+			}
+		})
 	})
 }
 
--- a/internal/hostedrunner/metrics.go
+++ b/internal/hostedrunner/metrics.go
@@ -21,7 +21,7 @@
 			n.scope.Gauge("config_version").Update(float64(config.Version))
 		}
 		n.scope.Gauge("live_requests").Update(float64(n.forwarder.ActiveRequests()))
-		n.scope.Gauge("entry_instances").Update(float64(len(n.discoverer.Live())))
+		n.scope.Gauge("entry_instances").Update(float64(n.discoverer.Count()))
 		n.scope.Gauge("log_lines_dropped").Update(float64(n.process.LinesDropped()))
 	})
 }
@@ -75,12 +75,12 @@
 	return outcome, err
 }
 
-// ListInstances implements [provider.Lister].
-func (m *storeMetrics) ListInstances(ctx context.Context) ([]provider.Instance, error) {
+// ReadInstances implements [relayer.Platform].
+func (m *storeMetrics) ReadInstances(ctx context.Context) (relayer.InstancesReading, error) {
 	started := time.Now()
-	instances, err := m.source.ListInstances(ctx)
-	m.recordCall("list_instances", started, err)
-	return instances, err
+	reading, err := m.source.ReadInstances(ctx)
+	m.recordCall("read_instances", started, err)
+	return reading, err
 }
 
 // ReadConfig implements [relayer.Platform].
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -112,6 +113,10 @@
 	admitFraction  = 0.35
 	listenFraction = 0.6
 
+	// storeDelay is how long after its start an instance that is no seed leaves the
+	// store to its peers: several rounds of gossip.
+	storeDelay = 1500 * time.Millisecond
+
 	metricsInterval = time.Second
 	// shutdownCallTimeout limits both announcing the shutdown and giving up the
 	// control lease.
@@ -161,7 +166,7 @@
 		Interval: heartbeatInterval,
 		Degree:   gossipDegree,
 	}, store, n.pool, n.peers)
-	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled})
+	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay()})
 	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
@@ -186,6 +191,15 @@
 	return n, nil
 }
 
+// storeDelay returns how long this instance leaves the store to its peers after its
+// start: the seeds read at once, so that the others can ask them.
+func (s Settings) storeDelay() time.Duration {
+	if len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.PeerAddress) {
+		return 0
+	}
+	return storeDelay
+}
+
 // eraSettled implements the dependency of the relayer.
 func (n *Node) eraSettled(ctx context.Context, era uint64) bool {
 	return n.orchestrator.EraSettled(ctx, era)
@@ -256,7 +270,7 @@
 	n.orchestrator.Start(background)
 	go n.peers.loadLoop(background)
 	go n.peers.remoteLoadLoop(background)
-	go n.publishConfigVersionLoop(background)
+	go n.publishFreshnessLoop(background)
 	go n.gaugeLoop(background)
 	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "data_centre": n.settings.DataCentre}).Info(logger.LineEntryReady)
 	<-ctx.Done()
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -50,16 +50,22 @@
 	node *Node
 }
 
-// FillVersions implements [discoverer.StateVersions]. It does nothing: in
-// hosted mode the platform stores the state that entry instances share.
-func (p *peers) FillVersions(*messenger.ExchangeMessage) {}
+// FillVersions implements [discoverer.StateVersions]. The platform stores the state
+// that entry instances share; the version of the configuration is told so that a peer
+// learns of a newer one however long its own readings take.
+func (p *peers) FillVersions(message *messenger.ExchangeMessage) {
+	message.Head.Version = p.node.relayer.ConfigVersion()
+}
 
-// HandleVersions implements [discoverer.StateVersions]. It does nothing, like
-// FillVersions.
-func (p *peers) HandleVersions(netip.AddrPort, messenger.ExchangeMessage) {}
+// HandleVersions implements [discoverer.StateVersions].
+func (p *peers) HandleVersions(peer netip.AddrPort, message messenger.ExchangeMessage) {
+	if p.node.relayer.HearVersion(peer, message.Head.Version) {
+		p.node.observer.Refresh()
+	}
+}
 
 // Count implements [forwarder.Peers].
-func (p *peers) Count() int { return len(p.node.discoverer.Live()) }
+func (p *peers) Count() int { return p.node.discoverer.Count() }
 
 // BroadcastStrikes implements [forwarder.Peers].
 func (p *peers) BroadcastStrikes(ctx context.Context, strikes []quarantiner.Strike) {
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -52,8 +52,7 @@
 	FieldLocalUptime = "own_at_ms"
 	FieldRoundTrip   = "round_trip_ms"
 
-	// FieldPeerHeartbeats is the heartbeat counter of the peer that
-	// LinePeerSeen and LinePeerSilent name. A peer that is seen again with the
-	// counter that it had when it fell silent has not run in between.
-	FieldPeerHeartbeats = "heartbeats"
+	// FieldPeerHeartbeatAge is the age of the last known heartbeat of the peer that
+	// LinePeerSeen and LinePeerSilent name.
+	FieldPeerHeartbeatAge = "heartbeat_age"
 )
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -43,8 +43,12 @@
 // Source reads the state of the platform.
 type Source interface {
 	// Fetch returns the current state. If direct is set, it reads the store
-	// instead of asking a peer.
+	// instead of asking a peer. After an error the state is what is known: parts of
+	// it may be newer than before.
 	Fetch(ctx context.Context, direct bool) (Snapshot, error)
+	// Interval returns the longest time between two calls of Fetch that the source
+	// wants, or zero if it has no wish.
+	Interval() time.Duration
 }
 
 // Prober probes instances.
@@ -67,6 +71,8 @@
 	// its own, which is below the two seconds within which a configuration must
 	// take effect and an instance that shuts down must get no new requests.
 	pollInterval = 600 * time.Millisecond
+	// minPollPause is the shortest time between the end of a read and the next one.
+	minPollPause = 100 * time.Millisecond
 	// retryInterval replaces pollInterval while the store does not answer.
 	retryInterval = 200 * time.Millisecond
 	// probeTimeout bounds one probe: a live instance answers in 3 to 5 ms.
@@ -114,6 +120,8 @@
 	// eraChanged reports whether a later era than the first one was read.
 	eraChanged bool
 	changed    chan struct{}
+	// refresh receives a value when the next read should not wait.
+	refresh chan struct{}
 }
 
 // New returns an Observer with an empty view.
@@ -125,6 +133,7 @@
 		ownLosses:    make(map[string]bool),
 		interval:     pollInterval,
 		changed:      make(chan struct{}, 1),
+		refresh:      make(chan struct{}, 1),
 	}
 }
 
@@ -256,27 +265,54 @@
 	}
 }
 
+// Refresh makes the next read of the platform's state follow at once. It does not wait
+// for it.
+func (o *Observer) Refresh() {
+	select {
+	case o.refresh <- struct{}{}:
+	default:
+	}
+}
+
 func (o *Observer) pollLoop(ctx context.Context) {
 	for {
-		wait := o.poll(ctx)
-		if !sleep(ctx, wait) {
+		began := clocker.Now()
+		interval := o.poll(ctx)
+		timer := time.NewTimer(max(minPollPause, interval-clocker.Since(began)))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-o.refresh:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
-// poll reads the state of the platform, updates the view and returns the time to
-// wait before the next read.
+// poll reads the state of the platform, updates the view and returns the interval
+// until the next read.
 func (o *Observer) poll(ctx context.Context) time.Duration {
 	o.mu.Lock()
 	direct := o.readStore
 	o.mu.Unlock()
 	snapshot, err := o.Source.Fetch(ctx, direct)
-	if err != nil {
-		o.setStoreReachable(false, err)
+	o.setStoreReachable(err == nil, err)
+	o.apply(snapshot)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil || o.config == nil {
 		return retryInterval
 	}
-	o.setStoreReachable(true, nil)
+	if wanted := o.Source.Interval(); wanted > 0 {
+		return min(wanted, o.interval)
+	}
+	return o.interval
+}
+
+// apply updates the view by a snapshot. What is older than the view is ignored.
+func (o *Observer) apply(snapshot Snapshot) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if snapshot.ListedAt.After(o.tracker.UpdatedAt()) {
@@ -296,10 +332,6 @@
 		}
 	}
 	o.signal()
-	if o.config == nil {
-		return retryInterval
-	}
-	return o.interval
 }
 
 // recordEra records and logs a new era of the platform's table: the table has come
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -24,6 +24,8 @@
 
 var errNoResponse = errors.New("no response")
 
+func (s *stub) Interval() time.Duration { return 0 }
+
 func (s *stub) Fetch(context.Context, bool) (Snapshot, error) {
 	return Snapshot{ListedAt: clocker.Now(), Instances: []provider.Instance{{ID: "a", Incarnation: "1", Service: "s"}}}, nil
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -1,10 +1,15 @@
 // Package relayer reads the state of the platform for an entry instance at a
-// bounded load on the store. A few instances, the readers, read the store; the
-// others fetch the changes from one of them. Every reply carries its age, which
+// bounded load on the store. A few instances, the readers, read the store; where
+// there are many instances, a few relays in each data centre fetch the changes from
+// the readers, and the others from the relays. Every reply carries its age, which
 // counts from the time of the request, so that clock differences and network
 // delay cannot make data look younger than it is. An instance that gets no
 // recent reply reads the store itself.
 //
+// The list of backend servers and the configuration are read beside each other, and a
+// source that is slow holds up neither the other sources nor the reader of the state.
+// A newer version of the configuration that a peer tells is fetched from that peer.
+//
 // # Usage
 //
 //	r := relayer.New(relayer.Dependencies{...})
@@ -14,13 +19,12 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
@@ -31,29 +35,45 @@
 )
 
 const (
-	// readerCount is the number of entry instances that read the store. Two of
-	// them may fail, or be refused by the store, at once.
-	readerCount = 3
 	// maxAge is the maximum age of a peer's reply; an older one is discarded in
 	// favour of a read of the store. It is above two of a reader's intervals.
 	maxAge = 1600 * time.Millisecond
+	// relayedMaxAge replaces maxAge where relays stand between the readers and the
+	// others.
+	relayedMaxAge = 2200 * time.Millisecond
 	// peerCallTimeout bounds one call to a peer.
 	peerCallTimeout = 300 * time.Millisecond
-	// configInterval is the minimum time between two reads of the configuration.
-	configInterval = 600 * time.Millisecond
+	// storeFirst is how long a reader waits for the store before it asks the other
+	// readers too. The store may hold a call for half a second while nothing changes.
+	storeFirst = 700 * time.Millisecond
+	// relayInterval is the time between two fetches of a relay.
+	relayInterval = 300 * time.Millisecond
 )
 
 // Platform is the platform's store.
 type Platform interface {
-	provider.Lister
+	// ReadInstances reads the list of backend servers. While nothing changes, it may
+	// wait for a change for up to half a second.
+	ReadInstances(ctx context.Context) (InstancesReading, error)
 	// Era returns the newest era that the table's responses have shown.
 	Era() uint64
-	// ReadConfig reads the operator's configuration.
+	// ReadConfig reads the operator's configuration. It may wait like ReadInstances.
 	ReadConfig(ctx context.Context) (ConfigReading, error)
 }
 
+// InstancesReading is the list of backend servers as it was read.
+type InstancesReading struct {
+	Instances []provider.Instance
+	// Era is the era of the platform's table.
+	Era uint64
+	// At is a time at which the list was current.
+	At time.Time
+}
+
 // ConfigReading is the operator's configuration as it was read.
 type ConfigReading struct {
+	// At is a time at which the configuration was the newest.
+	At time.Time
 	// Table is nil if there is no configuration.
 	Table *mapper.RouteTable
 	// Era is the era of the platform's table.
@@ -67,6 +87,8 @@
 type Members interface {
 	Self() gossiper.Member
 	Live() []gossiper.Member
+	// Count returns the number of live instances.
+	Count() int
 }
 
 // Dependencies are the collaborators of a Relayer.
@@ -83,6 +105,9 @@
 	// lasted for so long that nobody has to write anything again. A process that
 	// has just started can't tell by itself.
 	EraSettled func(ctx context.Context, era uint64) bool
+	// StoreDelay is how long after its start an instance without any state leaves the
+	// store to its peers. When many instances start at once, a few of them read it.
+	StoreDelay time.Duration
 }
 
 // Relayer holds one entry instance's copy of the platform's state. It is safe
@@ -90,6 +115,10 @@
 type Relayer struct {
 	Dependencies
 
+	started    time.Time
+	readList   flight
+	readConfig flight
+
 	mu    sync.Mutex
 	state *versionedState
 	// lastPeer is the ID of the peer that sent the last list, lastPeerEpoch and
@@ -97,107 +126,168 @@
 	lastPeer         string
 	lastPeerEpoch    uint64
 	lastPeerRevision uint64
+	// heardVersion is the newest version of the configuration that a peer has told,
+	// and heardFrom the peer's address.
+	heardVersion uint64
+	heardFrom    netip.AddrPort
 }
 
 // New returns a Relayer with an empty state.
 func New(d Dependencies) *Relayer {
 	state := newVersionedState(d.Epoch)
 	state.firstStart = d.FirstStart
-	return &Relayer{Dependencies: d, state: state}
-}
-
-// rankedMembers returns the live members by rank; the first readerCount of them
-// are the readers. The order by hash spreads the role over the instances.
-func (r *Relayer) rankedMembers() []gossiper.Member {
-	members := r.Members.Live()
-	slices.SortFunc(members, func(a, b gossiper.Member) int {
-		x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return members
+	r := &Relayer{Dependencies: d, state: state, started: clocker.Now()}
+	r.readList.task = r.updateListFromStore
+	r.readConfig.task = r.updateConfigFromStore
+	return r
 }
 
 // IsReader reports whether this instance is one of the readers.
 func (r *Relayer) IsReader() bool {
-	self := r.Members.Self().ID
-	for rank, m := range r.rankedMembers() {
-		if rank >= readerCount {
-			return false
-		}
-		if m.ID == self {
-			return true
-		}
+	own, _ := sources(r.Members.Self(), r.Members.Live())
+	return own == roleReader
+}
+
+// Interval returns the time between two calls of Fetch that suits this instance's role,
+// or zero if it has none.
+func (r *Relayer) Interval() time.Duration {
+	if own, _ := sources(r.Members.Self(), r.Members.Live()); own == roleRelay {
+		return relayInterval
 	}
-	return true
+	return 0
 }
 
 // Fetch implements [observer.Source].
 func (r *Relayer) Fetch(ctx context.Context, direct bool) (observer.Snapshot, error) {
-	if direct || r.IsReader() || !r.fetchFromReaders(ctx) {
-		if err := r.readStore(ctx); err != nil {
-			// A reader that the store does not refuse may have newer state.
-			if !r.fetchFromReaders(ctx) {
-				return observer.Snapshot{}, err
+	own, from := sources(r.Members.Self(), r.Members.Live())
+	r.fetchHeardVersion(ctx)
+	var err error
+	switch {
+	case direct || own == roleReader:
+		err = r.fetchFromStore(ctx, from)
+	case !r.fetchFromPeers(ctx, from):
+		err = r.fetchFromStore(ctx, from)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.snapshot(), err
+}
+
+var errLeftToPeers = errors.New("the store is left to peers for a short time after the start")
+
+// fetchFromStore updates the state from the store, and from peers if the store is slow
+// or fails: a reader that the store does not refuse may have newer state.
+func (r *Relayer) fetchFromStore(ctx context.Context, from []gossiper.Member) error {
+	if r.leavesStoreToPeers() {
+		return errLeftToPeers
+	}
+	readings := []*landing{r.readList.begin(ctx), r.readConfig.begin(ctx)}
+	err := awaitAll(ctx, readings, storeFirst)
+	if err == nil || r.fetchFromPeers(ctx, from) {
+		return nil
+	}
+	if len(from) > 0 && r.hasState() {
+		// The readings that are still running are in the state at the next call.
+		return err
+	}
+	return awaitAll(ctx, readings, maxAge)
+}
+
+// leavesStoreToPeers reports whether the instance waits for a peer that reads the store.
+func (r *Relayer) leavesStoreToPeers() bool {
+	return clocker.Since(r.started) < r.StoreDelay && !r.hasState()
+}
+
+func (r *Relayer) hasState() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.config != nil && !r.state.listedAt.IsZero()
+}
+
+var errSlowStore = errors.New("the store did not respond in time")
+
+// awaitAll waits until all readings have ended, for up to a limit, and returns the first
+// error.
+func awaitAll(ctx context.Context, readings []*landing, limit time.Duration) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	var first error
+	for _, reading := range readings {
+		select {
+		case <-reading.done:
+			if first == nil {
+				first = reading.err
 			}
+		case <-timer.C:
+			return errSlowStore
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
-	r.fetchNewerConfig(ctx)
+	return first
+}
+
+// ConfigVersion returns the version of the known configuration, or zero.
+func (r *Relayer) ConfigVersion() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.snapshot(), nil
+	return r.state.configVersion()
 }
 
-// fetchNewerConfig fetches the configuration, in a new era of the platform's table,
-// from a peer that runs a newer version than the known one. A process that has just
-// started has no other way to learn of it while the store shows an older copy.
-func (r *Relayer) fetchNewerConfig(ctx context.Context) {
-	var version uint64
+// HearVersion records the version of the configuration that a peer has. It reports
+// whether that version is news here, so that it should be fetched.
+func (r *Relayer) HearVersion(peer netip.AddrPort, version uint64) bool {
 	r.mu.Lock()
-	if r.state.config != nil {
-		version = r.state.config.Version
+	defer r.mu.Unlock()
+	if version <= r.state.configVersion() || version <= r.heardVersion {
+		return false
 	}
-	eraIsNew := r.state.eraIsNew(clocker.Now())
+	r.heardVersion, r.heardFrom = version, peer
+	return true
+}
+
+// fetchHeardVersion fetches a newer configuration than the known one from the peer that
+// has told of it. It bounds the time in which a change is in force here even if the
+// instance's sources lag behind; and a process that has just started has no other way to
+// learn of it while the store shows an older copy.
+func (r *Relayer) fetchHeardVersion(ctx context.Context) {
+	r.mu.Lock()
+	address, news := r.heardFrom, r.heardVersion > r.state.configVersion()
+	// Another peer tells the version again if this call fails.
+	r.heardVersion = 0
 	r.mu.Unlock()
-	if !eraIsNew {
+	if !news {
 		return
 	}
-	self := r.Members.Self().ID
 	for _, m := range r.Members.Live() {
-		if m.ID != self && m.ConfigVersion > version {
+		if m.Peer == address {
 			r.fetchFromPeer(ctx, m)
 			return
 		}
 	}
 }
 
-// readStore updates the state from the store.
-func (r *Relayer) readStore(ctx context.Context) error {
-	began := clocker.Now()
-	instances, err := r.Platform.ListInstances(ctx)
+// updateListFromStore updates the list of backend servers.
+func (r *Relayer) updateListFromStore(ctx context.Context) error {
+	reading, err := r.Platform.ReadInstances(ctx)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
-	r.state.updateList(began, r.Platform.Era(), instances)
-	fresh := began.Sub(r.state.configConfirmedAt) < configInterval
-	r.mu.Unlock()
-	if fresh {
-		return nil
-	}
-	began = clocker.Now()
+	defer r.mu.Unlock()
+	r.state.updateList(reading.At, reading.Era, reading.Instances)
+	return nil
+}
+
+// updateConfigFromStore updates the configuration.
+func (r *Relayer) updateConfigFromStore(ctx context.Context) error {
 	reading, err := r.Platform.ReadConfig(ctx)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
-	r.state.observeEra(began, reading.Era)
-	undecided := r.state.eraIsNew(began) && !reading.Rewritten
+	r.state.observeEra(reading.At, reading.Era)
+	undecided := r.state.eraIsNew(reading.At) && !reading.Rewritten
 	r.mu.Unlock()
 	settled := undecided && r.EraSettled(ctx, reading.Era)
 	r.mu.Lock()
@@ -205,23 +295,13 @@
 	if settled {
 		r.state.settleEra(reading.Era)
 	}
-	r.state.updateConfig(began, reading.Table, reading.Rewritten)
+	r.state.updateConfig(reading.At, reading.Table, reading.Rewritten)
 	return nil
 }
 
-// fetchFromReaders tries the readers in turn and reports whether one sent a
-// recent reply. The first reader to try depends on a hash of this instance's
-// ID, which spreads the load over the readers.
-func (r *Relayer) fetchFromReaders(ctx context.Context) bool {
-	self := r.Members.Self().ID
-	ranked := slices.DeleteFunc(r.rankedMembers(), func(m gossiper.Member) bool { return m.ID == self })
-	ranked = ranked[:min(readerCount, len(ranked))]
-	for i := range ranked {
-		if r.fetchFromPeer(ctx, ranked[(xxhash.Sum64String(self)+uint64(i))%uint64(len(ranked))]) {
-			return true
-		}
-	}
-	return false
+// fetchFromPeers asks the members and reports whether one sent a recent reply.
+func (r *Relayer) fetchFromPeers(ctx context.Context, from []gossiper.Member) bool {
+	return hedge(ctx, from, r.fetchFromPeer)
 }
 
 // fetchFromPeer fetches the changes from one peer and reports whether they were
@@ -232,9 +312,7 @@
 	if r.lastPeer == peer.ID {
 		arguments.Epoch, arguments.Revision = r.lastPeerEpoch, r.lastPeerRevision
 	}
-	if r.state.config != nil {
-		arguments.ConfigVersion = r.state.config.Version
-	}
+	arguments.ConfigVersion = r.state.configVersion()
 	r.mu.Unlock()
 	began := clocker.Now()
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
@@ -244,9 +322,13 @@
 		log.WithField("peer", peer.ID).WithError(err).Debug("fetch of platform state from peer failed")
 		return false
 	}
+	limit := maxAge
+	if r.Members.Count() > maxDirectMembers {
+		limit = relayedMaxAge
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reply.ConfigVersion == 0 || reply.ListAge > maxAge || reply.ConfigAge > maxAge || reply.Era < r.state.era {
+	if reply.ConfigVersion == 0 || reply.ListAge > limit || reply.ConfigAge > limit || reply.Era < r.state.era {
 		// A version of the configuration only rises, so that a newer one counts
 		// whatever its age.
 		r.applyConfig(began, reply)
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -144,6 +144,14 @@
 	}
 }
 
+// configVersion returns the version of the known configuration, or zero.
+func (v *versionedState) configVersion() uint64 {
+	if v.config == nil {
+		return 0
+	}
+	return v.config.Version
+}
+
 // snapshot returns the whole state.
 func (v *versionedState) snapshot() observer.Snapshot {
 	s := observer.Snapshot{ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt}
--- a/internal/simulator/gossip.go
+++ b/internal/simulator/gossip.go
@@ -127,18 +127,17 @@
 	}
 }
 
+// exchange lets member i ask member j for what it knows.
 func (n *gossipNetwork) exchange(i, j int) {
-	digest := n.members[i].Digest(n.now)
-	n.countMessage(i, j, digest)
-	if n.paused[j] {
-		return
-	}
-	reply := n.members[j].HandleDigest(n.now, digest)
-	n.countMessage(j, i, reply)
-	n.members[i].Merge(n.now, reply)
-	if records, wanted := n.members[i].RequestedRecords(n.now, reply); wanted {
-		n.countMessage(i, j, records)
-		n.members[j].Merge(n.now, records)
+	digest := n.members[i].Request()
+	for more := true; more; {
+		n.countMessage(i, j, digest)
+		if n.paused[j] {
+			return
+		}
+		reply := n.members[j].HandleDigest(n.now, digest)
+		n.countMessage(j, i, reply)
+		digest, more = n.members[i].HandleReply(n.now, digest, reply)
 	}
 }
 
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -1,24 +1,27 @@
 // Package gossiper implements a gossip protocol that replicates the membership
 // record of each entry instance to all others over a sparse random regular
 // graph. Each instance exchanges digests with its neighbours in round-robin
-// order. A heartbeat is a counter in the digest; the content of a record is
+// order. A request holds a hash of the records in each bucket of member IDs; the
+// reply holds one byte a member, the age of its heartbeat, for each bucket with the
+// same hash, and the versions of the records otherwise. The content of a record is
 // sent only after it has changed.
 //
 // # Usage
 //
 //	g := gossiper.New(self, gossiper.Settings{Expiry: 3 * time.Second, Degree: 4})
 //	for _, peer := range g.Tick(now) {
-//		reply := call(peer, g.Digest(now))
-//		g.Merge(now, reply)
-//		if requested, ok := g.RequestedRecords(now, reply); ok {
-//			call(peer, requested)
+//		request := g.Request()
+//		reply := call(peer, request)
+//		if next, ok := g.HandleReply(now, request, reply); ok {
+//			g.Merge(now, call(peer, next))
 //		}
 //	}
 //
 // A member is live until the time of its last known heartbeat is too long ago.
 // Every digest says how old its heartbeats are, and the age grows along the way,
 // so that neither a long path nor a record that was forgotten and learned again
-// makes a heartbeat younger than it is.
+// makes a heartbeat younger than it is. Members of earlier releases send the
+// versions of all records; such digests are answered in kind.
 package gossiper
 
 import (
@@ -49,6 +52,16 @@
 	Records []Member
 	// Wanted holds the member IDs of the records that the sender requests.
 	Wanted []string
+	// Partial means that Versions does not hold all of the sender's records.
+	Partial bool
+	// Summary is set in a request for what the receiver knows.
+	Summary Summary
+	// Matching has a bit for each bucket in which the receiver of a summary holds
+	// the same records as its sender. Ages holds the age of each member's heartbeat
+	// in those buckets, by bucket and ID, in units of AgeUnit.
+	Matching uint64
+	Ages     []byte
+	AgeUnit  time.Duration
 }
 
 // Gossiper holds one instance's copy of all membership records. It does no I/O
@@ -56,7 +69,7 @@
 type Gossiper struct {
 	settings Settings
 	self     Member
-	states   map[string]*memberState
+	records  recordSet
 	seeds    map[string]*seed
 	// ticks counts the calls of Tick and selects the next neighbour.
 	ticks int
@@ -85,10 +98,10 @@
 	g := &Gossiper{
 		settings: settings,
 		self:     self,
-		states:   make(map[string]*memberState),
+		records:  newRecordSet(),
 		seeds:    make(map[string]*seed),
 	}
-	g.states[self.ID] = &memberState{member: self, version: Version{Epoch: self.Epoch, Revision: self.Revision, Beat: 1}}
+	g.records.put(&memberState{member: self, version: Version{Epoch: self.Epoch, Revision: self.Revision, Beat: 1}})
 	return g
 }
 
@@ -105,9 +118,10 @@
 	}
 	next.Revision++
 	g.self = next
-	own := g.states[next.ID]
+	own := *g.records.states[next.ID]
 	own.member = next
 	own.version.Revision = next.Revision
+	g.records.put(&own)
 }
 
 // AddSeed adds a member that may exist, read from the table or the settings.
@@ -124,20 +138,21 @@
 }
 
 // Tick increments the instance's own heartbeat and returns the members to
-// exchange digests with: the next neighbour in round-robin order, the seeds that
+// exchange digests with: the next neighbours in round-robin order, the seeds that
 // have not been tried often, and now and then a silent member, through which
 // parts of the cluster that were cut apart find each other again.
 func (g *Gossiper) Tick(now time.Time) []Member {
-	own := g.states[g.self.ID]
+	own := g.records.states[g.self.ID]
 	own.version.Beat++
 	own.lastHeartbeat = now
 	g.ticks++
 	var peers []Member
-	if neighbours := g.LiveNeighbours(now); len(neighbours) > 0 {
-		peers = append(peers, neighbours[g.ticks%len(neighbours)])
+	neighbours := g.LiveNeighbours(now)
+	for i := range min(neighboursPerTick, len(neighbours)) {
+		peers = append(peers, neighbours[(g.ticks*neighboursPerTick+i)%len(neighbours)])
 	}
 	for _, id := range slices.Sorted(maps.Keys(g.seeds)) {
-		if _, known := g.states[id]; !known && g.seeds[id].attempts < maxSeedAttempts {
+		if _, known := g.records.states[id]; !known && g.seeds[id].attempts < maxSeedAttempts {
 			g.seeds[id].attempts++
 			peers = append(peers, g.seeds[id].member)
 		}
@@ -146,6 +161,10 @@
 }
 
 const (
+	// neighboursPerTick is the number of neighbours that Tick returns. A request
+	// brings news in one direction only, so that two of them make the news travel
+	// as fast as one exchange in both directions.
+	neighboursPerTick = 2
 	// maxSeedAttempts is the number of consecutive ticks for which a seed is tried.
 	// After them it is tried in turn with the silent members.
 	maxSeedAttempts = 12
@@ -179,13 +198,13 @@
 func (g *Gossiper) silentMembers(now time.Time) []Member {
 	var members []Member
 	expiry := g.expiry()
-	for id, state := range g.states {
+	for id, state := range g.records.states {
 		if id != g.self.ID && now.Sub(state.lastHeartbeat) >= expiry {
 			members = append(members, state.member)
 		}
 	}
 	for id, s := range g.seeds {
-		if _, known := g.states[id]; !known && s.attempts >= maxSeedAttempts {
+		if _, known := g.records.states[id]; !known && s.attempts >= maxSeedAttempts {
 			members = append(members, s.member)
 		}
 	}
@@ -195,26 +214,36 @@
 
 // Digest returns the digest to send to another member, without records.
 func (g *Gossiper) Digest(now time.Time) Digest {
-	d := Digest{Versions: make(map[string]Version, len(g.states))}
-	for id, state := range g.states {
-		version := state.version
-		if id != g.self.ID {
-			version.Age = now.Sub(state.lastHeartbeat)
-		}
-		d.Versions[id] = version
+	d := Digest{Versions: make(map[string]Version, len(g.records.states))}
+	for id := range g.records.states {
+		d.Versions[id] = g.versionAt(now, id)
 	}
 	return d
 }
 
-// HandleDigest merges a received digest and returns the reply: the local
-// versions, the records that the sender lacks, and the IDs of the records that
-// this instance lacks.
+// HandleDigest merges a received digest and returns the reply: what the local
+// member knows, the records that the sender requests or lacks, and the IDs of the
+// records that this instance lacks.
 func (g *Gossiper) HandleDigest(now time.Time, d Digest) Digest {
 	g.Merge(now, d)
-	reply := g.Digest(now)
-	for id, state := range g.states {
-		if state.version.supersedes(d.Versions[id]) {
+	var reply Digest
+	switch {
+	case d.Summary != nil:
+		reply = g.summarize(now, d.Summary)
+	case d.Partial:
+		reply = Digest{Partial: true, Versions: make(map[string]Version)}
+	default:
+		reply = g.Digest(now)
+		for id, state := range g.records.states {
+			if state.version.supersedes(d.Versions[id]) {
+				reply.Records = append(reply.Records, state.member)
+			}
+		}
+	}
+	for _, id := range d.Wanted {
+		if state, known := g.records.states[id]; known {
 			reply.Records = append(reply.Records, state.member)
+			reply.Versions[id] = g.versionAt(now, id)
 		}
 	}
 	for id, version := range d.Versions {
@@ -227,39 +256,36 @@
 	return reply
 }
 
-// RequestedRecords returns a digest with the records that a reply requested. It
-// returns false if the reply requested none.
-func (g *Gossiper) RequestedRecords(now time.Time, reply Digest) (Digest, bool) {
-	if len(reply.Wanted) == 0 {
-		return Digest{}, false
-	}
-	d := g.Digest(now)
-	for _, id := range reply.Wanted {
-		if state, known := g.states[id]; known {
-			d.Records = append(d.Records, state.member)
+// Merge applies the records and heartbeats of a digest received at that time. Its
+// ages do not count the latency of the message, so that only a heartbeat with a
+// greater counter is news; otherwise two members could keep a third one alive.
+func (g *Gossiper) Merge(now time.Time, d Digest) {
+	g.mergeRecords(d)
+	for id, version := range d.Versions {
+		if state, known := g.records.states[id]; known && version.Beat > state.version.Beat {
+			g.mergeHeartbeat(now, id, version)
 		}
 	}
-	return d, true
 }
 
-// Merge applies the records and heartbeats of a received digest. The ages in it
-// count back from now: the time at which the digest was requested or, if it was
-// not, received.
-func (g *Gossiper) Merge(now time.Time, d Digest) {
+func (g *Gossiper) mergeRecords(d Digest) {
 	for _, m := range d.Records {
 		if version, found := d.Versions[m.ID]; !found || !g.forgotten(version.Age) {
 			g.mergeRecord(m)
 		}
 	}
-	for id, version := range d.Versions {
-		state, known := g.states[id]
-		if !known || id == g.self.ID || !version.sameRecordAs(state.version) || version.Beat <= state.version.Beat {
-			continue
-		}
-		state.version.Beat = version.Beat
-		if sentAt := now.Add(-version.Age); sentAt.After(state.lastHeartbeat) {
-			state.lastHeartbeat = sentAt
-		}
+}
+
+// mergeHeartbeat applies the heartbeat of a known member. Its age counts back from
+// now.
+func (g *Gossiper) mergeHeartbeat(now time.Time, id string, version Version) {
+	state := g.records.states[id]
+	if id == g.self.ID || !version.sameRecordAs(state.version) {
+		return
+	}
+	state.version.Beat = max(state.version.Beat, version.Beat)
+	if sentAt := now.Add(-version.Age); sentAt.After(state.lastHeartbeat) {
+		state.lastHeartbeat = sentAt
 	}
 }
 
@@ -270,17 +296,17 @@
 	if m.ID == g.self.ID {
 		return
 	}
-	version := Version{Epoch: m.Epoch, Revision: m.Revision}
-	state, known := g.states[m.ID]
-	switch {
-	case !known:
-		g.states[m.ID] = &memberState{member: m, version: version}
-	case version.supersedes(state.version):
-		if version.Epoch == state.version.Epoch {
-			version.Beat = state.version.Beat
+	next := memberState{member: m, version: Version{Epoch: m.Epoch, Revision: m.Revision}}
+	if state, known := g.records.states[m.ID]; known {
+		if !next.version.supersedes(state.version) {
+			return
 		}
-		state.member, state.version = m, version
+		if next.version.Epoch == state.version.Epoch {
+			next.version.Beat = state.version.Beat
+		}
+		next.lastHeartbeat = state.lastHeartbeat
 	}
+	g.records.put(&next)
 }
 
 // needsRecord reports whether the local record of a member is missing or older
@@ -289,7 +315,7 @@
 	if id == g.self.ID {
 		return false
 	}
-	state, known := g.states[id]
+	state, known := g.records.states[id]
 	if !known {
 		return !g.forgotten(version.Age)
 	}
@@ -298,15 +324,15 @@
 
 // expiry returns the age of a heartbeat from which its member is not live.
 func (g *Gossiper) expiry() time.Duration {
-	return g.settings.Expiry + time.Duration(bits.Len(uint(len(g.states))))*g.settings.Interval
+	return g.settings.Expiry + time.Duration(bits.Len(uint(len(g.records.states))))*g.settings.Interval
 }
 
 // Live returns the members whose last heartbeat is recent, sorted by ID. The
 // instance itself is always included.
 func (g *Gossiper) Live(now time.Time) []Member {
-	members := make([]Member, 0, len(g.states))
+	members := make([]Member, 0, len(g.records.states))
 	expiry := g.expiry()
-	for id, state := range g.states {
+	for id, state := range g.records.states {
 		if id == g.self.ID || now.Sub(state.lastHeartbeat) < expiry {
 			members = append(members, state.member)
 		}
@@ -315,14 +341,13 @@
 	return members
 }
 
-// Heartbeats returns the heartbeat counter of a member, or zero if the member is
-// unknown.
-func (g *Gossiper) Heartbeats(id string) uint64 {
-	state, known := g.states[id]
-	if !known {
+// HeartbeatAge returns the age of a member's last known heartbeat, or zero if the
+// member is unknown.
+func (g *Gossiper) HeartbeatAge(now time.Time, id string) time.Duration {
+	if _, known := g.records.states[id]; !known {
 		return 0
 	}
-	return state.version.Beat
+	return g.age(now, id)
 }
 
 // pruneAfterExpiries is the time without a heartbeat after which a member is
@@ -337,9 +362,9 @@
 // Prune removes the members, and their seeds, whose last heartbeat is older
 // than pruneAfterExpiries times Settings.Expiry.
 func (g *Gossiper) Prune(now time.Time) {
-	for id, state := range g.states {
+	for id, state := range g.records.states {
 		if id != g.self.ID && g.forgotten(now.Sub(state.lastHeartbeat)) {
-			delete(g.states, id)
+			g.records.remove(id)
 			delete(g.seeds, id)
 		}
 	}
