Messages between entry instances that grow with what changes, not with their number

Change: where there are over 12 peers, a loss or strike is a rumor that each instance passes on once, to 6 neighbours and one random member; the pool closes connections that are idle for 15 s, and counts calls by method and bytes on the metrics address; sums of reported work are kept; groups are found by service and model.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -70,6 +70,7 @@
 	pool     *messenger.Pool
 	versions StateVersions
 	interval time.Duration
+	degree   int
 	// hasSeeds reports whether the settings name a peer.
 	hasSeeds bool
 	// syncedTable reports whether the first sync is over or was put off. It belongs to
@@ -111,6 +112,7 @@
 		pool:          pool,
 		versions:      versions,
 		interval:      s.Interval,
+		degree:        s.Degree,
 		started:       s.Started,
 		clockLoggedAt: make(map[string]time.Time),
 		loggedPeers:   make(map[string]uint64),
@@ -172,6 +174,14 @@
 	return peers
 }
 
+// Neighbours returns this instance's neighbours in an overlay of the live instances
+// with that degree.
+func (d *Discoverer) Neighbours(degree int) []gossiper.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return gossiper.Neighbours(d.cachedLive(), d.gossiper.Self().ID, degree)
+}
+
 // Self returns this instance's own record.
 func (d *Discoverer) Self() gossiper.Member {
 	d.mu.Lock()
@@ -395,11 +405,10 @@
 // Publish sends this instance's record to the neighbours and the table at once.
 func (d *Discoverer) Publish(ctx context.Context) {
 	d.mu.Lock()
-	neighbours := d.gossiper.LiveNeighbours(clocker.Now())
 	announcement := d.gossiper.Announcement()
 	d.mu.Unlock()
 	var calls sync.WaitGroup
-	for _, neighbour := range neighbours {
+	for _, neighbour := range d.Neighbours(d.degree) {
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 			defer cancel()
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -157,8 +157,12 @@
 	n.scope = scope
 	store := &storeMetrics{table: p.Table, source: p.Source, scope: scope}
 	epoch := process.Epoch
-	n.pool = messenger.NewPool(messenger.Security{})
-	n.peers = &peers{node: n}
+	n.pool = messenger.NewPool(messenger.Security{}, messenger.WithScope(scope))
+	rumors, err := newRumors(holderName(s.ID, epoch))
+	if err != nil {
+		return nil, err
+	}
+	n.peers = &peers{node: n, rumors: rumors}
 	n.discoverer = discoverer.New(discoverer.Settings{
 		Self:     gossiper.Member{ID: s.ID, Epoch: epoch, Caller: s.CallerAddress, Peer: s.PeerAddress, DataCentre: s.DataCentre},
 		Started:  process.Started,
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -47,7 +47,8 @@
 
 // peers sends messages to the other entry instances.
 type peers struct {
-	node *Node
+	node   *Node
+	rumors *rumors
 }
 
 // FillVersions implements [discoverer.StateVersions]. The platform stores the state
@@ -69,7 +70,7 @@
 
 // BroadcastStrikes implements [forwarder.Peers].
 func (p *peers) BroadcastStrikes(ctx context.Context, strikes []quarantiner.Strike) {
-	go p.runBroadcast(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes})
+	go p.runSpread(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes, Rumor: p.rumors.begin()})
 }
 
 // RequestPermit implements [forwarder.Peers]. The permit owner of a server follows
@@ -103,7 +104,8 @@
 
 // Announce implements [observer.Announcer].
 func (p *peers) Announce(ctx context.Context, message messenger.LossesMessage) {
-	p.runBroadcast(ctx, messenger.MethodLosses, &message)
+	message.Rumor = p.rumors.begin()
+	p.runSpread(ctx, messenger.MethodLosses, &message)
 }
 
 // loadLoop reports this instance's load of requests in flight to its peers.
@@ -163,11 +165,6 @@
 	})
 }
 
-// runBroadcast sends a message to all peers.
-func (p *peers) runBroadcast(ctx context.Context, method string, message any) {
-	p.send(ctx, p.node.discoverer.Peers(), method, message)
-}
-
 // send sends a message to the recipients in parallel. It does not retry: a peer
 // that does not respond within messageTimeout misses the message.
 func (p *peers) send(ctx context.Context, recipients []gossiper.Member, method string, message any) {
@@ -209,13 +206,21 @@
 
 // Losses handles a peer's report of lost instances, or of instances found again.
 func (s *peerService) Losses(arguments messenger.LossesMessage, _ *messenger.Empty) error {
+	if !s.node.peers.rumors.note(arguments.Rumor) {
+		return nil
+	}
 	s.node.observer.HandleLosses(arguments)
+	s.node.peers.passOn(arguments.Rumor, messenger.MethodLosses, &arguments)
 	return nil
 }
 
 // Strike records requests that crashed backend servers.
 func (s *peerService) Strike(arguments messenger.StrikeMessage, _ *messenger.Empty) error {
+	if !s.node.peers.rumors.note(arguments.Rumor) {
+		return nil
+	}
 	s.node.forwarder.AddStrikes(arguments.Strikes)
+	s.node.peers.passOn(arguments.Rumor, messenger.MethodStrike, &arguments)
 	return nil
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -71,6 +71,8 @@
 // the strikes that the receiver knows against the same fingerprints.
 type StrikeMessage struct {
 	Strikes []quarantiner.Strike
+	// Rumor identifies a message that its receivers pass on, or is empty.
+	Rumor string
 }
 
 // ConfigReply is the configuration in force at a peer.
@@ -118,6 +120,8 @@
 type LossesMessage struct {
 	Losses []Loss
 	Found  []Loss
+	// Rumor identifies a message that its receivers pass on, or is empty.
+	Rumor string
 }
 
 // ChangesArguments holds the state that the caller has: a revision within an
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -20,6 +20,9 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -52,28 +55,69 @@
 	Server *tls.Config
 }
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is how long a connection without calls stays open. It is above the
+	// interval of every message that is sent regularly.
+	idleTimeout = 15 * time.Second
+	// idleCheckInterval is the time between two looks for idle connections.
+	idleCheckInterval = time.Second
+)
 
-// Pool holds one connection to each peer. It is safe for concurrent use.
+// Pool holds one connection to each peer that is called, and closes those that are
+// not used any more. It is safe for concurrent use.
 type Pool struct {
 	security Security
+	scope    tally.Scope
 
-	mu      sync.Mutex
-	clients map[netip.AddrPort]*rpc.Client
+	mu        sync.Mutex
+	clients   map[netip.AddrPort]*pooledClient
+	checkedAt time.Time
 }
 
+// pooledClient is a connection to a peer.
+type pooledClient struct {
+	*rpc.Client
+	// calls counts the calls in progress, and usedAt is when the last one began or
+	// ended. Both are guarded by the pool's lock.
+	calls  int
+	usedAt time.Time
+}
+
+// PoolOption changes a Pool that is made.
+type PoolOption func(*Pool)
+
+// WithScope makes the pool count its calls (peer_calls, by method and outcome) and the
+// bytes of its connections (peer_bytes, by direction) in a scope.
+func WithScope(scope tally.Scope) PoolOption { return func(p *Pool) { p.scope = scope } }
+
 // NewPool returns a Pool without connections.
-func NewPool(security Security) *Pool {
-	return &Pool{security: security, clients: make(map[netip.AddrPort]*rpc.Client)}
+func NewPool(security Security, options ...PoolOption) *Pool {
+	p := &Pool{security: security, scope: tally.NoopScope, clients: make(map[netip.AddrPort]*pooledClient)}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Call calls a method of the peer at address and waits for its reply. It opens a
 // connection if there is none. Errors are of type *[Error].
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, method string, arguments, reply any) error {
+	err := p.call(ctx, address, method, arguments, reply)
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	p.scope.Tagged(map[string]string{"method": method, "outcome": outcome}).Counter("peer_calls").Inc(1)
+	return err
+}
+
+func (p *Pool) call(ctx context.Context, address netip.AddrPort, method string, arguments, reply any) error {
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return faulter.New(method, KindUnreachable, err)
 	}
+	defer p.release(client)
 	call := client.Go(method, arguments, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -84,7 +128,7 @@
 	}
 }
 
-func (p *Pool) callError(address netip.AddrPort, client *rpc.Client, method string, err error) error {
+func (p *Pool) callError(address netip.AddrPort, client *pooledClient, method string, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -95,9 +139,16 @@
 	return faulter.New(method, KindUnreachable, err)
 }
 
-func (p *Pool) client(ctx context.Context, address netip.AddrPort) (*rpc.Client, error) {
+// client returns the connection to a peer with one more call counted on it.
+func (p *Pool) client(ctx context.Context, address netip.AddrPort) (*pooledClient, error) {
+	now := clocker.Now()
 	p.mu.Lock()
+	p.closeIdle(now)
 	client, found := p.clients[address]
+	if found {
+		client.calls++
+		client.usedAt = now
+	}
 	p.mu.Unlock()
 	if found {
 		return client, nil
@@ -106,23 +157,55 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(conn)
+	client = &pooledClient{Client: rpc.NewClient(conn)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other, raced := p.clients[address]; raced {
 		client.Close()
-		return other, nil
+		client = other
 	}
+	client.calls++
+	client.usedAt = clocker.Now()
 	p.clients[address] = client
 	return client, nil
 }
 
+// release ends a call on a connection.
+func (p *Pool) release(client *pooledClient) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client.calls--
+	client.usedAt = clocker.Now()
+}
+
+// closeIdle closes the connections without calls for idleTimeout. The caller holds p.mu.
+func (p *Pool) closeIdle(now time.Time) {
+	if now.Sub(p.checkedAt) < idleCheckInterval {
+		return
+	}
+	p.checkedAt = now
+	for address, client := range p.clients {
+		if client.calls == 0 && now.Sub(client.usedAt) >= idleTimeout {
+			delete(p.clients, address)
+			client.Close()
+		}
+	}
+}
+
+// Connections returns the number of open connections.
+func (p *Pool) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.clients)
+}
+
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
+	conn = countBytes(conn, p.scope)
 	if p.security.Client != nil {
 		config := p.security.Client.Clone()
 		config.ServerName = address.Addr().String()
@@ -135,7 +218,7 @@
 	return conn, nil
 }
 
-func (p *Pool) discardClient(address netip.AddrPort, client *rpc.Client) {
+func (p *Pool) discardClient(address netip.AddrPort, client *pooledClient) {
 	p.mu.Lock()
 	if p.clients[address] == client {
 		delete(p.clients, address)
--- a/pkg/estimator/work_table.go
+++ b/pkg/estimator/work_table.go
@@ -21,8 +21,8 @@
 // own work; the sum over another data centre is reported by any of its entry
 // instances. It is not safe for concurrent use.
 type WorkTable struct {
-	peers       map[string]workReport
-	dataCentres map[string]workReport
+	peers       reportSet
+	dataCentres reportSet
 }
 
 // workReport is the last report of one peer or data centre.
@@ -32,69 +32,98 @@
 	works map[string]Work
 }
 
+// reportSet holds the last report of each source, and their sums, so that reading a sum
+// does not cost more with more sources.
+type reportSet struct {
+	ttl     time.Duration
+	reports map[string]workReport
+	sums    map[string]Work
+	// expiresAt is a time before which no report expires.
+	expiresAt time.Time
+}
+
+func newReportSet(ttl time.Duration) reportSet {
+	return reportSet{ttl: ttl, reports: make(map[string]workReport), sums: make(map[string]Work)}
+}
+
 // NewWorkTable returns an empty table.
 func NewWorkTable() *WorkTable {
-	return &WorkTable{peers: make(map[string]workReport), dataCentres: make(map[string]workReport)}
+	return &WorkTable{peers: newReportSet(peerTTL), dataCentres: newReportSet(dataCentreTTL)}
 }
 
 // SetPeerWork stores the work that a peer has in flight.
 func (t *WorkTable) SetPeerWork(now time.Time, peer string, works map[string]Work) {
-	t.peers[peer] = workReport{now, works}
+	t.peers.set(now, peer, works)
 }
 
 // SetDataCentreWork stores the work that all entry instances of another data
 // centre have in flight.
 func (t *WorkTable) SetDataCentreWork(now time.Time, dataCentre string, works map[string]Work) {
-	t.dataCentres[dataCentre] = workReport{now, works}
+	t.dataCentres.set(now, dataCentre, works)
 }
 
-// Empty reports whether no work has been reported.
-func (t *WorkTable) Empty() bool {
-	for _, r := range t.peers {
-		if len(r.works) > 0 {
-			return false
+// set replaces the report of a source.
+func (s *reportSet) set(now time.Time, source string, works map[string]Work) {
+	s.expire(now)
+	s.remove(source)
+	s.reports[source] = workReport{now, works}
+	for backend, w := range works {
+		s.sums[backend] = s.sums[backend].plus(w)
+	}
+	if len(s.reports) == 1 {
+		s.expiresAt = now.Add(s.ttl)
+	}
+}
+
+// remove deletes the report of a source.
+func (s *reportSet) remove(source string) {
+	for backend, w := range s.reports[source].works {
+		if rest := s.sums[backend].minus(w); rest == (Work{}) {
+			delete(s.sums, backend)
+		} else {
+			s.sums[backend] = rest
 		}
 	}
-	for _, r := range t.dataCentres {
-		if len(r.works) > 0 {
-			return false
+	delete(s.reports, source)
+}
+
+// expire deletes the reports that are older than the time to live.
+func (s *reportSet) expire(now time.Time) {
+	if !now.After(s.expiresAt) {
+		return
+	}
+	s.expiresAt = now.Add(s.ttl)
+	for source, r := range s.reports {
+		if now.Sub(r.receivedAt) > s.ttl {
+			s.remove(source)
+		} else if at := r.receivedAt.Add(s.ttl); at.Before(s.expiresAt) {
+			s.expiresAt = at
 		}
 	}
-	return true
 }
 
+// sum returns the reported work of one backend.
+func (s *reportSet) sum(now time.Time, backend string) Work {
+	s.expire(now)
+	return s.sums[backend]
+}
+
+// Empty reports whether no work has been reported.
+func (t *WorkTable) Empty() bool { return len(t.peers.sums) == 0 && len(t.dataCentres.sums) == 0 }
+
 // RemoteWork returns the work that other entry instances have in flight at a
 // backend, which is a replica group or a plain backend server.
 func (t *WorkTable) RemoteWork(now time.Time, backend string) Work {
-	return sumReports(t.peers, now, peerTTL, backend).plus(sumReports(t.dataCentres, now, dataCentreTTL, backend))
-}
-
-// sumReports sums the reported work of one backend and deletes reports that are
-// older than ttl.
-func sumReports(reports map[string]workReport, now time.Time, ttl time.Duration, backend string) Work {
-	var sum Work
-	for source, r := range reports {
-		if now.Sub(r.receivedAt) > ttl {
-			delete(reports, source)
-			continue
-		}
-		sum = sum.plus(r.works[backend])
-	}
-	return sum
+	return t.peers.sum(now, backend).plus(t.dataCentres.sum(now, backend))
 }
 
 // DataCentreWork returns the work that this data centre has in flight by backend
 // name: this instance's own and what its peers report.
 func (t *WorkTable) DataCentreWork(now time.Time, own map[string]Work) map[string]Work {
-	sum := make(map[string]Work, len(own))
-	maps.Copy(sum, own)
-	for _, r := range t.peers {
-		if now.Sub(r.receivedAt) > peerTTL {
-			continue
-		}
-		for backend, w := range r.works {
-			sum[backend] = sum[backend].plus(w)
-		}
+	t.peers.expire(now)
+	sum := maps.Clone(t.peers.sums)
+	for backend, w := range own {
+		sum[backend] = sum[backend].plus(w)
 	}
 	return sum
 }
@@ -103,3 +132,8 @@
 func (w Work) plus(o Work) Work {
 	return Work{Running: w.Running + o.Running, UnreadTokens: w.UnreadTokens + o.UnreadTokens}
 }
+
+// minus returns the difference of w and o.
+func (w Work) minus(o Work) Work {
+	return Work{Running: w.Running - o.Running, UnreadTokens: w.UnreadTokens - o.UnreadTokens}
+}
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -256,3 +258,33 @@
 	}
 	assert.Equal(t, len(c.listers("entry-003")), 0)
 }
+
+// TestRumorReachesAll guards against a loss that some members never hear of: a message
+// that each member passes on once, to its neighbours and one random member, must reach
+// all running members while a tenth of them is paused, with few messages a member.
+func TestRumorReachesAll(t *testing.T) {
+	const degree, seeds = 6, 40
+	for _, n := range []int{30, 100, 295, 390} {
+		members := testMembers(n)
+		for seed := range uint64(seeds) {
+			random := rand.New(rand.NewPCG(seed, uint64(n)))
+			paused := make(map[string]bool)
+			for _, i := range random.Perm(n)[:n/10] {
+				paused[members[i].ID] = true
+			}
+			first := slices.IndexFunc(members, func(m Member) bool { return !paused[m.ID] })
+			heard, next := map[string]bool{members[first].ID: true}, []string{members[first].ID}
+			for len(next) > 0 {
+				id := next[0]
+				next = next[1:]
+				for _, m := range append(Neighbours(members, id, degree), members[random.IntN(n)]) {
+					if !paused[m.ID] && !heard[m.ID] {
+						heard[m.ID] = true
+						next = append(next, m.ID)
+					}
+				}
+			}
+			assert.Equal(t, len(heard), n-len(paused), "%d members, seed %d", n, seed)
+		}
+	}
+}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -102,10 +102,15 @@
 	// groupSizes holds the number of members per group, by model.
 	groupSizes map[string]int
 	groups     map[string]Group
+	// groupsByModel holds the groups of each service and model, sorted by name.
+	groupsByModel map[serviceModel][]Group
 	// servers holds the instances that are neither lost nor leaving, by service.
 	servers map[string][]provider.Instance
 }
 
+// serviceModel is a service and one of its models.
+type serviceModel struct{ service, model string }
+
 // loss is evidence that one incarnation of an instance is lost.
 type loss struct {
 	incarnation string
@@ -301,16 +306,10 @@
 // individually rather than as a group.
 func (t *Tracker) Servers(service string) []provider.Instance { return t.servers[service] }
 
-// Groups returns the available groups of a service and model, sorted by name.
+// Groups returns the available groups of a service and model, sorted by name. The
+// caller must not change them.
 func (t *Tracker) Groups(service, model string) []Group {
-	var found []Group
-	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
-		g := t.groups[name]
-		if g.Service == service && g.Model == model {
-			found = append(found, g)
-		}
-	}
-	return found
+	return t.groupsByModel[serviceModel{service, model}]
 }
 
 // GroupAvailable reports whether a group can still take requests, in the same
@@ -353,6 +352,12 @@
 			t.groups[name] = g
 		}
 	}
+	t.groupsByModel = make(map[serviceModel][]Group)
+	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
+		g := t.groups[name]
+		key := serviceModel{g.Service, g.Model}
+		t.groupsByModel[key] = append(t.groupsByModel[key], g)
+	}
 }
 
 // buildGroup returns the group of the given members and true, or false if a rank
