What a backend server says of itself: it leaves, it wants nothing for a while, and bytes without end

Cause: no code read Server-Leaving, nor Retry-After of a server's 503; an event of short lines or comments was collected without bound, headers of 10 MB were taken, and bodies of the store, the platform and the operator interface were read whole.

Change: the tracker holds that an incarnation leaves against any list; the statement is read from every response, probe and order, and told to peers as a rumor. pkg/screener decides whether a server may be sent a request (lost, leaves, wants nothing until, ejected, no permit); the verdicts stand in the line of a refusal that found no server. A request whose servers all want nothing beyond its wait is refused at once, and told when to come back. pkg/bounder bounds every response read whole, and the memory that all responses in progress take together (an eighth of the process's memory).

Ruled out: probes count as requests (the users' pages define a request by its ID), so probes go on while a server wants nothing.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -145,6 +145,7 @@
 		Source:              client,
 		Prober:              client,
 		OrderSender:         client,
+		LeavingSource:       client,
 		Codec:               platform.HeaderCodec{},
 		NewDirectoryHandler: platform.NewDirectoryHandler,
 		NewReadinessHandler: platform.NewReadinessHandler,
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/waxwingmount/waxwingmount/internal/operator"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -30,6 +30,8 @@
 const (
 	defaultAddress = "127.0.0.1:8002"
 	clientTimeout  = 10 * time.Second
+	// maxResponseBytes bounds a response of the operator interface.
+	maxResponseBytes = 32 << 20
 )
 
 func newClientFlags() *clientFlags { return &clientFlags{address: defaultAddress} }
@@ -109,7 +111,7 @@
 		return faulter.New(op, KindUnavailable, err)
 	}
 	defer response.Body.Close()
-	reply, err := io.ReadAll(response.Body)
+	reply, err := bounder.ReadAll(response.Body, maxResponseBytes, nil)
 	if err != nil {
 		return faulter.New(op, KindUnavailable, err)
 	}
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -24,10 +24,13 @@
 	client *http.Client
 }
 
+// maxHeaderBytes bounds the header of a response to an order.
+const maxHeaderBytes = 64 << 10
+
 func newSender() *sender {
 	// Keep-alives are off, so that an order never waits on a connection that its
 	// engine has already closed.
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &sender{client: &http.Client{Transport: transport, Timeout: orderTimeout}}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -51,12 +49,9 @@
 
 func (s *Stream) readResponse() (*Response, error) {
 	response := s.current.response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := bounder.ReadAll(response.Body, maxResponseBytes, nil)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.Newf("response body is longer than %d bytes", maxResponseBytes)
-	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -194,12 +194,17 @@
 	}
 }
 
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
+
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerBackend,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -185,7 +186,7 @@
 
 // Body returns the rest of a response that is not a stream of events.
 func (s *Stream) Body() ([]byte, error) {
-	body, err := io.ReadAll(s.reader)
+	body, err := bounder.ReadAll(s.reader, maxResponseBytes, nil)
 	if err != nil {
 		return nil, s.giveUp(retrier.Action{Outcome: retrier.MayHaveRun}, err)
 	}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -46,6 +46,11 @@
 func (f *Forwarder) admit(ctx context.Context, x *exchange) *Refusal {
 	now := clocker.Now()
 	free := f.freeSlots(x.config, x.pool)
+	if free == 0 {
+		if until, all := f.deferredUntil(x.config, x.pool); all && until.After(x.queueUntil) {
+			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
+		}
+	}
 	f.mu.Lock()
 	p := f.poolFor(x.pool)
 	p.workload.ObserveRequest(x.request.PromptTokens, x.route.Objective, x.route.GapObjective)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -17,6 +17,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/bodychecker"
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -49,6 +50,8 @@
 	sentAt time.Time
 	// complete says that the response has been read to its end.
 	complete bool
+	// memory is what the attempt's response takes of the budget of responses.
+	memory *bounder.Share
 }
 
 // startAttempt sends the request once. It returns the response, or the event
@@ -62,7 +65,9 @@
 	chosen, found := x.f.pick(config, x.pool, a.active, x.failedUpstreams)
 	if !found {
 		a.active.cancel(context.Canceled)
-		return nil, retrier.Event{Kind: retrier.NoBackend}
+		// Zero if no server says when it takes requests again.
+		availableAt, _ := x.f.deferredUntil(config, x.pool)
+		return nil, retrier.Event{Kind: retrier.NoBackend, AvailableAt: availableAt}
 	}
 	u := chosen.upstream
 	if x.current == nil && x.deliveredEvents == 0 && len(x.failedUpstreams) == 0 {
@@ -118,6 +123,7 @@
 // event before anything is sent to the caller.
 func (x *exchange) receive(a *attempt) (*Response, retrier.Event) {
 	metadata := x.f.Codec.ParseResponse(a.response.StatusCode, a.response.Header)
+	x.f.noteStatements(a.active.upstream.head(), metadata)
 	if !metadata.Misdirected && (metadata.Verified || metadata.NotRun) {
 		x.f.permits.observe(a.active.upstream.head(), a.sentAt, metadata)
 	}
@@ -175,17 +181,15 @@
 
 // receiveFull reads a response to its end.
 func (x *exchange) receiveFull(a *attempt) (*Response, retrier.Event) {
-	body, err := io.ReadAll(io.LimitReader(a.reader, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("response is longer than %d bytes", maxResponseBytes)
-	}
+	body, err := bounder.ReadAll(a.reader, maxResponseBytes, a.memory)
 	if err != nil {
 		event := x.handleBreak(a, err)
 		x.endAttempt(true)
 		return nil, event
 	}
 	a.complete = true
-	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body}
+	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body, memory: a.memory}
+	a.memory = nil
 	if response.Status >= http.StatusInternalServerError && x.route.Retryable() {
 		x.fallback = response
 		x.failedUpstreams[a.active.upstream.name] = true
@@ -221,7 +225,7 @@
 // newAttempt returns an attempt that has no upstream yet.
 func (x *exchange) newAttempt() *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	return &attempt{ctx: ctx, sentAt: clocker.Now(), active: &activeAttempt{
+	return &attempt{ctx: ctx, sentAt: clocker.Now(), memory: x.f.responses.Open(), active: &activeAttempt{
 		cancel: cancel, canRetry: x.canRetry, promptTokens: x.request.PromptTokens,
 	}}
 }
@@ -247,6 +251,9 @@
 
 // isServing reports whether an upstream may be sent a request at this moment.
 func (f *Forwarder) isServing(u *upstream) bool {
+	if f.isDeferred(u) {
+		return false
+	}
 	if u.state().group != nil {
 		return f.Observer.GroupAvailable(*u.state().group)
 	}
@@ -297,6 +304,7 @@
 		}
 		a.response.Body.Close()
 	}
+	a.memory.Close()
 	a.active.cancel(context.Canceled)
 	a.span.SetAttributes(attribute.Bool("failed", failed))
 	a.span.End()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -95,6 +96,9 @@
 	Body   []byte
 	// stream is set when events follow the body.
 	stream *exchange
+	// memory is what the body takes of the budget of responses until it is written. It
+	// may be nil.
+	memory *bounder.Share
 }
 
 // Forward runs a request. It returns once the whole response, or the first
@@ -239,6 +243,9 @@
 // close ends the current attempt and releases the exchange's resources.
 func (x *exchange) close() {
 	x.endAttempt(false)
+	if x.fallback != nil {
+		x.fallback.memory.Close()
+	}
 	x.cancel()
 	x.f.mu.Lock()
 	x.f.activeRequests--
@@ -353,5 +360,8 @@
 	case x.retryMachine.Attempts() == 0:
 		refusal.Kind = KindNoServer
 	}
+	if until, all := x.f.deferredUntil(x.config, x.pool); all && action.Outcome == retrier.NotRun && !action.Final {
+		refusal.RetryAfter = max(refusal.RetryAfter, until.Sub(clocker.Now()))
+	}
 	return refusal
 }
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -45,6 +45,10 @@
 
 func (testCodec) ParseResponse(_ int, h http.Header) ResponseMetadata {
 	m := ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Verified: h.Get("Proof") != ""}
+	m.Leaving = h.Get("Leaving") != ""
+	if wait, err := strconv.ParseFloat(h.Get("Defer"), 64); err == nil {
+		m.Deferral = time.Duration(wait * float64(time.Second))
+	}
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		m.Limit = permitter.RateLimit{Limited: true, PerSecond: rate}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -33,12 +33,14 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
+	"github.com/waxwingmount/waxwingmount/pkg/screener"
 )
 
 // Peers are the other entry instances, as far as request handling needs them.
@@ -71,6 +73,14 @@
 	strikeExpiry   = 5 * time.Minute
 	strikeCapacity = 4096
 
+	// maxResponseHeaderBytes bounds the header of a server's response.
+	maxResponseHeaderBytes = 64 << 10
+	// responseMemoryDivisor is the ratio of a process's memory to the part that the
+	// responses in progress may take together; defaultResponseMemory is that part if the
+	// memory is not known.
+	responseMemoryDivisor = 8
+	defaultResponseMemory = 64 << 20
+
 	// queueLength is how many requests may wait for one pool.
 	queueLength = 256
 	// retryBudgetFraction is the fraction of the shared retry budget that is
@@ -91,6 +101,9 @@
 	// together.
 	RetryRatio float64
 	RetrySlack float64
+	// MemoryBytes is the memory of the process, or zero if it is not known. It can't be
+	// changed by Configure.
+	MemoryBytes int64
 }
 
 // Dependencies are the collaborators of a Forwarder.
@@ -112,10 +125,13 @@
 	transport *http.Transport
 	metrics   *metrics
 	permits   *permits
+	// responses is the memory that the responses in progress may take together.
+	responses *bounder.Budget
 
 	mu           sync.Mutex
 	random       *rand.Rand
 	tracker      *router.LoadTracker
+	screener     *screener.Screener
 	upstreams    map[string]*upstream
 	peerLoads    *estimator.WorkTable
 	pools        map[poolKey]*pool
@@ -146,9 +162,13 @@
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		metrics:        newMetrics(d.Scope),
 		permits:        newPermits(d.Scope),
+		responses:      bounder.NewBudget(responseMemory(d.MemoryBytes)),
+		screener:       screener.New(),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
@@ -164,6 +184,15 @@
 	return f
 }
 
+// responseMemory returns the memory for responses in progress of a process with that
+// memory.
+func responseMemory(process int64) int64 {
+	if process <= 0 {
+		return defaultResponseMemory
+	}
+	return process / responseMemoryDivisor
+}
+
 // Configure replaces the settings.
 func (f *Forwarder) Configure(s Settings) {
 	f.settings.Store(&s)
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -84,6 +84,7 @@
 // encode writes a response to its caller.
 func (f *Forwarder) encode(_ context.Context, w http.ResponseWriter, response any) error {
 	result := response.(*Response)
+	defer result.memory.Close()
 	header := w.Header()
 	for name, values := range result.Header {
 		header[name] = values
@@ -124,6 +125,9 @@
 		logger.FieldRequest: id, "route": refusal.Route, logger.FieldService: refusal.Service, logger.FieldModel: refusal.Model, "lanes": refusal.Upstreams, logger.FieldKind: refusal.Kind.String(), logger.FieldOutcome: refusal.Outcome.String(), "status": status,
 		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
 	})
+	if refusal.Kind == KindNoServer {
+		line = line.WithField(logger.FieldServers, f.verdicts(poolKey{service: refusal.Service, model: refusal.Model}))
+	}
 	if refusal.Err != nil {
 		line = line.WithError(refusal.Err)
 	}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -16,7 +16,9 @@
 	scope    tally.Scope
 	attempts tally.Counter
 	// retries counts the attempts of a request after its first.
-	retries   tally.Counter
+	retries tally.Counter
+	// deferrals counts the servers that said that they want nothing for a time.
+	deferrals tally.Counter
 	queueTime tally.Histogram
 	// firstEventTime and requestTime run from a request's arrival to its first
 	// event and to its end.
@@ -29,6 +31,7 @@
 		scope:          scope,
 		attempts:       scope.Counter("tries"),
 		retries:        scope.Counter("moves"),
+		deferrals:      scope.Counter("server_deferrals"),
 		queueTime:      scope.Histogram("queue_time", latencyBuckets),
 		firstEventTime: scope.Histogram("first_event_time", latencyBuckets),
 		requestTime:    scope.Histogram("request_time", latencyBuckets),
--- a/internal/forwarder/permits.go
+++ b/internal/forwarder/permits.go
@@ -50,22 +50,11 @@
 	}
 }
 
-// split divides upstreams into those that may be sent a request now and those
-// whose server has a limit for which no permit is held.
-func (p *permits) split(now time.Time, upstreams []*upstream) (usable, withoutPermit []*upstream) {
+// lacks reports whether a server has a limit for which no permit is held.
+func (p *permits) lacks(now time.Time, in provider.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.limits.Empty() {
-		return upstreams, nil
-	}
-	for _, u := range upstreams {
-		if p.limits.Usable(now, limitKey(u.head())) {
-			usable = append(usable, u)
-		} else {
-			withoutPermit = append(withoutPermit, u)
-		}
-	}
-	return usable, withoutPermit
+	return !p.limits.Empty() && !p.limits.Usable(now, limitKey(in))
 }
 
 // isLimited reports whether a server limits the rate of its requests.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
+	"github.com/waxwingmount/waxwingmount/pkg/screener"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
@@ -120,17 +121,20 @@
 	return available
 }
 
-// candidates returns the upstreams of the destinations, except those that are
-// ejected. Those whose server limits its requests are returned separately if there
-// is no permit for them. The caller holds f.mu.
+// candidates returns the upstreams of the destinations that may be sent a request.
+// Those that only lack a permit are returned separately. The caller holds f.mu.
 func (f *Forwarder) candidates(now time.Time, destinations []destination) (usable, withoutPermit []*upstream) {
-	upstreams := make([]*upstream, 0, len(destinations))
+	usable = make([]*upstream, 0, len(destinations))
 	for _, d := range destinations {
-		if u := f.upstreamFor(now, d); now.After(u.ejectedUntil) {
-			upstreams = append(upstreams, u)
+		u := f.upstreamFor(now, d)
+		switch verdict, _ := f.screen(now, u); verdict {
+		case screener.Eligible:
+			usable = append(usable, u)
+		case screener.NoPermit:
+			withoutPermit = append(withoutPermit, u)
 		}
 	}
-	return f.permits.split(now, upstreams)
+	return usable, withoutPermit
 }
 
 // wantPermits asks for permits for a few upstreams that have a usable slot free.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -59,6 +59,13 @@
 	// together. LimitErr is set if the response states a rate that can't be read.
 	Limit    permitter.RateLimit
 	LimitErr error
+	// Leaving says that the server is about to shut down and wants no new requests.
+	Leaving bool
+	// Deferral is the time for which a server that did not run the request wants no
+	// other request from this entry instance, or zero. DeferralErr is set if the
+	// response states a time that can't be read.
+	Deferral    time.Duration
+	DeferralErr error
 }
 
 // Codec translates between HTTP headers and the metadata of requests and
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -15,8 +15,13 @@
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream, with the comments before it.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an event counts as part of its connection's
+	// buffers, and not against the memory for responses.
+	freeEventBytes = 4096
+)
 
 var idFieldPrefix = []byte("id:")
 
@@ -27,14 +32,17 @@
 	var event []byte
 	for {
 		line, err := a.reader.ReadSlice('\n')
+		if memoryErr := a.reserve(len(event) + len(line)); memoryErr != nil {
+			return nil, memoryErr
+		}
 		event = append(event, line...)
 		switch {
+		case len(event) > maxEventBytes:
+			return nil, errors.Newf("stream event is longer than %d bytes", maxEventBytes)
 		case err == io.EOF && len(bytes.TrimSpace(event)) == 0:
 			return nil, io.EOF
 		case err == io.EOF:
 			return nil, io.ErrUnexpectedEOF
-		case err != nil && len(event) > maxEventBytes:
-			return nil, errors.Newf("stream event is longer than %d bytes", maxEventBytes)
 		case err != nil && !isBufferFull(err):
 			return nil, err
 		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(event)) > 0:
@@ -43,6 +51,15 @@
 	}
 }
 
+// reserve takes the memory for an event of that size.
+func (a *attempt) reserve(size int) error {
+	if size <= freeEventBytes {
+		size = 0
+	}
+	// Growing a slice takes up to twice its size.
+	return a.memory.Resize(2 * int64(size))
+}
+
 // isBufferFull reports whether a line is longer than the reader's buffer, so
 // that the rest of it follows.
 func isBufferFull(err error) bool { return errors.Is(err, bufio.ErrBufferFull) }
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -87,12 +87,21 @@
 	Prober      observer.Prober
 	OrderSender orchestrator.OrderSender
 	Codec       forwarder.Codec
+	// LeavingSource may be nil.
+	LeavingSource LeavingSource
 	// NewDirectoryHandler and NewReadinessHandler create the handlers of
 	// DirectoryAddress and ReadinessAddress.
 	NewDirectoryHandler func(Directory) http.Handler
 	NewReadinessHandler func(ready func() bool) http.Handler
 }
 
+// LeavingSource tells of backend servers that say in their responses to probes and orders
+// that they leave.
+type LeavingSource interface {
+	// OnLeaving sets the function that is told of them.
+	OnLeaving(handle func(provider.Instance))
+}
+
 const (
 	// heartbeatInterval is the time between two gossip exchanges with peers.
 	heartbeatInterval = 250 * time.Millisecond
@@ -172,6 +181,9 @@
 	}, store, n.pool, n.peers)
 	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay()})
 	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
+	if p.LeavingSource != nil {
+		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
+	}
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
 		Observer: n.observer,
@@ -227,13 +239,14 @@
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		MemoryBytes: s.MemoryBytes,
 	}
 }
 
 // Reload applies the settings that may change while the process runs: KeyTTL
 // and the retry budget. The others take effect at the next start.
 func (n *Node) Reload(s Settings) {
-	s.ID, s.DataCentre, s.FirstStart = n.settings.ID, n.settings.DataCentre, n.settings.FirstStart
+	s.ID, s.DataCentre, s.FirstStart, s.MemoryBytes = n.settings.ID, n.settings.DataCentre, n.settings.FirstStart, n.settings.MemoryBytes
 	n.forwarder.Configure(s.forwarderSettings())
 	log.WithFields(log.Fields{"key_ttl": s.KeyTTL.String(), "retry_ratio": s.RetryRatio, "retry_slack": s.RetrySlack}).Info(logger.LineReloaded)
 }
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -12,6 +12,8 @@
 	LineServerCrashed     = "server crashed under a request"
 	LineInstanceLost      = "instance held for lost"
 	LineInstanceRecovered = "instance answers again"
+	LineInstanceLeaving   = "instance says that it leaves"
+	LineServerDeferral    = "server wants nothing until"
 	LineServerLimit       = "server limit changed"
 	LineGroups            = "groups"
 	LineOrderSent         = "order sent"
@@ -42,7 +44,9 @@
 	FieldKind     = "kind"
 	FieldOutcome  = "outcome"
 	FieldComplete = "complete"
-	FieldError    = "error"
+	// FieldServers counts the servers of a pool by the verdict on them.
+	FieldServers = "servers"
+	FieldError   = "error"
 
 	// Fields of LinePeerClock: the uptime of a peer, and the uptime that the
 	// process itself had halfway through the call to the peer.
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -109,17 +109,18 @@
 	Limits map[string]permitter.Statement
 }
 
-// Loss identifies a lost instance by its ID and incarnation.
+// Loss identifies an instance by its ID and incarnation.
 type Loss struct {
 	Instance    string
 	Incarnation string
 }
 
-// LossesMessage reports lost instances, and instances that were reported lost
-// but have answered (Found).
+// LossesMessage reports lost instances, instances that were reported lost but have
+// answered (Found), and instances that have said that they leave.
 type LossesMessage struct {
-	Losses []Loss
-	Found  []Loss
+	Losses  []Loss
+	Found   []Loss
+	Leaving []Loss
 	// Rumor identifies a message that its receivers pass on, or is empty.
 	Rumor string
 }
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -32,12 +32,42 @@
 			o.clearLoss(l.Instance, "peer")
 		}
 	}
+	for _, l := range message.Leaving {
+		if o.tracker.MarkLeaving(now, l.Instance, l.Incarnation) {
+			changed = true
+			o.logLeaving(l, "peer")
+		}
+	}
 	o.mu.Unlock()
 	if changed {
 		o.signal()
 	}
 }
 
+// HandleLeaving records that an instance has said in a response that it leaves: it gets
+// no new requests from now on, whatever the list says, and the peers are told.
+func (o *Observer) HandleLeaving(in provider.Instance) {
+	l := messenger.Loss{Instance: in.ID, Incarnation: in.Incarnation}
+	o.mu.Lock()
+	changed := o.tracker.MarkLeaving(clocker.Now(), in.ID, in.Incarnation)
+	o.mu.Unlock()
+	if !changed {
+		return
+	}
+	o.logLeaving(l, "response")
+	o.signal()
+	go o.runAnnouncement(messenger.LossesMessage{Leaving: []messenger.Loss{l}})
+}
+
+func (o *Observer) logLeaving(l messenger.Loss, source string) {
+	o.Scope.Tagged(map[string]string{"source": source}).Counter("servers_leaving").Inc(1)
+	log.WithFields(log.Fields{logger.FieldInstance: l.Instance, "incarnation": l.Incarnation, "source": source}).Info(logger.LineInstanceLeaving)
+}
+
+func (o *Observer) runAnnouncement(message messenger.LossesMessage) {
+	o.Announcer.Announce(context.Background(), message)
+}
+
 // clearLoss clears the loss of an instance that has answered. The caller holds
 // o.mu.
 func (o *Observer) clearLoss(id, source string) {
--- a/internal/prober/client.go
+++ b/internal/prober/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -15,7 +16,12 @@
 	"github.com/waxwingmount/waxwingmount/pkg/reconciler"
 )
 
-const probeTimeout = 500 * time.Millisecond
+const (
+	probeTimeout = 500 * time.Millisecond
+	// maxReportBytes and maxHeaderBytes bound the response of an engine to a probe.
+	maxReportBytes = 64 << 10
+	maxHeaderBytes = 64 << 10
+)
 
 // client fetches the reports of engines over HTTP.
 type client struct {
@@ -23,7 +29,7 @@
 }
 
 func newClient() *client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &client{http: &http.Client{Transport: transport, Timeout: probeTimeout}}
 }
 
@@ -55,5 +61,5 @@
 		return report, err
 	}
 	defer response.Body.Close()
-	return report, json.NewDecoder(response.Body).Decode(&report)
+	return report, json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
 }
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -54,6 +54,8 @@
 	results     map[string]result
 	runs        map[string][]emulator.ServerEvent
 	groupEvents []emulator.ServerEvent
+	// refusals are the requests that servers refused because they want none for a time.
+	refusals []emulator.ServerEvent
 	// revokedAt holds the time at which the store confirmed the revocation of a key.
 	revokedAt map[string]time.Time
 	// routeChanges are the confirmed changes of the route pathExtra, in order.
@@ -92,6 +94,10 @@
 	if r.Kind == emulator.Began || r.Kind == emulator.Ended {
 		c.runs[r.Request] = append(c.runs[r.Request], r)
 	}
+	if r.Kind == emulator.Deferred {
+		c.refusals = append(c.refusals, r)
+		return
+	}
 	if r.Request == "" || r.Kind == emulator.Began && r.Group != "" {
 		c.groupEvents = append(c.groupEvents, r)
 	}
@@ -196,8 +202,9 @@
 	return !slices.ContainsFunc(c.faults, i.overlaps)
 }
 
-// finish runs the checks that need the whole scenario and returns all violations.
-func (c *checker) finish() []string {
+// finish runs the checks that need the whole scenario and returns all violations. The
+// argument is the number of times that an entry instance was started.
+func (c *checker) finish(entryStarts int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.results {
@@ -205,6 +212,7 @@
 		c.checkRoute(r)
 	}
 	c.checkRetryBudget()
+	c.checkRefusals(entryStarts)
 	c.checkGroups()
 	slices.Sort(c.violations)
 	return slices.Compact(c.violations)
@@ -242,6 +250,31 @@
 	}
 }
 
+// Of the requests that reach a server while it wants none, those within refusalGrace of
+// its first statement may have been on their way, and each entry instance may send
+// maxRefused more.
+const (
+	refusalGrace = 500 * time.Millisecond
+	maxRefused   = 2
+)
+
+// checkRefusals reports a server that got requests although it had said that it wants
+// none.
+func (c *checker) checkRefusals(entryStarts int) {
+	for _, first := range c.refusals {
+		count := 0
+		for _, r := range c.refusals {
+			if r.Instance == first.Instance && r.Time.After(first.Time.Add(refusalGrace)) && r.Time.Before(first.Until) {
+				count++
+			}
+		}
+		if count > maxRefused*entryStarts {
+			c.failf("refusals: %s got %d requests while it wanted none", first.Instance, count)
+			return
+		}
+	}
+}
+
 // checkRetryBudget compares the retries of the whole scenario with the shared
 // retry budget.
 func (c *checker) checkRetryBudget() {
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -78,13 +78,35 @@
 		defer mu.Unlock()
 		encoder.Encode(r)
 	})
-	go readCommands(func([]string) { worker.Drain() })
+	go readCommands(func(fields []string) { handleServerCommand(worker, fields) })
 	server := &http.Server{Addr: s.Address.String(), Handler: worker.Handler()}
 	go server.ListenAndServe()
 	worker.Run(context.Background())
 	return nil
 }
 
+// Commands to a server. The second and third take a duration.
+const (
+	commandDrain   = "drain"
+	commandRefuse  = "refuse"
+	commandEndless = "endless"
+)
+
+func handleServerCommand(worker *emulator.BackendServer, fields []string) {
+	if fields[0] == commandDrain {
+		worker.Drain()
+		return
+	}
+	duration, err := time.ParseDuration(fields[1])
+	switch {
+	case err != nil:
+	case fields[0] == commandRefuse:
+		worker.RefuseFor(duration)
+	case fields[0] == commandEndless:
+		worker.SendEndlessFor(duration)
+	}
+}
+
 // readCommands passes the fields of each line of the standard input to handle,
 // and exits the process at the end of the input.
 func readCommands(handle func([]string)) {
--- a/internal/soaker/schedule_test.go
+++ b/internal/soaker/schedule_test.go
@@ -63,6 +63,29 @@
 	return steps
 }
 
+// maxStatements is the largest number of times that a server refuses requests for a time
+// or sends answers without end in a scenario.
+const maxStatements = 4
+
+// generateStatements generates steps in which servers say that they want nothing for a
+// time, or send answers that do not end. They come on top, like those of
+// generateReturns.
+func generateStatements(f *fixture, seed uint64) []step {
+	random := rand.New(rand.NewPCG(^seed, seed))
+	steps := make([]step, random.IntN(maxStatements+1))
+	for i := range steps {
+		p := f.servers[random.IntN(len(f.servers))]
+		command := []string{commandRefuse, commandEndless}[random.IntN(2)]
+		steps[i] = step{name: command + " " + p.name, run: func(duration time.Duration) {
+			p.writeLine(command + " " + duration.String())
+			time.Sleep(duration)
+		}}
+		steps[i].startAfter = time.Duration(random.Int64N(int64(faultPhase)))
+		steps[i].duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
+	}
+	return steps
+}
+
 // maxCopyAge is the largest age of the copy from which the store comes back, and
 // rewriteTime how long the operator then takes to write its configuration again.
 const (
@@ -182,7 +205,7 @@
 func drainServer(f *fixture, random *rand.Rand) step {
 	p := f.servers[random.IntN(len(f.servers))]
 	return step{name: "drain " + p.name, run: func(duration time.Duration) {
-		p.writeLine("drain")
+		p.writeLine(commandDrain)
 		time.Sleep(drainTime)
 		f.restart(p, duration)
 	}}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -102,6 +102,7 @@
 	steps := generateSteps(f, s.seed)
 	if s.returns {
 		steps = append(steps, generateReturns(f, s.seed)...)
+		steps = append(steps, generateStatements(f, s.seed)...)
 	}
 	for _, s := range steps {
 		t.Logf("%6.2f s for %.2f s: %s", s.startAfter.Seconds(), s.duration.Seconds(), s.name)
@@ -111,7 +112,7 @@
 	cancel()
 	<-finished
 	callers.checkRecovery()
-	violations := f.checker.finish()
+	violations := f.checker.finish(int(f.entryStarts.Load()))
 	t.Log(f.checker.summary())
 	return violations
 }
--- /dev/null
+++ b/pkg/bounder/bounder.go
@@ -0,0 +1,126 @@
+// Package bounder reads responses from other systems within bounds: each response is at
+// most so long, and all that are in progress take at most so much memory together. A
+// system in trouble may send bytes without end.
+//
+// # Usage
+//
+//	budget := bounder.NewBudget(32 << 20)
+//	share := budget.Open()
+//	defer share.Close()
+//	body, err := bounder.ReadAll(response.Body, 8<<20, share)
+//
+// Sizes are in bytes. Errors are of type *[Error]: KindTooLong if the response is longer
+// than its limit, KindNoMemory if the budget is used up by other responses.
+package bounder
+
+import (
+	"io"
+	"sync"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
+
+// Kind classifies the errors of this package.
+type Kind int
+
+// Kinds of errors.
+const (
+	// KindTooLong means that a response is longer than its limit.
+	KindTooLong Kind = iota
+	// KindNoMemory means that the responses in progress take the whole budget.
+	KindNoMemory
+)
+
+// Error is the error type of this package.
+type Error = faulter.Error[Kind]
+
+// Budget is the memory that the responses in progress may take together. It is safe for
+// concurrent use.
+type Budget struct {
+	mu       sync.Mutex
+	capacity int64
+	used     int64
+}
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(capacity int64) *Budget { return &Budget{capacity: capacity} }
+
+// Used returns how many bytes are taken.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Open returns a share of the budget for one response. It takes nothing yet.
+func (b *Budget) Open() *Share { return &Share{budget: b} }
+
+// Share is what one response takes of a budget. It is not safe for concurrent use.
+type Share struct {
+	budget *Budget
+	size   int64
+}
+
+// Resize sets how many bytes the response takes. If the budget does not have them, it
+// returns an error of KindNoMemory and changes nothing: the response that grows gives
+// way, not one that is there already.
+func (s *Share) Resize(size int64) error {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if size > s.size && s.budget.used+size-s.size > s.budget.capacity {
+		return faulter.Newf("read response", KindNoMemory, "%d of %d bytes are in use", s.budget.used, s.budget.capacity)
+	}
+	s.budget.used += size - s.size
+	s.size = size
+	return nil
+}
+
+// Close returns the share to the budget. It may be called more than once, and on a nil
+// share.
+func (s *Share) Close() {
+	if s == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.budget.used -= s.size
+	s.size = 0
+}
+
+// firstRead is the size of the first buffer; it doubles when it is full.
+const firstRead = 4096
+
+// ReadAll reads r to its end, and at most limit bytes. If share is not nil, the bytes are
+// taken from its budget before they are read.
+func ReadAll(r io.Reader, limit int64, share *Share) ([]byte, error) {
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			next := max(firstRead, 2*int64(cap(data)))
+			if share != nil {
+				// The old buffer is free only after the copy.
+				if err := share.Resize(next + int64(cap(data))); err != nil {
+					return nil, err
+				}
+			}
+			data = append(make([]byte, 0, next), data...)
+			if share != nil {
+				if err := share.Resize(next); err != nil {
+					return nil, err
+				}
+			}
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case int64(len(data)) > limit:
+			return nil, faulter.Newf("read response", KindTooLong, "longer than %d bytes", limit)
+		case err == io.EOF:
+			return data, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -16,12 +16,12 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -98,6 +98,13 @@
 	}
 }
 
+const (
+	// maxResponseBytes bounds a response that is read whole, and maxHeaderBytes its
+	// header.
+	maxResponseBytes = 64 << 20
+	maxHeaderBytes   = 64 << 10
+)
+
 // New returns a client that fetches the addresses of the entry instances from
 // the seeds.
 func New(seeds []netip.AddrPort, options ...Option) *Client {
@@ -108,6 +115,8 @@
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerEntry,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 	for _, option := range options {
@@ -172,7 +181,7 @@
 		return list, err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := bounder.ReadAll(response.Body, maxResponseBytes, nil)
 	if err != nil {
 		return list, err
 	}
--- a/pkg/caller/do.go
+++ b/pkg/caller/do.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -210,7 +211,7 @@
 	if response.Header.Get("Content-Type") == "text/event-stream" {
 		return result, readStream(response.Body, r, result)
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := bounder.ReadAll(response.Body, maxResponseBytes, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/provider/http.go
+++ b/pkg/provider/http.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -23,6 +23,13 @@
 	Platforms.SetFallback("http")
 }
 
+const (
+	// maxResponseBytes bounds a response of the platform, which may be a whole object;
+	// maxHeaderBytes bounds its header.
+	maxResponseBytes = 32 << 20
+	maxHeaderBytes   = 64 << 10
+)
+
 // HTTP is a client of a platform that is called over HTTP with JSON bodies.
 type HTTP struct {
 	base   url.URL
@@ -31,7 +38,7 @@
 
 // NewHTTP returns a client of the platform that listens at address.
 func NewHTTP(address netip.AddrPort) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &HTTP{
 		base:   url.URL{Scheme: "http", Host: address.String()},
 		client: &http.Client{Transport: transport, Timeout: callTimeout},
@@ -105,7 +112,7 @@
 		return nil, faulter.New(op, KindUnavailable, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := bounder.ReadAll(response.Body, maxResponseBytes, nil)
 	if err != nil {
 		return nil, faulter.New(op, KindUnavailable, err)
 	}
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -85,6 +85,9 @@
 	// RefundAttempt reports whether a failed attempt does not count towards
 	// MaxAttempts because its backend server is lost.
 	RefundAttempt bool
+	// AvailableAt is the earliest time at which a backend server takes requests again,
+	// or zero if that is not known. It is used with NoBackend.
+	AvailableAt time.Time
 }
 
 // ActionKind is the kind of an [Action].
@@ -150,7 +153,7 @@
 	case Finished:
 		return m.respond(Complete)
 	case NoBackend:
-		return m.noBackend(now)
+		return m.noBackend(now, event)
 	case WaitElapsed:
 		return m.attempt(event.Delivered)
 	case NotSent:
@@ -205,10 +208,15 @@
 }
 
 // noBackend waits with an exponential delay until QueueUntil or the deadline, and
-// then ends the request. The attempt that found no backend server does not count.
-func (m *Machine) noBackend(now time.Time) Action {
+// then ends the request; it ends it at once if no backend server takes requests before.
+// The attempt that found no backend server does not count.
+func (m *Machine) noBackend(now time.Time, event Event) Action {
 	m.attempts = max(0, m.attempts-1)
-	if !now.Before(m.request.QueueUntil) || !now.Before(m.request.Deadline) {
+	limit := m.request.QueueUntil
+	if m.request.Deadline.Before(limit) {
+		limit = m.request.Deadline
+	}
+	if !now.Before(limit) || event.AvailableAt.After(limit) {
 		return m.respond(m.failure())
 	}
 	m.waits++
@@ -228,7 +236,7 @@
 		return m.retry(now, event)
 	}
 	if m.unreached++; m.unreached > maxUnreached {
-		return m.noBackend(now)
+		return m.noBackend(now, event)
 	}
 	if !now.Before(m.request.Deadline) {
 		return m.expired()
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -36,6 +36,11 @@
 			event.NothingSent, event.RefundAttempt = d.HasArg("nothing_sent"), d.HasArg("refund_attempt")
 			d.MaybeScanArgs(t, "delivered", &event.Delivered)
 			d.MaybeScanArgs(t, "at", &ms)
+			if d.HasArg("available_at") {
+				var available int
+				d.ScanArgs(t, "available_at", &available)
+				event.AvailableAt = start.Add(time.Duration(available) * time.Millisecond)
+			}
 			return show(machine.Step(start.Add(time.Duration(ms)*time.Millisecond), event))
 		})
 	})
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -85,6 +85,8 @@
 type Tracker struct {
 	instances map[string]provider.Instance
 	losses    map[string]loss
+	// leaving holds the instances that have said themselves that they leave.
+	leaving map[string]statedLeaving
 	// updatedAt is the time at which the last list was requested.
 	updatedAt time.Time
 	// trustRemovalsAt is the time from which a missing entry counts as removed.
@@ -117,6 +119,13 @@
 	at          time.Time
 }
 
+// statedLeaving is an instance's own statement that it leaves. It is stronger than any
+// list, until the instance runs in another incarnation.
+type statedLeaving struct {
+	incarnation string
+	at          time.Time
+}
+
 // departure is an incarnation of an instance that was removed from the list.
 type departure struct {
 	incarnation string
@@ -128,6 +137,7 @@
 	return &Tracker{
 		instances:  make(map[string]provider.Instance),
 		losses:     make(map[string]loss),
+		leaving:    make(map[string]statedLeaving),
 		departures: make(map[string]departure),
 	}
 }
@@ -184,9 +194,45 @@
 	t.instances = next
 	t.pruneDepartures(at)
 	t.pruneLosses(at)
+	t.applyLeaving(at)
 	t.rebuild()
 }
 
+// applyLeaving marks the instances that have said that they leave, and forgets the
+// statements of instances that have been gone for long or run in a new incarnation.
+func (t *Tracker) applyLeaving(now time.Time) {
+	for id, stated := range t.leaving {
+		in, known := t.instances[id]
+		switch {
+		case known && in.Incarnation == stated.incarnation:
+			in.Leaving = true
+			t.instances[id] = in
+		case known || now.Sub(stated.at) > departureTTL:
+			delete(t.leaving, id)
+		}
+	}
+}
+
+// MarkLeaving records that an incarnation of an instance has said that it leaves. It
+// reports whether that is news. A statement of another incarnation than the listed one
+// is ignored if that one started later.
+func (t *Tracker) MarkLeaving(now time.Time, id, incarnation string) bool {
+	in, known := t.instances[id]
+	if known && in.Incarnation != incarnation && !startedLater(incarnation, in.Incarnation) {
+		return false
+	}
+	if stated, found := t.leaving[id]; found && stated.incarnation == incarnation {
+		return false
+	}
+	t.leaving[id] = statedLeaving{incarnation: incarnation, at: now}
+	if known && in.Incarnation == incarnation {
+		in.Leaving = true
+		t.instances[id] = in
+		t.rebuild()
+	}
+	return true
+}
+
 // newest returns the listed instance, or the known one if the listed entry may come
 // from an older copy of the table. It reports false for an instance that has been
 // removed from the list since that copy was made.
