Relayer: the store's versions number the changes; an unchanged list costs nothing

Change: where the store numbers its versions they are the revisions, and the changes since the known state come from any peer; removals between two readings of the feed are passed on, and a list that was read whole begins the history anew. A list without changes is confirmed without being applied.

Ruled out on the way: a diff of two readings as the only source of removals: an instance that was added and removed between them stays for ever where another reader told of it (testdata/store_versions). An undecodable configuration still counts as not confirmed when the feed has nothing new (TestInvalidConfigIsNotConfirmed).

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -29,7 +29,11 @@
 
 // Snapshot is the state of the platform as read from a [Source].
 type Snapshot struct {
+	// Instances must not be changed.
 	Instances []provider.Instance
+	// Content differs between snapshots with different instances. Zero means that it is
+	// not known whether they differ.
+	Content uint64
 	// ListedAt is a time at which the list was current.
 	ListedAt time.Time
 	// Era is the era of the platform's table in which the list was read.
@@ -103,6 +107,8 @@
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
+	// content identifies the instances of the last snapshot.
+	content uint64
 	config  *mapper.RouteTable
 	// configConfirmedAt is the time at which the configuration was last
 	// confirmed as the newest: the start of the read that returned it.
@@ -317,7 +323,11 @@
 	defer o.mu.Unlock()
 	if snapshot.ListedAt.After(o.tracker.UpdatedAt()) {
 		o.recordEra(snapshot)
-		o.tracker.Update(snapshot.ListedAt, snapshot.Era, snapshot.Instances)
+		same := snapshot.Content != 0 && snapshot.Content == o.content
+		if !same || !o.tracker.Confirm(snapshot.ListedAt, snapshot.Era) {
+			o.tracker.Update(snapshot.ListedAt, snapshot.Era, snapshot.Instances)
+		}
+		o.content = snapshot.Content
 	}
 	o.updateConfig(snapshot)
 	for id := range o.ownLosses {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -66,6 +66,16 @@
 	Instances []provider.Instance
 	// Era is the era of the platform's table.
 	Era uint64
+	// Version is the version of the store up to which the list is current, or zero if the
+	// store does not tell.
+	Version uint64
+	// Followed reports whether the list follows all changes since the reading before, and
+	// Removed holds the instances that were removed since. An instance that was added and
+	// removed in between is in neither list, but a peer may know it.
+	Followed bool
+	Removed  []string
+	// Unchanged reports whether the list is the same as that of the reading before.
+	Unchanged bool
 	// At is a time at which the list was current.
 	At time.Time
 }
@@ -121,11 +131,8 @@
 
 	mu    sync.Mutex
 	state *versionedState
-	// lastPeer is the ID of the peer that sent the last list, lastPeerEpoch and
-	// lastPeerRevision are that list's epoch and revision.
-	lastPeer         string
-	lastPeerEpoch    uint64
-	lastPeerRevision uint64
+	// listFromStore reports whether the last change of the list was read from the store.
+	listFromStore bool
 	// heardVersion is the newest version of the configuration that a peer has told,
 	// and heardFrom the peer's address.
 	heardVersion uint64
@@ -275,7 +282,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.updateList(reading.At, reading.Era, reading.Instances)
+	if reading.Unchanged && r.listFromStore && reading.Era == r.state.era {
+		r.state.confirmList(reading.At, reading.Version)
+		return nil
+	}
+	r.listFromStore = r.state.updateList(reading)
 	return nil
 }
 
@@ -308,11 +319,7 @@
 // recent. Ages count from the start of the call.
 func (r *Relayer) fetchFromPeer(ctx context.Context, peer gossiper.Member) bool {
 	r.mu.Lock()
-	arguments := messenger.ChangesArguments{}
-	if r.lastPeer == peer.ID {
-		arguments.Epoch, arguments.Revision = r.lastPeerEpoch, r.lastPeerRevision
-	}
-	arguments.ConfigVersion = r.state.configVersion()
+	arguments := r.state.arguments()
 	r.mu.Unlock()
 	began := clocker.Now()
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
@@ -334,21 +341,15 @@
 		r.applyConfig(began, reply)
 		return false
 	}
-	r.applyReply(began, peer.ID, reply)
+	r.applyReply(began, reply)
 	return true
 }
 
 // applyReply applies a peer's reply to a call that began at that time.
-func (r *Relayer) applyReply(began time.Time, peer string, reply messenger.ChangesReply) {
-	at := began.Add(-reply.ListAge)
-	if !reply.Whole && at.Before(r.state.listedAt) {
-		// The reply was slow, but it continues the changes of the same reader,
-		// so that the list must not be dropped as older than the known one.
-		at = r.state.listedAt
-	}
-	if r.state.updateList(at, reply.Era, r.mergeInstances(reply)) {
-		r.lastPeer, r.lastPeerEpoch, r.lastPeerRevision = peer, reply.Epoch, reply.Revision
-	}
+func (r *Relayer) applyReply(began time.Time, reply messenger.ChangesReply) {
+	content := r.state.content
+	r.state.applyReply(began.Add(-reply.ListAge), reply)
+	r.listFromStore = r.listFromStore && r.state.content == content
 	if reply.EraSettled {
 		r.state.settleEra(reply.Era)
 	}
@@ -367,27 +368,6 @@
 	}
 }
 
-// mergeInstances returns the known instances with a reply's changes applied.
-func (r *Relayer) mergeInstances(reply messenger.ChangesReply) []provider.Instance {
-	next := make(map[string]provider.Instance)
-	if !reply.Whole {
-		for id, e := range r.state.instances {
-			next[id] = e.instance
-		}
-	}
-	for _, in := range reply.Changed {
-		next[in.ID] = in
-	}
-	for _, id := range reply.Removed {
-		delete(next, id)
-	}
-	all := make([]provider.Instance, 0, len(next))
-	for _, in := range next {
-		all = append(all, in)
-	}
-	return all
-}
-
 // ChangesSince returns the changes since the state that a peer has. It answers
 // the peer's call.
 func (r *Relayer) ChangesSince(arguments messenger.ChangesArguments) messenger.ChangesReply {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -59,7 +59,7 @@
 func servePeer(t *testing.T, version uint64) netip.AddrPort {
 	t.Helper()
 	state := newVersionedState(1)
-	state.updateList(clocker.Now(), 0, []provider.Instance{{ID: "from-peer"}})
+	state.updateList(InstancesReading{At: clocker.Now(), Instances: []provider.Instance{{ID: "from-peer"}}})
 	state.updateConfig(clocker.Now(), mapper.New(mapper.Config{Version: version}), false)
 	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &stubPeer{state: state}, rand.Read)
 	assert.NilError(t, err)
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -11,15 +11,25 @@
 )
 
 // versionedState is one entry instance's copy of the platform's state, with a
-// revision for each instance so that a peer can be sent only what has changed.
-// It is not safe for concurrent use.
+// revision for each instance so that a peer can be sent only what has changed. Where
+// the store numbers its versions, they are the revisions, so that an instance can take
+// the changes since its own state from any peer. It is not safe for concurrent use.
 type versionedState struct {
+	// localEpoch is the epoch of revisions that are counted here because the store does
+	// not number its versions.
+	localEpoch uint64
+	// epoch names the numbering of the revisions: the era of the store, or one process.
 	epoch     uint64
 	revision  uint64
 	instances map[string]versionedInstance
-	// removed holds the revision at which each removed instance was removed.
-	removed  map[string]uint64
-	listedAt time.Time
+	// removed holds the revision at which each removed instance was removed, since the
+	// revision historySince.
+	removed      map[string]uint64
+	historySince uint64
+	listedAt     time.Time
+	// list holds the instances, or nil after a change; content counts the changes.
+	list    []provider.Instance
+	content uint64
 	// era is the highest era of the platform's table in which a list was read.
 	era uint64
 	// eraSince is when the era began, as far as it is known here, or zero if it is
@@ -45,50 +55,161 @@
 }
 
 // maxRemoved bounds the number of removed instances that are remembered. Beyond
-// it a new epoch begins, in which peers are sent the whole list.
+// it the history begins anew, and peers are sent the whole list.
 const maxRemoved = 4096
 
 func newVersionedState(epoch uint64) *versionedState {
-	return &versionedState{epoch: epoch, instances: make(map[string]versionedInstance), removed: make(map[string]uint64)}
+	return &versionedState{
+		localEpoch: epoch, epoch: epoch, instances: make(map[string]versionedInstance), removed: make(map[string]uint64),
+	}
 }
 
-// updateList replaces the list of instances by one that was current at that time
-// in an era of the platform's table. An older list than the known one, or one of an
-// earlier era, is ignored. It reports whether the list was replaced.
-func (v *versionedState) updateList(at time.Time, era uint64, instances []provider.Instance) bool {
-	if at.Before(v.listedAt) || era < v.era {
+// storeEpoch names the numbering of an era's versions. It is far below the epochs of
+// processes.
+func storeEpoch(era uint64) uint64 { return era + 1 }
+
+// updateList replaces the list of instances by one that was read. An older list than the
+// known one, or one of an earlier era, is ignored. It reports whether the list was
+// replaced.
+func (v *versionedState) updateList(r InstancesReading) bool {
+	if r.At.Before(v.listedAt) || r.Era < v.era {
 		return false
 	}
-	v.observeEra(at, era)
-	v.listedAt = at
-	next := v.revision + 1
+	epoch, next := storeEpoch(r.Era), r.Version
+	if r.Version == 0 {
+		epoch, next = v.localEpoch, v.revision+1
+	}
+	if epoch == v.epoch && next < v.revision {
+		return false
+	}
+	v.observeEra(r.At, r.Era)
+	v.listedAt = r.At
+	v.renumber(epoch, next)
+	if r.Version > 0 && !r.Followed {
+		// What was removed since the reading before is not known.
+		v.forgetRemoved(next)
+	}
+	changed := v.replace(next, r.Instances)
+	for _, id := range r.Removed {
+		if _, listed := v.instances[id]; !listed {
+			v.noteRemoved(next, id)
+		}
+	}
+	if changed || r.Version > 0 {
+		v.revision = next
+	}
+	return true
+}
+
+// confirmList records that the known list is current at a time, up to a version.
+func (v *versionedState) confirmList(at time.Time, version uint64) {
+	if at.After(v.listedAt) {
+		v.listedAt = at
+	}
+	v.revision = max(v.revision, version)
+}
+
+// renumber begins a new numbering of the revisions if the epoch differs.
+func (v *versionedState) renumber(epoch, next uint64) {
+	if epoch == v.epoch && v.revision > 0 {
+		return
+	}
+	v.epoch, v.revision, v.historySince = epoch, next, next
+	clear(v.removed)
+	for id, e := range v.instances {
+		e.revision = next
+		v.instances[id] = e
+	}
+}
+
+// replace replaces the instances and reports whether any report has changed.
+func (v *versionedState) replace(next uint64, instances []provider.Instance) bool {
 	changed := false
 	seen := make(map[string]bool, len(instances))
 	for _, in := range instances {
 		seen[in.ID] = true
-		if old, known := v.instances[in.ID]; known && sameReport(old.instance, in) {
-			// Peers are not sent a report that only repeats the last one.
-			v.instances[in.ID] = versionedInstance{instance: in, revision: old.revision}
-			continue
-		}
-		v.instances[in.ID] = versionedInstance{instance: in, revision: next}
-		delete(v.removed, in.ID)
-		changed = true
+		changed = v.put(next, in) || changed
 	}
 	for id := range v.instances {
 		if !seen[id] {
-			delete(v.instances, id)
-			v.removed[id] = next
+			v.remove(next, id)
 			changed = true
 		}
 	}
-	if changed {
-		v.revision = next
+	return changed
+}
+
+// put stores an instance and reports whether its report has changed.
+func (v *versionedState) put(next uint64, in provider.Instance) bool {
+	old, known := v.instances[in.ID]
+	if known && old.instance.Sequence == in.Sequence && sameReport(old.instance, in) {
+		return false
+	}
+	v.list = nil
+	v.content++
+	if known && sameReport(old.instance, in) {
+		// Peers are not sent a report that only repeats the last one.
+		v.instances[in.ID] = versionedInstance{instance: in, revision: old.revision}
+		return false
 	}
+	v.instances[in.ID] = versionedInstance{instance: in, revision: next}
+	delete(v.removed, in.ID)
+	return true
+}
+
+// remove deletes an instance.
+func (v *versionedState) remove(next uint64, id string) {
+	delete(v.instances, id)
+	v.list = nil
+	v.content++
+	v.noteRemoved(next, id)
+}
+
+// noteRemoved remembers that an instance has been removed.
+func (v *versionedState) noteRemoved(next uint64, id string) {
+	v.removed[id] = next
 	if len(v.removed) > maxRemoved {
-		clear(v.removed)
-		v.epoch++
+		v.forgetRemoved(next)
+	}
+}
+
+// forgetRemoved begins the history of removed instances anew.
+func (v *versionedState) forgetRemoved(next uint64) {
+	clear(v.removed)
+	v.historySince = next
+}
+
+// applyReply applies the list in a peer's reply, which was current at that time. It
+// reports whether the reply was applied or confirms the known list.
+func (v *versionedState) applyReply(at time.Time, reply messenger.ChangesReply) bool {
+	switch {
+	case reply.Era < v.era, reply.Whole && at.Before(v.listedAt), !reply.Whole && reply.Epoch != v.epoch:
+		return false
+	case reply.Epoch == v.epoch && reply.Revision < v.revision:
+		// The peer has not seen the newest changes.
+		return !reply.Whole
+	}
+	v.observeEra(at, reply.Era)
+	if at.After(v.listedAt) {
+		v.listedAt = at
+	}
+	v.renumber(reply.Epoch, reply.Revision)
+	if reply.Whole {
+		v.forgetRemoved(reply.Revision)
+		v.replace(reply.Revision, reply.Changed)
+	} else {
+		for _, in := range reply.Changed {
+			v.put(reply.Revision, in)
+		}
+		for _, id := range reply.Removed {
+			if _, known := v.instances[id]; known {
+				v.remove(reply.Revision, id)
+			} else {
+				v.noteRemoved(reply.Revision, id)
+			}
+		}
 	}
+	v.revision = reply.Revision
 	return true
 }
 
@@ -144,6 +265,11 @@
 	}
 }
 
+// arguments returns what a peer is asked for: the changes since this state.
+func (v *versionedState) arguments() messenger.ChangesArguments {
+	return messenger.ChangesArguments{Epoch: v.epoch, Revision: v.revision, ConfigVersion: v.configVersion()}
+}
+
 // configVersion returns the version of the known configuration, or zero.
 func (v *versionedState) configVersion() uint64 {
 	if v.config == nil {
@@ -154,11 +280,15 @@
 
 // snapshot returns the whole state.
 func (v *versionedState) snapshot() observer.Snapshot {
-	s := observer.Snapshot{ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt}
-	for _, e := range v.instances {
-		s.Instances = append(s.Instances, e.instance)
+	if v.list == nil {
+		v.list = make([]provider.Instance, 0, len(v.instances))
+		for _, e := range v.instances {
+			v.list = append(v.list, e.instance)
+		}
+	}
+	return observer.Snapshot{
+		Instances: v.list, Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt,
 	}
-	return s
 }
 
 // changesSince returns the changes since the epoch, revision and configuration
@@ -171,7 +301,7 @@
 		// A peer that has just started can't tell by itself.
 		EraSettled: !v.eraIsNew(now),
 		ListAge:    now.Sub(v.listedAt),
-		Whole:      arguments.Epoch != v.epoch || arguments.Revision > v.revision,
+		Whole:      arguments.Epoch != v.epoch || arguments.Revision < v.historySince,
 	}
 	since := arguments.Revision
 	if reply.Whole {
--- a/internal/relayer/state_test.go
+++ b/internal/relayer/state_test.go
@@ -9,26 +9,26 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
-// TestScripts runs scripts in which one instance fetches changes from two
+// TestScripts runs scripts in which one instance fetches changes from three
 // readers, each with a state of its own. Times are in milliseconds; a reply
 // takes no time unless "took" is set.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
-		readers := map[string]*versionedState{"r1": newVersionedState(1), "r2": newVersionedState(2)}
+		readers := map[string]*versionedState{"r1": newVersionedState(1), "r2": newVersionedState(2), "r3": newVersionedState(4)}
 		client := New(Dependencies{Epoch: 3})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			at, took, version, era := 0, 0, 0, uint64(0)
+			at, took, version, storeVersion, era := 0, 0, 0, 0, uint64(0)
 			d.MaybeScanArgs(t, "era", &era)
 			reader := "r1"
 			d.ScanArgs(t, "at", &at)
 			d.MaybeScanArgs(t, "took", &took)
 			d.MaybeScanArgs(t, "version", &version)
+			d.MaybeScanArgs(t, "store_version", &storeVersion)
 			d.MaybeScanArgs(t, "reader", &reader)
 			now := start.Add(time.Duration(at) * time.Millisecond)
 			switch d.Cmd {
@@ -38,21 +38,20 @@
 					id, zone, _ := strings.Cut(word, "=")
 					listed = append(listed, provider.Instance{ID: id, DataCentre: zone})
 				}
-				readers[reader].updateList(now, era, listed)
+				reading := InstancesReading{At: now, Era: era, Version: uint64(storeVersion), Followed: d.HasArg("followed"), Instances: listed}
+				for _, argument := range d.CmdArgs {
+					if argument.Key == "removed" {
+						reading.Removed = argument.Vals
+					}
+				}
+				readers[reader].updateList(reading)
 				if version > 0 {
 					readers[reader].updateConfig(now, mapper.New(mapper.Config{Version: uint64(version)}), d.HasArg("rewritten"))
 				}
 				return ""
 			case "fetch":
-				arguments := messenger.ChangesArguments{}
-				if client.lastPeer == reader {
-					arguments.Epoch, arguments.Revision = client.lastPeerEpoch, client.lastPeerRevision
-				}
-				if client.state.config != nil {
-					arguments.ConfigVersion = client.state.config.Version
-				}
-				reply := readers[reader].changesSince(now.Add(time.Duration(took)*time.Millisecond), arguments)
-				client.applyReply(now, reader, reply)
+				reply := readers[reader].changesSince(now.Add(time.Duration(took)*time.Millisecond), client.state.arguments())
+				client.applyReply(now, reply)
 				return fmt.Sprintf("whole=%t changed=%d removed=%d config=%t\n", reply.Whole, len(reply.Changed), len(reply.Removed), reply.Config != nil) + show(client, now)
 			}
 			t.Fatalf("unknown command %q", d.Cmd)
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -198,6 +198,25 @@
 	t.rebuild()
 }
 
+// Confirm records that the last list was still current at a later time in an era of the
+// platform's table, which costs less than to apply it again. It reports false, and does
+// nothing, while what an unchanged list means depends on the time; the list must then be
+// applied.
+func (t *Tracker) Confirm(at time.Time, era uint64) bool {
+	if t.updatedAt.IsZero() || era != t.era || at.Sub(t.updatedAt) > maxListGap || t.updatedAt.Before(t.trustRemovalsAt) || !t.updatedAt.After(t.restoredUntil) {
+		return false
+	}
+	t.updatedAt = at
+	losses := len(t.losses)
+	t.pruneDepartures(at)
+	t.pruneLosses(at)
+	t.applyLeaving(at)
+	if len(t.losses) != losses {
+		t.rebuild()
+	}
+	return true
+}
+
 // applyLeaving marks the instances that have said that they leave, and forgets the
 // statements of instances that have been gone for long or run in a new incarnation.
 func (t *Tracker) applyLeaving(now time.Time) {
