Loads of a large data centre through collectors

Cause: each instance sent its load to all others of its data centre, up to 160 messages a second each: 47,000 in all at 295 instances, and a connection to each of 58 peers.

Change: with over 24 peers in a data centre an instance reports to one of three collectors there (the relays of the platform's state) four times a second, and takes the others' sum from the reply; the collectors tell each other, and one of them the other data centres. Smaller data centres are as before.

--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -84,6 +84,30 @@
 	return f.peerLoads.DataCentreWork(clocker.Now(), own)
 }
 
+// CollectedLoad returns the work in progress of this data centre without that of one peer,
+// and of all other data centres.
+func (f *Forwarder) CollectedLoad(peer string) (works, remote map[string]estimator.Work) {
+	own := f.LocalLoad()
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	works = f.peerLoads.PeersExcept(now, peer)
+	for name, w := range own {
+		works[name] = estimator.Work{Running: works[name].Running + w.Running, UnreadTokens: works[name].UnreadTokens + w.UnreadTokens}
+	}
+	return works, f.peerLoads.DataCentresWork(now)
+}
+
+// ReportedLoad returns the work in progress of this entry instance and of the peers that
+// report to it directly, without that of the other collectors.
+func (f *Forwarder) ReportedLoad(collectors []string) map[string]estimator.Work {
+	own := f.LocalLoad()
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerLoads.DataCentreWorkExcept(now, own, collectors)
+}
+
 // totalWork returns the work that all entry instances have in progress at an
 // upstream, as far as it is known here.
 func (f *Forwarder) totalWork(now time.Time, u *upstream) estimator.Work {
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -147,6 +147,7 @@
 	forwarder    *forwarder.Forwarder
 	orchestrator *orchestrator.Orchestrator
 	peers        *peers
+	loads        *loads
 }
 
 // New assembles an entry instance. It opens no listeners and starts no loops.
@@ -172,6 +173,7 @@
 		return nil, err
 	}
 	n.peers = &peers{node: n, rumors: rumors}
+	n.loads = &loads{node: n}
 	n.discoverer = discoverer.New(discoverer.Settings{
 		Self:     gossiper.Member{ID: s.ID, Epoch: epoch, Caller: s.CallerAddress, Peer: s.PeerAddress, DataCentre: s.DataCentre},
 		Started:  process.Started,
@@ -285,8 +287,8 @@
 	n.discoverer.Start(background)
 	n.forwarder.Start(background)
 	n.orchestrator.Start(background)
-	go n.peers.loadLoop(background)
-	go n.peers.remoteLoadLoop(background)
+	go n.loads.loop(background)
+	go n.loads.remoteLoop(background)
 	go n.publishFreshnessLoop(background)
 	go n.gaugeLoop(background)
 	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "data_centre": n.settings.DataCentre}).Info(logger.LineEntryReady)
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,31 +10,14 @@
 
 	"github.com/apex/log"
 
-	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
-	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/assigner"
-	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
 const (
-	// loadMessagesPerSecond limits the load messages of this instance to all
-	// peers together; minLoadInterval is the shortest time between two rounds.
-	loadMessagesPerSecond = 160
-	minLoadInterval       = 40 * time.Millisecond
-	// maxLoadRecipients is the largest number of peers to which an instance sends
-	// its own load directly. With more peers it sends only within its data centre.
-	maxLoadRecipients = 12
-	// remoteLoadInterval is the time between two messages with the total load of
-	// this data centre, one to a random member of each other data centre. Every
-	// member sends them, so all members there receive about equally many.
-	remoteLoadInterval = 400 * time.Millisecond
-	// unchangedLoadInterval is the time between two messages while the load does
-	// not change: a third of the time after which a message expires.
-	unchangedLoadInterval = 300 * time.Millisecond
 	// messageTimeout limits sending one message to the peers.
 	messageTimeout = 300 * time.Millisecond
 	// permitTimeout limits one request to a permit owner.
@@ -108,63 +90,6 @@
 	p.runSpread(ctx, messenger.MethodLosses, &message)
 }
 
-// loadLoop reports this instance's load of requests in flight to its peers.
-func (p *peers) loadLoop(ctx context.Context) {
-	var last map[string]estimator.Work
-	var sentAt time.Time
-	for {
-		interval := max(minLoadInterval, time.Duration(len(p.loadRecipients()))*time.Second/loadMessagesPerSecond)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval):
-		}
-		works := p.node.forwarder.LocalLoad()
-		if maps.Equal(works, last) && clocker.Since(sentAt) < unchangedLoadInterval {
-			continue
-		}
-		last, sentAt = works, clocker.Now()
-		p.send(ctx, p.loadRecipients(), messenger.MethodLoad, &messenger.LoadMessage{
-			From: p.node.settings.ID, Works: works, Limits: p.node.forwarder.ServerLimits(),
-		})
-	}
-}
-
-// loadRecipients returns the peers that receive this instance's load: all peers
-// up to maxLoadRecipients, otherwise those in the same data centre, which
-// mostly choose the same upstreams.
-func (p *peers) loadRecipients() []gossiper.Member {
-	all := p.node.discoverer.Peers()
-	if len(all) <= maxLoadRecipients {
-		return all
-	}
-	return slices.DeleteFunc(all, func(m gossiper.Member) bool { return m.DataCentre != p.node.settings.DataCentre })
-}
-
-// remoteLoadLoop reports the total load of this data centre to the other data
-// centres. It is idle while loadLoop reaches all peers directly.
-func (p *peers) remoteLoadLoop(ctx context.Context) {
-	pacer.Repeat(ctx, remoteLoadInterval, func(ctx context.Context) {
-		all := p.node.discoverer.Peers()
-		if len(all) <= maxLoadRecipients {
-			return
-		}
-		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		covered := map[string]bool{p.node.settings.DataCentre: true}
-		var recipients []gossiper.Member
-		for _, m := range all {
-			if !covered[m.DataCentre] {
-				covered[m.DataCentre] = true
-				recipients = append(recipients, m)
-			}
-		}
-		p.send(ctx, recipients, messenger.MethodLoad, &messenger.LoadMessage{
-			From: p.node.settings.ID, DataCentre: p.node.settings.DataCentre, Works: p.node.forwarder.DataCentreLoad(),
-			Limits: p.node.forwarder.ServerLimits(),
-		})
-	})
-}
-
 // send sends a message to the recipients in parallel. It does not retry: a peer
 // that does not respond within messageTimeout misses the message.
 func (p *peers) send(ctx context.Context, recipients []gossiper.Member, method string, message any) {
@@ -196,11 +121,26 @@
 // and the limits of backend servers that the peer knows.
 func (s *peerService) Load(arguments messenger.LoadMessage, _ *messenger.Empty) error {
 	s.node.forwarder.MergeServerLimits(arguments.Limits)
-	if arguments.DataCentre != "" {
+	switch {
+	case s.node.loads.collected():
+		// The collector's replies contain the message.
+	case arguments.DataCentre != "":
 		s.node.forwarder.UpdateRemoteLoad(arguments.DataCentre, arguments.Works)
-		return nil
+	default:
+		s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
 	}
+	return nil
+}
+
+// Collect stores the load of a peer of this data centre and returns that of the others.
+func (s *peerService) Collect(arguments messenger.LoadMessage, reply *messenger.CollectReply) error {
+	s.node.forwarder.MergeServerLimits(arguments.Limits)
 	s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
+	works, remote := s.node.forwarder.CollectedLoad(arguments.From)
+	*reply = messenger.CollectReply{Works: works, Limits: s.node.forwarder.ServerLimits()}
+	if arguments.WantRemote {
+		reply.Remote = remote
+	}
 	return nil
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -28,6 +28,7 @@
 	MethodStrikes  = PeerService + ".Strikes"
 	MethodLeave    = PeerService + ".Leave"
 	MethodLoad     = PeerService + ".Load"
+	MethodCollect  = PeerService + ".Collect"
 	MethodLosses   = PeerService + ".Losses"
 	MethodNews     = PeerService + ".News"
 	MethodPermit   = PeerService + ".Permit"
@@ -107,6 +108,18 @@
 	Works map[string]estimator.Work
 	// Limits holds the limits that the sender knows, by backend server.
 	Limits map[string]permitter.Statement
+	// WantRemote asks a collector for the work of the other data centres.
+	WantRemote bool
+}
+
+// CollectReply answers a LoadMessage at a collector of the sender's data centre.
+type CollectReply struct {
+	// Works is the work in progress of the other entry instances of the data centre, and
+	// Remote that of all other data centres, if the sender asked for it.
+	Works  map[string]estimator.Work
+	Remote map[string]estimator.Work
+	// Limits holds the limits that the collector knows, by backend server.
+	Limits map[string]permitter.Statement
 }
 
 // Loss identifies an instance by its ID and incarnation.
--- a/internal/relayer/sources.go
+++ b/internal/relayer/sources.go
@@ -67,8 +67,8 @@
 // spreads the load.
 func sources(self gossiper.Member, members []gossiper.Member) (role, []gossiper.Member) {
 	readers := lowest(members, readerCount)
-	others, isReader := withoutMember(readers, self.ID)
-	others = rotate(others, self.ID)
+	others, isReader := WithoutMember(readers, self.ID)
+	others = Rotate(others, self.ID)
 	switch {
 	case isReader:
 		return roleReader, others
@@ -81,15 +81,18 @@
 			local = append(local, m)
 		}
 	}
-	relays, isRelay := withoutMember(lowest(local, relaysPerDataCentre), self.ID)
+	relays, isRelay := WithoutMember(Relays(local), self.ID)
 	if isRelay {
 		return roleRelay, others
 	}
-	return roleLeaf, append(rotate(relays, self.ID), others...)
+	return roleLeaf, append(Rotate(relays, self.ID), others...)
 }
 
-// withoutMember returns the members except one, and whether it was among them.
-func withoutMember(members []gossiper.Member, id string) ([]gossiper.Member, bool) {
+// Relays returns the members of a data centre that relay the platform's state there.
+func Relays(members []gossiper.Member) []gossiper.Member { return lowest(members, relaysPerDataCentre) }
+
+// WithoutMember returns the members except one, and whether it was among them.
+func WithoutMember(members []gossiper.Member, id string) ([]gossiper.Member, bool) {
 	others := make([]gossiper.Member, 0, len(members))
 	for _, m := range members {
 		if m.ID != id {
@@ -99,8 +102,8 @@
 	return others, len(others) < len(members)
 }
 
-// rotate returns the members beginning with the one that a hash of id selects.
-func rotate(members []gossiper.Member, id string) []gossiper.Member {
+// Rotate returns the members beginning with the one that a hash of id selects.
+func Rotate(members []gossiper.Member, id string) []gossiper.Member {
 	if len(members) == 0 {
 		return nil
 	}
--- a/pkg/estimator/work_table.go
+++ b/pkg/estimator/work_table.go
@@ -108,6 +108,25 @@
 	return s.sums[backend]
 }
 
+// PeersExcept returns the work that the peers other than one have in flight, by backend
+// name.
+func (t *WorkTable) PeersExcept(now time.Time, peer string) map[string]Work {
+	t.peers.expire(now)
+	sum := maps.Clone(t.peers.sums)
+	for backend, w := range t.peers.reports[peer].works {
+		sum[backend] = sum[backend].minus(w)
+	}
+	maps.DeleteFunc(sum, func(_ string, w Work) bool { return w == Work{} })
+	return sum
+}
+
+// DataCentresWork returns the work that the other data centres have in flight together,
+// by backend name.
+func (t *WorkTable) DataCentresWork(now time.Time) map[string]Work {
+	t.dataCentres.expire(now)
+	return maps.Clone(t.dataCentres.sums)
+}
+
 // Empty reports whether no work has been reported.
 func (t *WorkTable) Empty() bool { return len(t.peers.sums) == 0 && len(t.dataCentres.sums) == 0 }
 
@@ -120,11 +139,21 @@
 // DataCentreWork returns the work that this data centre has in flight by backend
 // name: this instance's own and what its peers report.
 func (t *WorkTable) DataCentreWork(now time.Time, own map[string]Work) map[string]Work {
-	t.peers.expire(now)
-	sum := maps.Clone(t.peers.sums)
+	return t.DataCentreWorkExcept(now, own, nil)
+}
+
+// DataCentreWorkExcept is like DataCentreWork, without what some of the peers report.
+func (t *WorkTable) DataCentreWorkExcept(now time.Time, own map[string]Work, peers []string) map[string]Work {
+	sum := t.PeersExcept(now, "")
 	for backend, w := range own {
 		sum[backend] = sum[backend].plus(w)
 	}
+	for _, peer := range peers {
+		for backend, w := range t.peers.reports[peer].works {
+			sum[backend] = sum[backend].minus(w)
+		}
+	}
+	maps.DeleteFunc(sum, func(_ string, w Work) bool { return w == Work{} })
 	return sum
 }
 
--- a/pkg/estimator/work_table_sums_test.go
+++ b/pkg/estimator/work_table_sums_test.go
@@ -37,3 +37,20 @@
 	assert.Assert(t, table.RemoteWork(now.Add(2*peerTTL), "group-0") == Work{})
 	assert.Assert(t, table.Empty())
 }
+
+// TestCollectedWork guards against work that is counted twice or not at all where
+// collectors add up the reports of a data centre.
+func TestCollectedWork(t *testing.T) {
+	now := time.Unix(0, 0)
+	first, second := NewWorkTable(), NewWorkTable()
+	work := func(running int) map[string]Work { return map[string]Work{"g": {Running: running}} }
+	first.SetPeerWork(now, "a", work(1))
+	first.SetPeerWork(now, "b", work(2))
+	second.SetPeerWork(now, "c", work(4))
+	// Each collector has work of its own, and tells the other what reports to it.
+	first.SetPeerWork(now, "collector/second", second.DataCentreWorkExcept(now, work(8), []string{"collector/first"}))
+	second.SetPeerWork(now, "collector/first", first.DataCentreWorkExcept(now, work(16), []string{"collector/second"}))
+	assert.Equal(t, first.PeersExcept(now, "a")["g"].Running, 2+4+8)
+	assert.Equal(t, second.PeersExcept(now, "c")["g"].Running, 1+2+16)
+	assert.Equal(t, first.DataCentreWorkExcept(now, work(16), []string{"collector/second"})["g"].Running, 1+2+16)
+}
