--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -123,8 +123,9 @@
 	listenFraction = 0.6
 
 	// storeDelay is how long after its start an instance that is no seed leaves the
-	// store to its peers: several rounds of gossip.
-	storeDelay = 1500 * time.Millisecond
+	// store to its peers: several rounds of gossip, and the way of the list through the
+	// readers and relays.
+	storeDelay = 3 * time.Second
 
 	metricsInterval = time.Second
 	// shutdownCallTimeout limits both announcing the shutdown and giving up the
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -144,6 +144,8 @@
 	Epoch         uint64
 	Revision      uint64
 	ConfigVersion uint64
+	// AcceptsPacked says that the caller understands ChangesReply.Packed.
+	AcceptsPacked bool
 }
 
 // ChangesReply holds the changes since the caller's state. Ages are as of the
@@ -157,9 +159,12 @@
 	// EraSettled reports whether that era is known to have lasted for so long that
 	// nobody has to write anything again.
 	EraSettled bool
-	// Whole means that Changed holds all instances.
+	// Whole means that Changed, or Packed, holds all instances.
 	Whole   bool
 	Changed []provider.Instance
+	// Packed replaces Changed where the caller accepts it. It is the result of
+	// PackInstances.
+	Packed  []byte
 	Removed []string
 
 	ConfigVersion uint64
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,6 +43,12 @@
 	relayedMaxAge = 2200 * time.Millisecond
 	// peerCallTimeout bounds one call to a peer.
 	peerCallTimeout = 300 * time.Millisecond
+	// firstCallTimeout replaces it while this instance has no list, since the whole list
+	// takes longer than the changes, and its sources may have started at the same moment.
+	firstCallTimeout = 2 * time.Second
+	// readerDelay is how long after its start a reader leaves the store to its peers: a few
+	// rounds of gossip, after which it knows that it is one.
+	readerDelay = 600 * time.Millisecond
 	// storeFirst is how long a reader waits for the store before it asks the other
 	// readers too. The store may hold a call for half a second while nothing changes.
 	storeFirst = 700 * time.Millisecond
@@ -185,7 +191,7 @@
 // fetchFromStore updates the state from the store, and from peers if the store is slow
 // or fails: a reader that the store does not refuse may have newer state.
 func (r *Relayer) fetchFromStore(ctx context.Context, from []gossiper.Member) error {
-	if r.leavesStoreToPeers() {
+	if own, _ := sources(r.Members.Self(), r.Members.Live()); r.leavesStoreToPeers(own) {
 		return errLeftToPeers
 	}
 	readings := []*landing{r.readList.begin(ctx), r.readConfig.begin(ctx)}
@@ -201,8 +207,12 @@
 }
 
 // leavesStoreToPeers reports whether the instance waits for a peer that reads the store.
-func (r *Relayer) leavesStoreToPeers() bool {
-	return clocker.Since(r.started) < r.StoreDelay && !r.hasState()
+func (r *Relayer) leavesStoreToPeers(own role) bool {
+	delay := r.StoreDelay
+	if own == roleReader {
+		delay = min(delay, readerDelay)
+	}
+	return clocker.Since(r.started) < delay && !r.hasState()
 }
 
 func (r *Relayer) hasState() bool {
@@ -312,7 +322,11 @@
 
 // fetchFromPeers asks the members and reports whether one sent a recent reply.
 func (r *Relayer) fetchFromPeers(ctx context.Context, from []gossiper.Member) bool {
-	return hedge(ctx, from, r.fetchFromPeer)
+	delay := hedgeDelay
+	if !r.hasState() {
+		delay = firstHedgeDelay
+	}
+	return hedge(ctx, delay, from, r.fetchFromPeer)
 }
 
 // fetchFromPeer fetches the changes from one peer and reports whether they were
@@ -320,15 +334,23 @@
 func (r *Relayer) fetchFromPeer(ctx context.Context, peer gossiper.Member) bool {
 	r.mu.Lock()
 	arguments := r.state.arguments()
+	timeout := peerCallTimeout
+	if r.state.listedAt.IsZero() {
+		timeout = firstCallTimeout
+	}
 	r.mu.Unlock()
 	began := clocker.Now()
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply messenger.ChangesReply
 	if err := r.Pool.Call(ctx, peer.Peer, messenger.MethodNews, &arguments, &reply); err != nil {
 		log.WithField("peer", peer.ID).WithError(err).Debug("fetch of platform state from peer failed")
 		return false
 	}
+	if err := reply.Unpack(); err != nil {
+		log.WithField("peer", peer.ID).WithError(err).Warn("list of a peer ignored: it can't be unpacked")
+		return false
+	}
 	limit := maxAge
 	if r.Members.Count() > maxDirectMembers {
 		limit = relayedMaxAge
--- a/internal/relayer/sources.go
+++ b/internal/relayer/sources.go
@@ -22,6 +22,9 @@
 	// hedgeDelay is how long a source may take before the next one is asked too. A
 	// call takes a few milliseconds if nothing is wrong.
 	hedgeDelay = 80 * time.Millisecond
+	// firstHedgeDelay replaces it while this instance has no list: each further source
+	// would send it whole over the same link.
+	firstHedgeDelay = 700 * time.Millisecond
 )
 
 // Roles of an entry instance in the distribution of the platform's state.
@@ -112,11 +115,11 @@
 }
 
 // hedge asks the members in their order, the next one when the one before has failed
-// or hedgeDelay has passed, until one succeeds or all have failed. It reports whether
+// or the delay has passed, until one succeeds or all have failed. It reports whether
 // one succeeded, and does not wait for the others then.
-func hedge(ctx context.Context, members []gossiper.Member, ask func(context.Context, gossiper.Member) bool) bool {
+func hedge(ctx context.Context, delay time.Duration, members []gossiper.Member, ask func(context.Context, gossiper.Member) bool) bool {
 	h := hedger{ask: ask, results: make(chan bool, len(members))}
-	timer := time.NewTimer(hedgeDelay)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	running := 0
 	for next := 0; next < len(members) || running > 0; {
@@ -124,7 +127,7 @@
 			go h.run(ctx, members[next])
 			next++
 			running++
-			timer.Reset(hedgeDelay)
+			timer.Reset(delay)
 		}
 		more := timer.C
 		if next == len(members) {
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
@@ -30,6 +32,9 @@
 	// list holds the instances, or nil after a change; content counts the changes.
 	list    []provider.Instance
 	content uint64
+	// packed is the packed list with the content packedContent.
+	packed        []byte
+	packedContent uint64
 	// era is the highest era of the platform's table in which a list was read.
 	era uint64
 	// eraSince is when the era began, as far as it is known here, or zero if it is
@@ -267,7 +272,7 @@
 
 // arguments returns what a peer is asked for: the changes since this state.
 func (v *versionedState) arguments() messenger.ChangesArguments {
-	return messenger.ChangesArguments{Epoch: v.epoch, Revision: v.revision, ConfigVersion: v.configVersion()}
+	return messenger.ChangesArguments{Epoch: v.epoch, Revision: v.revision, ConfigVersion: v.configVersion(), AcceptsPacked: true}
 }
 
 // configVersion returns the version of the known configuration, or zero.
@@ -280,15 +285,33 @@
 
 // snapshot returns the whole state.
 func (v *versionedState) snapshot() observer.Snapshot {
+	return observer.Snapshot{
+		Instances: v.all(), Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt,
+	}
+}
+
+// all returns all instances. The caller must not change them.
+func (v *versionedState) all() []provider.Instance {
 	if v.list == nil {
 		v.list = make([]provider.Instance, 0, len(v.instances))
 		for _, e := range v.instances {
 			v.list = append(v.list, e.instance)
 		}
 	}
-	return observer.Snapshot{
-		Instances: v.list, Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt,
+	return v.list
+}
+
+// packedList returns the packed list of all instances, or nil if it can't be packed.
+func (v *versionedState) packedList() []byte {
+	if v.packed == nil || v.packedContent != v.content {
+		packed, err := messenger.PackInstances(v.all())
+		if err != nil {
+			log.WithError(err).Error("list of instances not packed; it is sent as it is")
+			return nil
+		}
+		v.packed, v.packedContent = packed, v.content
 	}
+	return v.packed
 }
 
 // changesSince returns the changes since the epoch, revision and configuration
@@ -306,9 +329,12 @@
 	since := arguments.Revision
 	if reply.Whole {
 		since = 0
+		if arguments.AcceptsPacked {
+			reply.Packed = v.packedList()
+		}
 	}
 	for _, e := range v.instances {
-		if reply.Whole || e.revision > since {
+		if reply.Packed == nil && (reply.Whole || e.revision > since) {
 			reply.Changed = append(reply.Changed, e.instance)
 		}
 	}
--- a/internal/relayer/state_test.go
+++ b/internal/relayer/state_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -51,6 +52,7 @@
 				return ""
 			case "fetch":
 				reply := readers[reader].changesSince(now.Add(time.Duration(took)*time.Millisecond), client.state.arguments())
+				assert.NilError(t, reply.Unpack())
 				client.applyReply(now, reply)
 				return fmt.Sprintf("whole=%t changed=%d removed=%d config=%t\n", reply.Whole, len(reply.Changed), len(reply.Removed), reply.Config != nil) + show(client, now)
 			}
