--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -123,7 +123,9 @@
 // TestSilentSourceIsHedged guards against a state that grows old while an instance
 // waits for a source that has fallen silent but still counts as live.
 func TestSilentSourceIsHedged(t *testing.T) {
-	r := newTestRelayer(&stubPlatform{})
+	r := newTestRelayer(&stubPlatform{version: 7})
+	_, err := r.Fetch(t.Context(), true)
+	assert.NilError(t, err)
 	members := []gossiper.Member{{ID: "silent", Peer: silentPeer(t)}, {ID: "peer", Peer: servePeer(t, 8)}}
 	began := time.Now()
 	assert.Assert(t, r.fetchFromPeers(t.Context(), members))
