--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -61,8 +61,11 @@
 	// routeChanges are the confirmed changes of the route pathExtra, in order.
 	routeChanges []routeChange
 	// faults are the intervals of unplanned faults.
-	faults     []interval
-	violations []string
+	faults []interval
+	// entryFaults are those of single entry instances, by one more than its index, and of
+	// everything under zero. They last until the instance counts as in touch again.
+	entryFaults map[int][]interval
+	violations  []string
 }
 
 // routeChange is a confirmed addition or removal of the route pathExtra.
@@ -75,12 +78,15 @@
 // time after a fault during which requests may still be affected by it.
 type limits struct {
 	keyTTL, faultMargin, apply time.Duration
-	retryRatio, retrySlack     float64
-	maxAttempts                int
+	// contact is how long an entry instance must have been undisturbed to count as in
+	// touch.
+	contact                time.Duration
+	retryRatio, retrySlack float64
+	maxAttempts            int
 }
 
 func newChecker(l limits) *checker {
-	return &checker{limits: l, results: map[string]result{}, runs: map[string][]emulator.ServerEvent{}, revokedAt: map[string]time.Time{}}
+	return &checker{limits: l, results: map[string]result{}, runs: map[string][]emulator.ServerEvent{}, revokedAt: map[string]time.Time{}, entryFaults: map[int][]interval{}}
 }
 
 func (c *checker) failf(format string, args ...any) {
@@ -202,6 +208,12 @@
 	return !slices.ContainsFunc(c.faults, i.overlaps)
 }
 
+// inTouch reports whether an entry instance was disturbed neither in the interval nor for
+// so long before it that it might lack the newest state.
+func (c *checker) inTouch(entry int, i interval) bool {
+	return !slices.ContainsFunc(c.entryFaults[0], i.overlaps) && !slices.ContainsFunc(c.entryFaults[entry+1], i.overlaps)
+}
+
 // finish runs the checks that need the whole scenario and returns all violations. The
 // argument is the number of times that an entry instance was started.
 func (c *checker) finish(entryStarts int) []string {
@@ -230,7 +242,7 @@
 
 // checkRoute reports a request that was handled under an outdated configuration.
 func (c *checker) checkRoute(r result) {
-	if r.Path != pathExtra || !c.undisturbed(interval{r.sentAt, r.finishedAt}) {
+	if r.Path != pathExtra || !c.inTouch(r.entry, interval{r.sentAt, r.finishedAt}) {
 		return
 	}
 	present, since := false, time.Time{}
--- a/internal/soaker/fixture_test.go
+++ b/internal/soaker/fixture_test.go
@@ -23,7 +23,10 @@
 
 // The size and the settings of the installation under test.
 const (
-	entries         = 3
+	// usualEntries is the number of entry instances, except in scenarios of the
+	// configuration, where configEntries make most of them fetch from readers.
+	usualEntries    = 3
+	configEntries   = 7
 	plainServers    = 2
 	modelServers    = 6
 	serverSlots     = 8
@@ -51,7 +54,7 @@
 
 var testLimits = limits{
 	keyTTL: 3 * time.Second, faultMargin: 2 * time.Second, apply: 2 * time.Second,
-	retryRatio: 0.2, retrySlack: 60, maxAttempts: 2 + entries,
+	retryRatio: 0.2, retrySlack: 60, maxAttempts: 2 + usualEntries, contact: 3 * time.Second,
 }
 
 // The second byte of the loopback addresses, by what listens there: processes or
@@ -103,7 +106,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, block, f.run, byte(n + 1)}), port)
 }
 
-func newFixture(t testing.TB, run byte, daemon, logDir string) *fixture {
+func newFixture(t testing.TB, run byte, daemon, logDir string, entries int) *fixture {
 	f := &fixture{t: t, run: run, dir: t.TempDir(), daemon: daemon, logDir: logDir, checker: newChecker(testLimits)}
 	f.store = f.newEmulatedProcess("store", roleStore, storeSettings{Address: f.address(blockStore, 0, portOther), Heartbeat: heartbeat})
 	for i := range plainServers + modelServers {
@@ -218,7 +221,7 @@
 
 func (f *fixture) writeSettings(path, name string, i int) {
 	var seeds []netip.AddrPort
-	for n := range entries {
+	for n := range f.daemons {
 		seeds = append(seeds, f.address(blockEntry, n, portPeer))
 	}
 	data, err := emulator.EntrySettings{
--- a/internal/soaker/schedule_test.go
+++ b/internal/soaker/schedule_test.go
@@ -32,7 +32,10 @@
 	duration   time.Duration
 	// planned marks regular operations, during which no request may be lost.
 	planned bool
-	run     func(duration time.Duration)
+	// entry is one more than the index of the only entry instance that the step
+	// disturbs, or zero.
+	entry int
+	run   func(duration time.Duration)
 }
 
 // stepGenerator creates a random step of one kind.
@@ -86,6 +89,54 @@
 	return steps
 }
 
+// The changes of the configuration in a scenario of its own, and the disturbances of
+// single entry instances meanwhile.
+const (
+	configChanges = 12
+	configFaults  = 5
+)
+
+// configFaultGenerators holds the kinds of disturbances of a scenario of the
+// configuration. Each of them excuses only the entry instance that it names.
+var configFaultGenerators = []func(*fixture, int) step{pauseOneEntry, pauseOneEntry, killOneEntry, silenceStoreLink}
+
+// generateConfigSteps generates the steps of a scenario in which the configuration
+// changes often while single entry instances are disturbed.
+func generateConfigSteps(f *fixture, seed uint64) []step {
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	var steps []step
+	for range configChanges {
+		steps = append(steps, toggleRoute(f, random))
+	}
+	for range configFaults {
+		generate := configFaultGenerators[random.IntN(len(configFaultGenerators))]
+		steps = append(steps, generate(f, random.IntN(len(f.daemons))))
+	}
+	for i := range steps {
+		steps[i].startAfter = time.Duration(random.Int64N(int64(faultPhase)))
+		steps[i].duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
+	}
+	return steps
+}
+
+func pauseOneEntry(f *fixture, n int) step {
+	p := f.daemons[n]
+	return step{name: "pause " + p.name, entry: n + 1, run: func(duration time.Duration) { pause(p, duration) }}
+}
+
+func killOneEntry(f *fixture, n int) step {
+	p := f.daemons[n]
+	return step{name: "kill " + p.name, entry: n + 1, run: func(duration time.Duration) { f.restart(p, duration) }}
+}
+
+func silenceStoreLink(f *fixture, n int) step {
+	return step{name: fmt.Sprintf("store silent for entry %d", n), entry: n + 1, run: func(duration time.Duration) {
+		f.storeProxies[n].setFault(linkDropAll)
+		time.Sleep(duration)
+		f.storeProxies[n].setFault(linkHealthy)
+	}}
+}
+
 // maxCopyAge is the largest age of the copy from which the store comes back, and
 // rewriteTime how long the operator then takes to write its configuration again.
 const (
@@ -137,6 +188,7 @@
 			if !s.planned {
 				f.checker.mu.Lock()
 				f.checker.faults = append(f.checker.faults, interval{from, time.Now().Add(f.checker.limits.faultMargin)})
+				f.checker.entryFaults[s.entry] = append(f.checker.entryFaults[s.entry], interval{from, time.Now().Add(f.checker.limits.contact)})
 				f.checker.mu.Unlock()
 			}
 		}()
@@ -145,7 +197,7 @@
 }
 
 func killEntry(f *fixture, random *rand.Rand) step {
-	p := f.daemons[random.IntN(entries)]
+	p := f.daemons[random.IntN(len(f.daemons))]
 	return step{name: "kill " + p.name, run: func(duration time.Duration) { f.restart(p, duration) }}
 }
 
@@ -160,7 +212,7 @@
 }
 
 func pauseEntry(f *fixture, random *rand.Rand) step {
-	p := f.daemons[random.IntN(entries)]
+	p := f.daemons[random.IntN(len(f.daemons))]
 	return step{name: "pause " + p.name, run: func(duration time.Duration) { pause(p, 2*duration) }}
 }
 
@@ -171,7 +223,7 @@
 }
 
 func stopEntry(f *fixture, random *rand.Rand) step {
-	p := f.daemons[random.IntN(entries)]
+	p := f.daemons[random.IntN(len(f.daemons))]
 	return step{name: "stop " + p.name, planned: true, run: func(duration time.Duration) {
 		p.signal(syscall.SIGTERM)
 		if !p.waitFor(shutdownTimeout) {
@@ -188,7 +240,7 @@
 }
 
 func reloadSettings(f *fixture, random *rand.Rand) step {
-	p := f.daemons[random.IntN(entries)]
+	p := f.daemons[random.IntN(len(f.daemons))]
 	return step{name: "reload settings of " + p.name, planned: true, run: func(time.Duration) { p.signal(syscall.SIGHUP) }}
 }
 
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -20,6 +20,7 @@
 	seeds    = flag.Int("seeds", 0, "number of new scenarios; 0 runs one. With -seeds or -first the regression seeds are not run")
 	first    = flag.Uint64("first", 0, "seed of the first new scenario; 0 uses the default seed")
 	keepLogs = flag.String("keep-logs", "", "directory for the logs of the entry instances; empty discards them")
+	configs  = flag.Int("configs", 0, "number of scenarios of the configuration; with -configs or -seeds the usual ones are not run")
 	beside   = flag.String("beside", "", "absolute path of a daemon of another build that every second start of an entry instance uses; empty uses the built one only")
 )
 
@@ -38,10 +39,21 @@
 	os.Exit(m.Run())
 }
 
-// scenario is a seed and whether the store may come back from an older copy.
+// scenario is a seed and what may happen.
 type scenario struct {
-	seed    uint64
+	seed uint64
+	// returns says that the store may come back from an older copy.
 	returns bool
+	// config says that the configuration changes often while single entry instances are
+	// disturbed, instead of the usual steps.
+	config bool
+}
+
+func (s scenario) name() string {
+	if s.config {
+		return "config " + strconv.FormatUint(s.seed, 10)
+	}
+	return strconv.FormatUint(s.seed, 10)
 }
 
 // TestSoak runs the real daemon through seeded fault scenarios: by default those
@@ -51,15 +63,22 @@
 	build, err := exec.Command("go", "build", "-o", daemon, "../../cmd/waxwingd").CombinedOutput()
 	assert.NilError(t, err, "%s", build)
 	scenarios := append(regressions(t, "testdata/seeds.txt", false), regressions(t, "testdata/seeds_with_returns.txt", true)...)
-	if *seeds > 0 || *first > 0 {
+	if *seeds > 0 || *first > 0 || *configs > 0 {
 		scenarios = nil
 	}
 	start := max(*first, defaultFirstSeed)
-	for i := range max(1, *seeds) {
-		scenarios = append(scenarios, scenario{seed: start + uint64(i), returns: true})
+	if *configs == 0 {
+		for i := range max(1, *seeds) {
+			scenarios = append(scenarios, scenario{seed: start + uint64(i), returns: true})
+		}
+	}
+	if *configs > 0 || *seeds == 0 {
+		for i := range max(1, *configs) {
+			scenarios = append(scenarios, scenario{seed: start + uint64(i), config: true})
+		}
 	}
 	for i, s := range scenarios {
-		t.Run(strconv.FormatUint(s.seed, 10), func(t *testing.T) {
+		t.Run(s.name(), func(t *testing.T) {
 			t.Parallel()
 			violations := runScenario(t, byte(os.Getpid()+i), daemon, s)
 			assert.Equal(t, len(violations), 0, strings.Join(violations, "\n"))
@@ -87,7 +106,11 @@
 
 // runScenario runs a scenario and returns the violated guarantees.
 func runScenario(t *testing.T, run byte, daemon string, s scenario) []string {
-	f := newFixture(t, run, daemon, *keepLogs)
+	entries := usualEntries
+	if s.config {
+		entries = configEntries
+	}
+	f := newFixture(t, run, daemon, *keepLogs, entries)
 	defer f.stop()
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -99,7 +122,12 @@
 		callers.run(ctx)
 	}()
 	time.Sleep(warmUp)
-	steps := generateSteps(f, s.seed)
+	var steps []step
+	if s.config {
+		steps = generateConfigSteps(f, s.seed)
+	} else {
+		steps = generateSteps(f, s.seed)
+	}
 	if s.returns {
 		steps = append(steps, generateReturns(f, s.seed)...)
 		steps = append(steps, generateStatements(f, s.seed)...)
--- a/internal/soaker/traffic_test.go
+++ b/internal/soaker/traffic_test.go
@@ -51,8 +51,8 @@
 	ticker := time.NewTicker(resolveInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		for range entries {
-			if available := t.resolve(ctx, caller, random.IntN(entries)); len(available) > 0 {
+		for range t.fixture.daemons {
+			if available := t.resolve(ctx, caller, random.IntN(len(t.fixture.daemons))); len(available) > 0 {
 				t.mu.Lock()
 				t.available = available
 				t.mu.Unlock()
@@ -71,7 +71,7 @@
 	// After an error the list is empty, and runResolver asks again.
 	addresses, _ := caller.Resolve(ctx, t.fixture.address(blockEntry, entry, portDirectory), host, dataCentre(entry))
 	var available []int
-	for i := range entries {
+	for i := range t.fixture.daemons {
 		if slices.Contains(addresses, t.fixture.address(blockEntry, i, portCaller)) {
 			available = append(available, i)
 		}
@@ -136,7 +136,7 @@
 		for i := range recoveryRequests {
 			r := newRequest(random, fmt.Sprintf("last-%s-%d", path[1:len(path)-1], i), path, stableOrganisation+"-1")
 			group.Go(func() {
-				if t.send(emulator.NewCaller(), i%entries, r).succeeded() {
+				if t.send(emulator.NewCaller(), i%len(t.fixture.daemons), r).succeeded() {
 					mu.Lock()
 					defer mu.Unlock()
 					succeeded++
--- a/internal/soaker/violations_test.go
+++ b/internal/soaker/violations_test.go
@@ -89,7 +89,7 @@
 	} {
 		c := newChecker(limits{keyTTL: time.Second, apply: time.Second, retrySlack: 1, maxAttempts: 4})
 		test.events(c)
-		violations := c.finish(entries)
+		violations := c.finish(usualEntries)
 		assert.Equal(t, len(violations), 1, "%s: %v", test.want, violations)
 		assert.Assert(t, strings.HasPrefix(violations[0], test.want+":"), "%v", violations)
 	}
@@ -99,12 +99,12 @@
 // has said that it wants none.
 func TestRefusalsAreCounted(t *testing.T) {
 	c := newChecker(testLimits)
-	for i := range 2 + maxRefused*entries {
+	for i := range 2 + maxRefused*usualEntries {
 		c.recordRun(emulator.ServerEvent{
 			Kind: emulator.Deferred, Instance: "w-1", Time: baseTime.Add(time.Duration(i) * 400 * time.Millisecond), Until: baseTime.Add(time.Minute),
 		})
 	}
-	assert.Equal(t, len(c.finish(entries)), 0)
+	assert.Equal(t, len(c.finish(usualEntries)), 0)
 	c.recordRun(emulator.ServerEvent{Kind: emulator.Deferred, Instance: "w-1", Time: baseTime.Add(30 * time.Second), Until: baseTime.Add(time.Minute)})
-	assert.Assert(t, strings.HasPrefix(c.finish(entries)[0], "refusals:"))
+	assert.Assert(t, strings.HasPrefix(c.finish(usualEntries)[0], "refusals:"))
 }
