--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
@@ -326,7 +325,7 @@
 		if d.hasSeeds && !d.syncedTable && d.Count() > minKnownPeers {
 			// The first sync falls at a random time of the interval, so that instances
 			// that start together do not sync together.
-			wait = rand.N(wait)
+			wait = tableInterval + rand.N(wait)
 			d.syncedTable = true
 			continue
 		}
@@ -374,13 +373,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	live := d.cachedLive()
-	own, lower := xxhash.Sum64String(d.gossiper.Self().ID), 0
-	for _, m := range live {
-		if xxhash.Sum64String(m.ID) < own {
-			lower++
-		}
-	}
-	return lower < maxRows || len(live) == 1
+	_, chosen := gossiper.Without(gossiper.Lowest(live, maxRows), d.gossiper.Self().ID)
+	return chosen || len(live) == 1
 }
 
 // sameRow reports whether a row matches the instance's own record, except for
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -37,6 +37,11 @@
 	// clocks, and the time from the caller's sending of a request until it has
 	// been read.
 	keyTTLMargin = 800 * time.Millisecond
+	// configAgeFraction is the fraction of ConfigTTL from which a configuration is
+	// confirmed again before a request is routed by it, and configPatience how long the
+	// request waits for that.
+	configAgeFraction = 0.75
+	configPatience    = 200 * time.Millisecond
 )
 
 // exchange is one request with all of its attempts.
@@ -130,6 +135,9 @@
 
 // begin authorises a request and sets its pool and its deadlines.
 func (f *Forwarder) begin(ctx context.Context, r *Request) (*exchange, *Refusal) {
+	if ttl := f.settings.Load().ConfigTTL; ttl > 0 {
+		f.Observer.AwaitConfig(ctx, time.Duration(configAgeFraction*float64(ttl)), configPatience)
+	}
 	config := f.Observer.Config()
 	if config == nil {
 		return nil, &Refusal{Op: "begin", Kind: KindNoConfiguration, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -97,6 +97,9 @@
 	// KeyTTL is the age of the configuration from which all API keys are
 	// rejected.
 	KeyTTL time.Duration
+	// ConfigTTL is the time within which a confirmed change of the configuration must be
+	// in force, or zero if there is none.
+	ConfigTTL time.Duration
 	// RetryRatio and RetrySlack bound the retries of all entry instances
 	// together.
 	RetryRatio float64
--- a/internal/hostedrunner/loads.go
+++ b/internal/hostedrunner/loads.go
@@ -82,7 +82,7 @@
 func (l *loads) loop(ctx context.Context) {
 	for {
 		self, all := l.node.discoverer.Self(), l.node.discoverer.Peers()
-		local := membersOf(all, self.DataCentre)
+		local := gossiper.InDataCentre(all, self.DataCentre)
 		collectors := relayer.Relays(append(local, self))
 		recipients := all
 		if len(all) > maxLoadRecipients {
@@ -97,7 +97,7 @@
 			return
 		case <-time.After(interval):
 		}
-		switch others, own := relayer.WithoutMember(collectors, self.ID); {
+		switch others, own := gossiper.Without(collectors, self.ID); {
 		case len(local) <= maxDirectLoadPeers:
 			l.sendDirectly(ctx, recipients)
 		case own:
@@ -140,7 +140,7 @@
 		From: l.node.settings.ID, Works: l.node.forwarder.LocalLoad(), Limits: l.node.forwarder.ServerLimits(),
 		WantRemote: clocker.Since(l.remoteAt) >= remoteCollectInterval,
 	}
-	for _, m := range relayer.Rotate(collectors, l.node.settings.ID) {
+	for _, m := range gossiper.Rotate(collectors, l.node.settings.ID) {
 		var reply messenger.CollectReply
 		if err := l.callCollector(ctx, m, message, &reply); err != nil {
 			log.WithField("peer", m.ID).WithError(err).Debug("report of the load to a collector failed")
@@ -178,8 +178,8 @@
 		if len(all) <= maxLoadRecipients {
 			continue
 		}
-		local := membersOf(all, self.DataCentre)
-		if _, own := relayer.WithoutMember(relayer.Relays(append(local, self)), self.ID); len(local) > maxDirectLoadPeers && !own {
+		local := gossiper.InDataCentre(all, self.DataCentre)
+		if _, own := gossiper.Without(relayer.Relays(append(local, self)), self.ID); len(local) > maxDirectLoadPeers && !own {
 			continue
 		}
 		l.node.peers.send(ctx, remoteRecipients(all, self.DataCentre), messenger.MethodLoad, &messenger.LoadMessage{
@@ -206,14 +206,3 @@
 	}
 	return recipients
 }
-
-// membersOf returns the members in a data centre.
-func membersOf(members []gossiper.Member, dataCentre string) []gossiper.Member {
-	var found []gossiper.Member
-	for _, m := range members {
-		if m.DataCentre == dataCentre {
-			found = append(found, m)
-		}
-	}
-	return found
-}
--- a/internal/hostedrunner/loads_test.go
+++ b/internal/hostedrunner/loads_test.go
@@ -33,9 +33,9 @@
 			}
 		}
 		for _, self := range members {
-			all, _ := relayer.WithoutMember(members, self.ID)
-			local := membersOf(all, self.DataCentre)
-			collectors, own := relayer.WithoutMember(relayer.Relays(append(local, self)), self.ID)
+			all, _ := gossiper.Without(members, self.ID)
+			local := gossiper.InDataCentre(all, self.DataCentre)
+			collectors, own := gossiper.Without(relayer.Relays(append(local, self)), self.ID)
 			recipients := all
 			if len(all) > maxLoadRecipients {
 				recipients = local
@@ -47,7 +47,7 @@
 			case own:
 				send(self.ID, collectors, 1/collectInterval.Seconds())
 			default:
-				send(self.ID, relayer.Rotate(collectors, self.ID)[:1], 1/collectInterval.Seconds())
+				send(self.ID, gossiper.Rotate(collectors, self.ID)[:1], 1/collectInterval.Seconds())
 			}
 			if len(all) > maxLoadRecipients && (own || len(local) <= maxDirectLoadPeers) {
 				send(self.ID, remoteRecipients(all, self.DataCentre), 1/remoteLoadInterval.Seconds())
@@ -67,7 +67,7 @@
 	for i := range 120 {
 		members = append(members, gossiper.Member{ID: fmt.Sprintf("entry-%03d", i), DataCentre: fmt.Sprint("hall-", i%2)})
 	}
-	there := relayer.Relays(membersOf(members, "hall-1"))
+	there := relayer.Relays(gossiper.InDataCentre(members, "hall-1"))
 	for range 50 {
 		chosen := remoteRecipients(members, "hall-0")
 		assert.Equal(t, len(chosen), 1)
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -63,6 +63,9 @@
 	// KeyTTL is the age of the configuration from which all API keys are
 	// rejected.
 	KeyTTL time.Duration
+	// ConfigTTL is the time within which a confirmed change of the configuration must be
+	// in force, or zero if there is none.
+	ConfigTTL time.Duration
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
 	// RetryRatio and RetrySlack limit the retries of all entry instances together.
@@ -242,7 +245,7 @@
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MemoryBytes: s.MemoryBytes,
+		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL,
 	}
 }
 
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -123,6 +123,10 @@
 	readStore bool
 	// storeReachable reports whether the last read succeeded.
 	storeReachable bool
+	// applied is closed when the next read has been applied.
+	applied chan struct{}
+	// awaitedInVain reports whether a wait of AwaitConfig has ended without a read.
+	awaitedInVain bool
 	// eraChanged reports whether a later era than the first one was read.
 	eraChanged bool
 	changed    chan struct{}
@@ -140,6 +144,7 @@
 		interval:     pollInterval,
 		changed:      make(chan struct{}, 1),
 		refresh:      make(chan struct{}, 1),
+		applied:      make(chan struct{}),
 	}
 }
 
@@ -280,6 +285,36 @@
 	}
 }
 
+// AwaitConfig waits, for up to a time, until the configuration has been confirmed less
+// than maxAge ago. A process that has been starved or paused begins with a view of the
+// past. It does not wait while the store is known not to respond, and after one wait in
+// vain not before the next read has ended, since nothing newer is to be had then.
+func (o *Observer) AwaitConfig(ctx context.Context, maxAge, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		o.mu.Lock()
+		known := o.config != nil && o.storeReachable && !o.awaitedInVain
+		fresh := clocker.Since(o.configConfirmedAt) < maxAge
+		applied := o.applied
+		o.mu.Unlock()
+		if fresh || !known {
+			return
+		}
+		o.Refresh()
+		select {
+		case <-applied:
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			o.mu.Lock()
+			o.awaitedInVain = o.applied == applied
+			o.mu.Unlock()
+			return
+		}
+	}
+}
+
 func (o *Observer) pollLoop(ctx context.Context) {
 	for {
 		began := clocker.Now()
@@ -308,6 +343,8 @@
 	o.apply(snapshot)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	close(o.applied)
+	o.applied, o.awaitedInVain = make(chan struct{}), false
 	if err != nil || o.config == nil {
 		return retryInterval
 	}
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -94,3 +95,47 @@
 	}
 	assert.Assert(t, probes > 0 && probes < rounds/5, "%d of %d", probes, rounds)
 }
+
+// staleSource is a source whose readings can hang.
+type staleSource struct {
+	*stub
+	hang    atomic.Bool
+	version atomic.Uint64
+}
+
+func (s *staleSource) Fetch(ctx context.Context, _ bool) (Snapshot, error) {
+	for s.hang.Load() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	now := clocker.Now()
+	return Snapshot{ListedAt: now, Config: mapper.New(mapper.Config{Version: s.version.Load()}), ConfirmedAt: now}, nil
+}
+
+// TestAwaitConfig guards against a process that has been starved or paused and answers its
+// first requests by the configuration of before; and against waits for each request
+// while nothing newer is to be had.
+func TestAwaitConfig(t *testing.T) {
+	const maxAge, limit = 50 * time.Millisecond, 100 * time.Millisecond
+	source := &staleSource{stub: &stub{peers: 1}}
+	source.version.Store(1)
+	o := New(Dependencies{Source: source, Prober: source, Announcer: source, Scope: tally.NoopScope})
+	o.poll(t.Context())
+	time.Sleep(2 * maxAge)
+	source.version.Store(2)
+	go o.pollLoop(t.Context())
+	o.AwaitConfig(t.Context(), maxAge, limit)
+	assert.Equal(t, o.Config().Version, uint64(2))
+
+	source.hang.Store(true)
+	time.Sleep(2 * pollInterval)
+	for i, longest := range []time.Duration{2 * limit, limit / 2, limit / 2} {
+		began := time.Now()
+		o.AwaitConfig(t.Context(), maxAge, limit)
+		assert.Assert(t, time.Since(began) < longest, "wait %d took %s", i, time.Since(began))
+	}
+	source.version.Store(3)
+	source.hang.Store(false)
+	time.Sleep(2 * maxAge)
+	o.AwaitConfig(t.Context(), maxAge, limit)
+	assert.Equal(t, o.Config().Version, uint64(3))
+}
--- a/internal/relayer/sources.go
+++ b/internal/relayer/sources.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 )
 
@@ -27,9 +25,12 @@
 	firstHedgeDelay = 700 * time.Millisecond
 )
 
-// Roles of an entry instance in the distribution of the platform's state.
+//go:generate stringer -type=role -trimprefix=role -output=role_string.go
+
+// role is the part of an entry instance in the distribution of the platform's state.
 type role int
 
+// Roles.
 const (
 	// roleLeaf fetches from the relays of its data centre.
 	roleLeaf role = iota
@@ -39,79 +40,29 @@
 	roleReader
 )
 
-// lowest returns the count members with the lowest ranks, in the order of their ranks.
-// A rank is a hash, which spreads the roles over the instances.
-func lowest(members []gossiper.Member, count int) []gossiper.Member {
-	chosen := make([]gossiper.Member, 0, count+1)
-	ranks := make([]uint64, 0, count+1)
-	for _, m := range members {
-		rank := xxhash.Sum64String(m.ID)
-		at := len(ranks)
-		for at > 0 && ranks[at-1] > rank {
-			at--
-		}
-		if at == count {
-			continue
-		}
-		ranks = append(ranks, 0)
-		chosen = append(chosen, gossiper.Member{})
-		copy(ranks[at+1:], ranks[at:])
-		copy(chosen[at+1:], chosen[at:])
-		ranks[at], chosen[at] = rank, m
-		if len(ranks) > count {
-			ranks, chosen = ranks[:count], chosen[:count]
-		}
-	}
-	return chosen
-}
-
 // sources returns this instance's role, and the members to fetch from in the order in
 // which to ask them. The first one depends on a hash of the instance's ID, which
 // spreads the load.
 func sources(self gossiper.Member, members []gossiper.Member) (role, []gossiper.Member) {
-	readers := lowest(members, readerCount)
-	others, isReader := WithoutMember(readers, self.ID)
-	others = Rotate(others, self.ID)
+	readers := gossiper.Lowest(members, readerCount)
+	others, isReader := gossiper.Without(readers, self.ID)
+	others = gossiper.Rotate(others, self.ID)
 	switch {
 	case isReader:
 		return roleReader, others
 	case len(members) <= maxDirectMembers:
 		return roleLeaf, others
 	}
-	var local []gossiper.Member
-	for _, m := range members {
-		if m.DataCentre == self.DataCentre {
-			local = append(local, m)
-		}
-	}
-	relays, isRelay := WithoutMember(Relays(local), self.ID)
+	relays, isRelay := gossiper.Without(Relays(gossiper.InDataCentre(members, self.DataCentre)), self.ID)
 	if isRelay {
 		return roleRelay, others
 	}
-	return roleLeaf, append(Rotate(relays, self.ID), others...)
+	return roleLeaf, append(gossiper.Rotate(relays, self.ID), others...)
 }
 
 // Relays returns the members of a data centre that relay the platform's state there.
-func Relays(members []gossiper.Member) []gossiper.Member { return lowest(members, relaysPerDataCentre) }
-
-// WithoutMember returns the members except one, and whether it was among them.
-func WithoutMember(members []gossiper.Member, id string) ([]gossiper.Member, bool) {
-	others := make([]gossiper.Member, 0, len(members))
-	for _, m := range members {
-		if m.ID != id {
-			others = append(others, m)
-		}
-	}
-	return others, len(others) < len(members)
-}
-
-// Rotate returns the members beginning with the one that a hash of id selects.
-func Rotate(members []gossiper.Member, id string) []gossiper.Member {
-	if len(members) == 0 {
-		return nil
-	}
-	first := int(xxhash.Sum64String(id) % uint64(len(members)))
-	return append(append([]gossiper.Member(nil), members[first:]...), members[:first]...)
+func Relays(members []gossiper.Member) []gossiper.Member {
+	return gossiper.Lowest(members, relaysPerDataCentre)
 }
 
 // hedge asks the members in their order, the next one when the one before has failed
--- a/internal/soaker/fixture_test.go
+++ b/internal/soaker/fixture_test.go
@@ -228,7 +228,7 @@
 		ID: name, DataCentre: dataCentre(i), FirstStart: !f.started.Load(), Seeds: seeds,
 		CallerAddress: f.address(blockEntry, i, portCaller), ReadinessAddress: f.address(blockEntry, i, portReadiness),
 		PeerAddress: f.address(blockEntry, i, portPeer), DirectoryAddress: f.address(blockEntry, i, portDirectory),
-		Store: f.address(blockStore, 1+i, portOther), KeyTTL: testLimits.keyTTL, StopTimeout: shutdownTimeout, AddressTTL: time.Second,
+		Store: f.address(blockStore, 1+i, portOther), KeyTTL: testLimits.keyTTL, ConfigTTL: testLimits.apply, StopTimeout: shutdownTimeout, AddressTTL: time.Second,
 		RetryRatio: testLimits.retryRatio, RetrySlack: testLimits.retrySlack,
 	}.Encode()
 	if err == nil {
