Relayer: ages of what is taken from peers fit into the bound together

Change: a reply is taken without asking others only if its age, the time to the next fetch and a margin fit into the bound (1.1 s for 2 s); older ones are applied, but other sources are asked, and the store only beyond the former limits.

--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -66,6 +66,9 @@
 	// ConfigTTL is the time within which a confirmed change of the configuration must be
 	// in force, or zero if there is none.
 	ConfigTTL time.Duration
+	// LeavingTTL is the time within which a backend server that leaves must get no more
+	// requests, or zero if there is none.
+	LeavingTTL time.Duration
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
 	// RetryRatio and RetrySlack limit the retries of all entry instances together.
@@ -185,7 +188,7 @@
 		Interval: heartbeatInterval,
 		Degree:   gossipDegree,
 	}, store, n.pool, n.peers)
-	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay()})
+	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay(), MaxAge: relayer.StateMaxAge(s.stateTTL())})
 	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
 	if p.LeavingSource != nil {
 		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
@@ -213,6 +216,15 @@
 	return n, nil
 }
 
+// stateTTL returns the shortest time within which a change of the platform's state must be
+// in force here, or zero if there is none.
+func (s Settings) stateTTL() time.Duration {
+	if s.ConfigTTL > 0 && s.LeavingTTL > 0 {
+		return min(s.ConfigTTL, s.LeavingTTL)
+	}
+	return max(s.ConfigTTL, s.LeavingTTL)
+}
+
 // storeDelay returns how long this instance leaves the store to its peers after its
 // start: the seeds read at once, so that the others can ask them.
 func (s Settings) storeDelay() time.Duration {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -70,14 +70,14 @@
 }
 
 const (
-	// pollInterval is the time between two reads of the platform's state. A
+	// PollInterval is the time between two reads of the platform's state. A
 	// change reaches this instance after at most two intervals, a reader's and
 	// its own, which is below the two seconds within which a configuration must
 	// take effect and an instance that shuts down must get no new requests.
-	pollInterval = 600 * time.Millisecond
+	PollInterval = 600 * time.Millisecond
 	// minPollPause is the shortest time between the end of a read and the next one.
 	minPollPause = 100 * time.Millisecond
-	// retryInterval replaces pollInterval while the store does not answer.
+	// retryInterval replaces PollInterval while the store does not answer.
 	retryInterval = 200 * time.Millisecond
 	// probeTimeout bounds one probe: a live instance answers in 3 to 5 ms.
 	probeTimeout = 80 * time.Millisecond
@@ -141,7 +141,7 @@
 		tracker:      tracker.New(),
 		checkedAt:    make(map[string]time.Time),
 		ownLosses:    make(map[string]bool),
-		interval:     pollInterval,
+		interval:     PollInterval,
 		changed:      make(chan struct{}, 1),
 		refresh:      make(chan struct{}, 1),
 		applied:      make(chan struct{}),
@@ -203,7 +203,7 @@
 	defer o.mu.Unlock()
 	o.readStore = interval > 0
 	if interval == 0 {
-		interval = pollInterval
+		interval = PollInterval
 	}
 	o.interval = interval
 }
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -127,7 +127,7 @@
 	assert.Equal(t, o.Config().Version, uint64(2))
 
 	source.hang.Store(true)
-	time.Sleep(2 * pollInterval)
+	time.Sleep(2 * PollInterval)
 	for i, longest := range []time.Duration{2 * limit, limit / 2, limit / 2} {
 		began := time.Now()
 		o.AwaitConfig(t.Context(), maxAge, limit)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -35,12 +35,15 @@
 )
 
 const (
-	// maxAge is the maximum age of a peer's reply; an older one is discarded in
-	// favour of a read of the store. It is above two of a reader's intervals.
+	// maxAge is the maximum age of a peer's reply; if all replies are older, the store is
+	// read. It is above two of a reader's intervals.
 	maxAge = 1600 * time.Millisecond
 	// relayedMaxAge replaces maxAge where relays stand between the readers and the
 	// others.
 	relayedMaxAge = 2200 * time.Millisecond
+	// fetchMargin is what a fetch may take, together with a source that does not answer,
+	// and the sending of a request by its result.
+	fetchMargin = 300 * time.Millisecond
 	// peerCallTimeout bounds one call to a peer.
 	peerCallTimeout = 300 * time.Millisecond
 	// firstCallTimeout replaces it while this instance has no list, since the whole list
@@ -121,6 +124,9 @@
 	// lasted for so long that nobody has to write anything again. A process that
 	// has just started can't tell by itself.
 	EraSettled func(ctx context.Context, era uint64) bool
+	// MaxAge is the age up to which a peer's reply is taken without asking others, or
+	// zero for the default. See [StateMaxAge].
+	MaxAge time.Duration
 	// StoreDelay is how long after its start an instance without any state leaves the
 	// store to its peers. When many instances start at once, a few of them read it.
 	StoreDelay time.Duration
@@ -178,7 +184,7 @@
 	switch {
 	case direct || own == roleReader:
 		err = r.fetchFromStore(ctx, from)
-	case !r.fetchFromPeers(ctx, from):
+	case !r.fetchFromPeers(ctx, from) && !r.isRecent():
 		err = r.fetchFromStore(ctx, from)
 	}
 	r.mu.Lock()
@@ -186,6 +192,16 @@
 	return r.state.snapshot(), err
 }
 
+// StateMaxAge returns the MaxAge for a bound within which a change must be in force, or
+// zero if there is no bound: what is taken is acted upon until the next fetch, so that its
+// age and the time until then must fit into the bound together.
+func StateMaxAge(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return 0
+	}
+	return max(observer.PollInterval, bound-observer.PollInterval-fetchMargin)
+}
+
 var errLeftToPeers = errors.New("the store is left to peers for a short time after the start")
 
 // fetchFromStore updates the state from the store, and from peers if the store is slow
@@ -320,6 +336,32 @@
 	return nil
 }
 
+// isRecent reports whether the known state is recent enough to leave the store alone.
+func (r *Relayer) isRecent() bool {
+	limit := r.hardMaxAge()
+	now := clocker.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.config != nil && now.Sub(r.state.listedAt) <= limit && now.Sub(r.state.configConfirmedAt) <= limit
+}
+
+// hardMaxAge returns the age from which a peer's reply is discarded.
+func (r *Relayer) hardMaxAge() time.Duration {
+	if r.Members.Count() > maxDirectMembers {
+		return relayedMaxAge
+	}
+	return maxAge
+}
+
+// softMaxAge returns the age from which other sources are asked too.
+func (r *Relayer) softMaxAge() time.Duration {
+	hard := r.hardMaxAge()
+	if r.MaxAge > 0 && r.MaxAge < hard {
+		return r.MaxAge
+	}
+	return hard
+}
+
 // fetchFromPeers asks the members and reports whether one sent a recent reply.
 func (r *Relayer) fetchFromPeers(ctx context.Context, from []gossiper.Member) bool {
 	delay := hedgeDelay
@@ -329,8 +371,8 @@
 	return hedge(ctx, delay, from, r.fetchFromPeer)
 }
 
-// fetchFromPeer fetches the changes from one peer and reports whether they were
-// recent. Ages count from the start of the call.
+// fetchFromPeer fetches the changes from one peer and reports whether they were so
+// recent that no other peer needs to be asked. Ages count from the start of the call.
 func (r *Relayer) fetchFromPeer(ctx context.Context, peer gossiper.Member) bool {
 	r.mu.Lock()
 	arguments := r.state.arguments()
@@ -351,20 +393,17 @@
 		log.WithField("peer", peer.ID).WithError(err).Warn("list of a peer ignored: it can't be unpacked")
 		return false
 	}
-	limit := maxAge
-	if r.Members.Count() > maxDirectMembers {
-		limit = relayedMaxAge
-	}
+	hard, soft := r.hardMaxAge(), r.softMaxAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reply.ConfigVersion == 0 || reply.ListAge > limit || reply.ConfigAge > limit || reply.Era < r.state.era {
+	if reply.ConfigVersion == 0 || reply.ListAge > hard || reply.ConfigAge > hard || reply.Era < r.state.era {
 		// A version of the configuration only rises, so that a newer one counts
 		// whatever its age.
 		r.applyConfig(began, reply)
 		return false
 	}
 	r.applyReply(began, reply)
-	return true
+	return reply.ListAge <= soft && reply.ConfigAge <= soft
 }
 
 // applyReply applies a peer's reply to a call that began at that time.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -48,20 +48,39 @@
 func (m stubMembers) Count() int              { return len(m) }
 
 // stubPeer answers calls with the changes of a state of its own.
-type stubPeer struct{ state *versionedState }
+type stubPeer struct {
+	state *versionedState
+	// fresh means that the state is confirmed again before each answer.
+	fresh bool
+}
 
 func (p *stubPeer) News(arguments messenger.ChangesArguments, reply *messenger.ChangesReply) error {
+	if p.fresh {
+		p.state.listedAt, p.state.configConfirmedAt = clocker.Now(), clocker.Now()
+	}
 	*reply = p.state.changesSince(clocker.Now(), arguments)
 	return nil
 }
 
-// servePeer serves a peer that has a list and a version of the configuration.
+// servePeer serves a peer that has a list and a version of the configuration, both
+// confirmed now.
 func servePeer(t *testing.T, version uint64) netip.AddrPort {
+	t.Helper()
+	return serveState(t, version, false)
+}
+
+// serveFreshPeer serves a peer whose state is always current.
+func serveFreshPeer(t *testing.T, version uint64) netip.AddrPort {
+	t.Helper()
+	return serveState(t, version, true)
+}
+
+func serveState(t *testing.T, version uint64, fresh bool) netip.AddrPort {
 	t.Helper()
 	state := newVersionedState(1)
 	state.updateList(InstancesReading{At: clocker.Now(), Instances: []provider.Instance{{ID: "from-peer"}}})
 	state.updateConfig(clocker.Now(), mapper.New(mapper.Config{Version: version}), false)
-	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &stubPeer{state: state}, rand.Read)
+	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &stubPeer{state: state, fresh: fresh}, rand.Read)
 	assert.NilError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -189,3 +208,36 @@
 		})
 	}
 }
+
+// TestAgesAddUp guards against a configuration that is in force too late because every
+// step takes what is just young enough for itself: a reader that the store does not answer
+// any more goes on answering, and whoever asks it acts on its reply until the next fetch.
+// A change that is confirmed right after the reader was cut off must be in force everywhere
+// within the bound, whenever the others fetch.
+func TestAgesAddUp(t *testing.T) {
+	const (
+		bound    = 2 * time.Second
+		interval = 600 * time.Millisecond
+		phases   = 8
+	)
+	for phase := range phases {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			t.Parallel()
+			// The first source is cut off, the second one has the change.
+			from := []gossiper.Member{{ID: "cut", Peer: servePeer(t, 7)}, {ID: "peer", Peer: serveFreshPeer(t, 8)}}
+			changedAt := time.Now()
+			r := newTestRelayer(&stubPlatform{version: 8}, from...)
+			r.MaxAge = StateMaxAge(bound)
+			time.Sleep(time.Duration(phase) * interval / phases)
+			for r.ConfigVersion() < 8 {
+				if !r.fetchFromPeers(t.Context(), from) {
+					t.Fatal("no source answered")
+				}
+				if r.ConfigVersion() < 8 {
+					time.Sleep(interval)
+				}
+			}
+			assert.Assert(t, time.Since(changedAt) <= bound, "in force %s after the change", time.Since(changedAt))
+		})
+	}
+}
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -66,6 +66,9 @@
 	// everything under zero. They last until the instance counts as in touch again.
 	entryFaults map[int][]interval
 	violations  []string
+	// checkedRoutes counts the requests whose handling shows which configuration is in
+	// force.
+	checkedRoutes int
 }
 
 // routeChange is a confirmed addition or removal of the route pathExtra.
@@ -254,11 +257,12 @@
 	if since.IsZero() || r.sentAt.Before(since.Add(c.limits.apply)) {
 		return
 	}
+	c.checkedRoutes++
 	if present && r.response.Status == http.StatusNotFound {
-		c.failf("config: %s got status 404 %v after its route was added", r.ID, r.sentAt.Sub(since))
+		c.failf("config: %s got status 404 at entry %d %v after its route was added", r.ID, r.entry, r.sentAt.Sub(since))
 	}
 	if !present && len(c.startedRuns(r.ID)) > 0 {
-		c.failf("config: %s ran %v after its route was removed", r.ID, r.sentAt.Sub(since))
+		c.failf("config: %s ran from entry %d %v after its route was removed", r.ID, r.entry, r.sentAt.Sub(since))
 	}
 }
 
@@ -388,5 +392,5 @@
 	for _, r := range c.results {
 		statuses[fmt.Sprint(r.Path, " ", r.response.Status)]++
 	}
-	return fmt.Sprintf("%d requests, %d ran: %v", len(c.results), len(c.runs), statuses)
+	return fmt.Sprintf("%d requests, %d ran, %d showed the configuration: %v", len(c.results), len(c.runs), c.checkedRoutes, statuses)
 }
--- a/internal/soaker/schedule_test.go
+++ b/internal/soaker/schedule_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/platform/emulator"
 )
@@ -92,8 +93,12 @@
 // The changes of the configuration in a scenario of its own, and the disturbances of
 // single entry instances meanwhile.
 const (
-	configChanges = 12
-	configFaults  = 5
+	// configChanges come evenly over the time, further apart than a change may take, so
+	// that each of them is checked; configStorm changes nothing that requests can see.
+	configChanges = 4
+	configStorm   = 10
+	configFaults  = 3
+	readerCount   = 3
 )
 
 // configFaultGenerators holds the kinds of disturbances of a scenario of the
@@ -105,20 +110,59 @@
 func generateConfigSteps(f *fixture, seed uint64) []step {
 	random := rand.New(rand.NewPCG(seed, seed+1))
 	var steps []step
-	for range configChanges {
-		steps = append(steps, toggleRoute(f, random))
-	}
 	for range configFaults {
 		generate := configFaultGenerators[random.IntN(len(configFaultGenerators))]
 		steps = append(steps, generate(f, random.IntN(len(f.daemons))))
 	}
+	for range configStorm {
+		steps = append(steps, rewriteVersion(f))
+	}
 	for i := range steps {
 		steps[i].startAfter = time.Duration(random.Int64N(int64(faultPhase)))
 		steps[i].duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
 	}
+	readers := f.readers()
+	for i := range configChanges {
+		at := time.Duration(i) * faultPhase / configChanges
+		// A reader that the store does not answer from just before a change on goes on
+		// answering its peers.
+		cut := silenceStoreLink(f, readers[random.IntN(len(readers))])
+		cut.startAfter, cut.duration = at, maxDuration
+		change := toggleRoute(f, random)
+		change.startAfter = at + cutLead
+		steps = append(steps, cut, change)
+	}
 	return steps
 }
 
+// cutLead is how long before a change of the configuration a reader is cut off from the
+// store.
+const cutLead = 30 * time.Millisecond
+
+// readers returns the indices of the entry instances that read the store for the others.
+func (f *fixture) readers() []int {
+	var members []gossiper.Member
+	for _, p := range f.daemons {
+		members = append(members, gossiper.Member{ID: p.name})
+	}
+	var readers []int
+	for i, p := range f.daemons {
+		if _, chosen := gossiper.Without(gossiper.Lowest(members, readerCount), p.name); chosen {
+			readers = append(readers, i)
+		}
+	}
+	return readers
+}
+
+// rewriteVersion writes the same configuration under a new version.
+func rewriteVersion(f *fixture) step {
+	return step{name: "write another version", planned: true, run: func(time.Duration) {
+		if f.writeConfig(func(*emulator.Config) {}) != nil {
+			f.checker.recordFault()
+		}
+	}}
+}
+
 func pauseOneEntry(f *fixture, n int) step {
 	p := f.daemons[n]
 	return step{name: "pause " + p.name, entry: n + 1, run: func(duration time.Duration) { pause(p, duration) }}
