--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -14,7 +15,7 @@
 )
 
 func init() {
-	register(command{name: "explain", help: "Reconstruct from logs what happened to a request or a replica group.", setup: explain})
+	register(command{name: "explain", help: "Reconstruct from logs what happened to a request, a replica group or a version of the configuration.", setup: explain})
 }
 
 // stdinName is the file name that means the standard input.
@@ -22,10 +23,11 @@
 
 func explain(sub *flaggy.Subcommand) func(*session) error {
 	var subject string
-	var group bool
+	var group, config bool
 	files := []string{}
-	sub.AddPositionalValue(&subject, "id", 1, true, "The id of the request or, with --group, the name of the group.")
+	sub.AddPositionalValue(&subject, "id", 1, true, "The id of the request or, with --group, the name of the group, or, with --config, the version of the configuration.")
 	sub.Bool(&group, "g", "group", "Explain a replica group instead of a request.")
+	sub.Bool(&config, "c", "config", "Explain a version of the configuration: who had it when, and which requests were handled by an older one.")
 	sub.StringSlice(&files, "l", "logs", "A log file of an entry instance; may be repeated. By default the standard input is read.")
 	return func(s *session) error {
 		lines, err := readLogs(files)
@@ -34,8 +36,19 @@
 		}
 		timeline := explainer.New(lines)
 		explainSubject := timeline.ExplainRequest
-		if group {
+		switch {
+		case group && config:
+			return usagef("explain", "--group and --config exclude each other")
+		case group:
 			explainSubject = timeline.ExplainGroup
+		case config:
+			explainSubject = func(text string) (explainer.Explanation, error) {
+				version, err := strconv.ParseUint(text, 10, 64)
+				if err != nil {
+					return explainer.Explanation{}, usagef("explain", "%q is not a version of the configuration, which is a whole number", text)
+				}
+				return timeline.ExplainConfig(version)
+			}
 		}
 		explanation, err := explainSubject(subject)
 		if err != nil {
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -40,8 +41,13 @@
 	kind, subject, _ := strings.Cut(strings.TrimSpace(strings.TrimPrefix(first, "#")), " ")
 	timeline := New(lines)
 	explanation, err := timeline.ExplainRequest(subject)
-	if kind == "group" {
+	switch kind {
+	case "group":
 		explanation, err = timeline.ExplainGroup(subject)
+	case "config":
+		version, parseErr := strconv.ParseUint(subject, 10, 64)
+		assert.NilError(t, parseErr)
+		explanation, err = timeline.ExplainConfig(version)
 	}
 	if err != nil {
 		return err.Error() + "\n"
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -125,6 +125,9 @@
 		logger.FieldRequest: id, "route": refusal.Route, logger.FieldService: refusal.Service, logger.FieldModel: refusal.Model, "lanes": refusal.Upstreams, logger.FieldKind: refusal.Kind.String(), logger.FieldOutcome: refusal.Outcome.String(), "status": status,
 		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
 	})
+	if config := f.Observer.Config(); config != nil {
+		line = line.WithField(logger.FieldConfigVersion, config.Version)
+	}
 	if refusal.Kind == KindNoServer {
 		line = line.WithField(logger.FieldServers, f.verdicts(poolKey{service: refusal.Service, model: refusal.Model}))
 	}
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -44,6 +44,10 @@
 	FieldKind     = "kind"
 	FieldOutcome  = "outcome"
 	FieldComplete = "complete"
+	// FieldVersion is the version of LineConfigInForce, and FieldConfigVersion that by
+	// which a request is handled.
+	FieldVersion       = "version"
+	FieldConfigVersion = "config_version"
 	// FieldServers counts the servers of a pool by the verdict on them.
 	FieldServers = "servers"
 	FieldError   = "error"
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -40,6 +40,9 @@
 	Era uint64
 	// Config is nil if the operator has not set a configuration yet.
 	Config *mapper.RouteTable
+	// ConfigSource is the peer that sent the configuration, or empty if it was read from
+	// the store.
+	ConfigSource string
 	// ConfirmedAt is a time at which the configuration was the newest.
 	ConfirmedAt time.Time
 }
@@ -113,6 +116,8 @@
 	// configConfirmedAt is the time at which the configuration was last
 	// confirmed as the newest: the start of the read that returned it.
 	configConfirmedAt time.Time
+	// configChangedAt is when the configuration came into force here.
+	configChangedAt time.Time
 	// checkedAt is when each suspected instance was last probed, by ID.
 	checkedAt map[string]time.Time
 	// ownLosses holds the IDs of the instances whose loss this instance's own
@@ -416,9 +421,15 @@
 	if o.config != nil && o.config.Version == s.Config.Version {
 		return
 	}
+	previous := o.config
 	o.config = s.Config
 	o.tracker.SetGroupSizes(groupSizes(s.Config))
-	log.WithFields(log.Fields{"version": s.Config.Version, "age": clocker.Since(s.ConfirmedAt).String()}).Info(logger.LineConfigInForce)
+	fields := log.Fields{logger.FieldVersion: s.Config.Version, "age": clocker.Since(s.ConfirmedAt).String(), "source": s.ConfigSource}
+	if previous != nil {
+		fields["previous_version"], fields["since_previous"] = previous.Version, clocker.Since(o.configChangedAt).String()
+	}
+	o.configChangedAt = clocker.Now()
+	log.WithFields(fields).Info(logger.LineConfigInForce)
 }
 
 // setStoreReachable records whether the store answers and logs each change.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -332,7 +332,7 @@
 	if settled {
 		r.state.settleEra(reading.Era)
 	}
-	r.state.updateConfig(reading.At, reading.Table, reading.Rewritten)
+	r.state.updateConfig(reading.At, "", reading.Table, reading.Rewritten)
 	return nil
 }
 
@@ -399,33 +399,33 @@
 	if reply.ConfigVersion == 0 || reply.ListAge > hard || reply.ConfigAge > hard || reply.Era < r.state.era {
 		// A version of the configuration only rises, so that a newer one counts
 		// whatever its age.
-		r.applyConfig(began, reply)
+		r.applyConfig(began, peer.ID, reply)
 		return false
 	}
-	r.applyReply(began, reply)
+	r.applyReply(began, peer.ID, reply)
 	return reply.ListAge <= soft && reply.ConfigAge <= soft
 }
 
 // applyReply applies a peer's reply to a call that began at that time.
-func (r *Relayer) applyReply(began time.Time, reply messenger.ChangesReply) {
+func (r *Relayer) applyReply(began time.Time, peer string, reply messenger.ChangesReply) {
 	content := r.state.content
 	r.state.applyReply(began.Add(-reply.ListAge), reply)
 	r.listFromStore = r.listFromStore && r.state.content == content
 	if reply.EraSettled {
 		r.state.settleEra(reply.Era)
 	}
-	r.applyConfig(began, reply)
+	r.applyConfig(began, peer, reply)
 }
 
 // applyConfig applies the configuration in a peer's reply to a call that began at
 // that time.
-func (r *Relayer) applyConfig(began time.Time, reply messenger.ChangesReply) {
+func (r *Relayer) applyConfig(began time.Time, peer string, reply messenger.ChangesReply) {
 	config := r.state.config
 	if reply.Config != nil {
 		config = mapper.New(*reply.Config)
 	}
 	if config != nil && config.Version == reply.ConfigVersion {
-		r.state.updateConfig(began.Add(-reply.ConfigAge), config, reply.ConfigRewritten && reply.Era == r.state.era)
+		r.state.updateConfig(began.Add(-reply.ConfigAge), peer, config, reply.ConfigRewritten && reply.Era == r.state.era)
 	}
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -79,7 +79,7 @@
 	t.Helper()
 	state := newVersionedState(1)
 	state.updateList(InstancesReading{At: clocker.Now(), Instances: []provider.Instance{{ID: "from-peer"}}})
-	state.updateConfig(clocker.Now(), mapper.New(mapper.Config{Version: version}), false)
+	state.updateConfig(clocker.Now(), "", mapper.New(mapper.Config{Version: version}), false)
 	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &stubPeer{state: state, fresh: fresh}, rand.Read)
 	assert.NilError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -45,6 +45,9 @@
 
 	config            *mapper.RouteTable
 	configConfirmedAt time.Time
+	// configSource is the peer that sent the configuration, or empty if it was read from
+	// the store.
+	configSource string
 	// configRewritten reports whether the configuration is known to have been
 	// written in the era.
 	configRewritten bool
@@ -254,12 +257,12 @@
 // a configuration that may come from an older copy is no proof that there is no
 // newer one; it does not count as confirmed until the operator has had the time to
 // write the newest one again.
-func (v *versionedState) updateConfig(at time.Time, config *mapper.RouteTable, rewritten bool) {
+func (v *versionedState) updateConfig(at time.Time, source string, config *mapper.RouteTable, rewritten bool) {
 	if config == nil || v.config != nil && config.Version < v.config.Version {
 		return
 	}
 	if v.config == nil || config.Version > v.config.Version {
-		v.config = config
+		v.config, v.configSource = config, source
 	}
 	v.configRewritten = v.configRewritten || rewritten
 	if !rewritten && v.eraIsNew(at) {
@@ -286,7 +289,8 @@
 // snapshot returns the whole state.
 func (v *versionedState) snapshot() observer.Snapshot {
 	return observer.Snapshot{
-		Instances: v.all(), Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfirmedAt: v.configConfirmedAt,
+		Instances: v.all(), Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfigSource: v.configSource,
+		ConfirmedAt: v.configConfirmedAt,
 	}
 }
 
--- a/internal/relayer/state_test.go
+++ b/internal/relayer/state_test.go
@@ -47,13 +47,13 @@
 				}
 				readers[reader].updateList(reading)
 				if version > 0 {
-					readers[reader].updateConfig(now, mapper.New(mapper.Config{Version: uint64(version)}), d.HasArg("rewritten"))
+					readers[reader].updateConfig(now, "", mapper.New(mapper.Config{Version: uint64(version)}), d.HasArg("rewritten"))
 				}
 				return ""
 			case "fetch":
 				reply := readers[reader].changesSince(now.Add(time.Duration(took)*time.Millisecond), client.state.arguments())
 				assert.NilError(t, reply.Unpack())
-				client.applyReply(now, reply)
+				client.applyReply(now, reader, reply)
 				return fmt.Sprintf("whole=%t changed=%d removed=%d config=%t\n", reply.Whole, len(reply.Changed), len(reply.Removed), reply.Config != nil) + show(client, now)
 			}
 			t.Fatalf("unknown command %q", d.Cmd)
