Relayer: a reading that the store holds does not delay the other one

Change: a fetch ends with the first reading that ends and 20 ms for the other; readers fetch every 0.3 s. TestHeldReadingDoesNotDelayTheOther.

--- a/internal/relayer/flight.go
+++ b/internal/relayer/flight.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 )
 
 // flight runs a task in the background, at most once at a time, so that a slow task
@@ -17,8 +20,19 @@
 
 // landing is the result of a task, which is set when done is closed.
 type landing struct {
-	done chan struct{}
-	err  error
+	began time.Time
+	done  chan struct{}
+	err   error
+}
+
+// hasLanded reports whether the task has ended.
+func (l *landing) hasLanded() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // begin starts the task, or joins the one that is running.
@@ -26,7 +40,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current == nil {
-		f.current = &landing{done: make(chan struct{})}
+		f.current = &landing{began: clocker.Now(), done: make(chan struct{})}
 		go f.run(ctx, f.current)
 	}
 	return f.current
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -55,7 +55,10 @@
 	// storeFirst is how long a reader waits for the store before it asks the other
 	// readers too. The store may hold a call for half a second while nothing changes.
 	storeFirst = 700 * time.Millisecond
-	// relayInterval is the time between two fetches of a relay.
+	// settleTime is how long a reading that has ended waits for the other one.
+	settleTime = 20 * time.Millisecond
+	// relayInterval is the time between two fetches of a relay, and between the starts of
+	// two readings of a reader while changes come.
 	relayInterval = 300 * time.Millisecond
 )
 
@@ -170,7 +173,7 @@
 // Interval returns the time between two calls of Fetch that suits this instance's role,
 // or zero if it has none.
 func (r *Relayer) Interval() time.Duration {
-	if own, _ := sources(r.Members.Self(), r.Members.Live()); own == roleRelay {
+	if own, _ := sources(r.Members.Self(), r.Members.Live()); own != roleLeaf {
 		return relayInterval
 	}
 	return 0
@@ -210,8 +213,12 @@
 	if own, _ := sources(r.Members.Self(), r.Members.Live()); r.leavesStoreToPeers(own) {
 		return errLeftToPeers
 	}
-	readings := []*landing{r.readList.begin(ctx), r.readConfig.begin(ctx)}
-	err := awaitAll(ctx, readings, storeFirst)
+	list, config := r.readList.begin(ctx), r.readConfig.begin(ctx)
+	await := awaitFirst
+	if !r.hasState() {
+		await = awaitBoth
+	}
+	err := await(ctx, list, config, storeFirst)
 	if err == nil || r.fetchFromPeers(ctx, from) {
 		return nil
 	}
@@ -219,7 +226,7 @@
 		// The readings that are still running are in the state at the next call.
 		return err
 	}
-	return awaitAll(ctx, readings, maxAge)
+	return awaitBoth(ctx, list, config, maxAge)
 }
 
 // leavesStoreToPeers reports whether the instance waits for a peer that reads the store.
@@ -239,25 +246,56 @@
 
 var errSlowStore = errors.New("the store did not respond in time")
 
-// awaitAll waits until all readings have ended, for up to a limit, and returns the first
+// awaitFirst waits until one of two readings has ended, and for settleTime for the other
+// one, which the store may hold while nothing changes. It returns an error if a reading
+// failed, or has been running for longer than the limit.
+func awaitFirst(ctx context.Context, a, b *landing, limit time.Duration) error {
+	oldest := a.began
+	if b.began.Before(oldest) {
+		oldest = b.began
+	}
+	timer := time.NewTimer(max(0, limit-clocker.Since(oldest)))
+	defer timer.Stop()
+	select {
+	case <-a.done:
+	case <-b.done:
+	case <-timer.C:
+		return errSlowStore
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	settled := time.NewTimer(settleTime)
+	defer settled.Stop()
+	for _, l := range []*landing{a, b} {
+		select {
+		case <-l.done:
+		case <-settled.C:
+		}
+		if l.hasLanded() && l.err != nil {
+			return l.err
+		}
+	}
+	return nil
+}
+
+// awaitBoth waits until both readings have ended, for up to a limit, and returns the first
 // error.
-func awaitAll(ctx context.Context, readings []*landing, limit time.Duration) error {
+func awaitBoth(ctx context.Context, a, b *landing, limit time.Duration) error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	var first error
-	for _, reading := range readings {
+	for _, l := range []*landing{a, b} {
 		select {
-		case <-reading.done:
-			if first == nil {
-				first = reading.err
-			}
+		case <-l.done:
 		case <-timer.C:
 			return errSlowStore
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if l.err != nil {
+			return l.err
+		}
 	}
-	return first
+	return nil
 }
 
 // ConfigVersion returns the version of the known configuration, or zero.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -25,6 +25,8 @@
 	listDelay time.Duration
 	version   uint64
 	reads     int
+	// configRead says that the configuration has been read before.
+	configRead bool
 }
 
 func (p *stubPlatform) ReadInstances(context.Context) (InstancesReading, error) {
@@ -241,3 +243,27 @@
 		})
 	}
 }
+
+// heldPlatform is a store that holds readings of the configuration while nothing changes.
+type heldPlatform struct{ stubPlatform }
+
+func (p *heldPlatform) ReadConfig(ctx context.Context) (ConfigReading, error) {
+	if p.configRead {
+		time.Sleep(450 * time.Millisecond)
+	}
+	p.configRead = true
+	return p.stubPlatform.ReadConfig(ctx)
+}
+
+// TestHeldReadingDoesNotDelayTheOther guards against a change of the list that waits for the
+// configuration, which the store holds while nothing changes: whoever forms groups saw each
+// step of the servers half a second late.
+func TestHeldReadingDoesNotDelayTheOther(t *testing.T) {
+	r := newTestRelayer(&heldPlatform{stubPlatform{version: 7}})
+	for i := range 4 {
+		began := time.Now()
+		_, err := r.Fetch(t.Context(), true)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) < 150*time.Millisecond, "fetch %d took %s", i, time.Since(began))
+	}
+}
