--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -95,12 +95,17 @@
 // runCheck probes one instance. If it does not answer, it marks the
 // instance lost and announces the loss to the peers.
 func (o *Observer) runCheck(ctx context.Context, in provider.Instance) {
-	var err error
-	for range probeAttempts {
+	err := o.Prober.Probe(ctx, in, probeTimeout)
+	if err == nil {
+		return
+	}
+	path := o.checkPath(ctx, in)
+	for range probeAttempts - 1 {
 		if err = o.Prober.Probe(ctx, in, probeTimeout); err == nil {
 			return
 		}
 	}
+	references, prompt := path.result()
 	if ctx.Err() != nil {
 		return
 	}
@@ -112,7 +117,7 @@
 		return
 	}
 	o.Scope.Tagged(map[string]string{"source": "probe"}).Counter("losses").Inc(1)
-	log.WithFields(log.Fields{logger.FieldInstance: in.ID, "incarnation": in.Incarnation, logger.FieldGroup: in.Membership.Group, "source": "probe"}).
+	log.WithFields(log.Fields{logger.FieldInstance: in.ID, "incarnation": in.Incarnation, logger.FieldGroup: in.Membership.Group, "source": "probe", "references": references, "references_prompt": prompt}).
 		WithError(err).Warn(logger.LineInstanceLost)
 	o.signal()
 	o.Announcer.Announce(ctx, messenger.LossesMessage{Losses: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -118,6 +118,8 @@
 	configChangedAt time.Time
 	// checkedAt is when each suspected instance was last probed, by ID.
 	checkedAt map[string]time.Time
+	// path is the last check of the own path, or nil.
+	path *pathCheck
 	// ownLosses holds the IDs of the instances whose loss this instance's own
 	// probes found.
 	ownLosses map[string]bool
--- /dev/null
+++ b/internal/observer/path.go
@@ -0,0 +1,107 @@
+package observer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+const (
+	// pathReferences is the number of instances that are probed to check the own path.
+	pathReferences = 3
+	// promptResponse is the time within which an instance responds to a probe while the
+	// path to it is free: a new connection takes two round trips, so that a slower path
+	// makes a probe of a live instance fail.
+	promptResponse = probeTimeout / 2
+)
+
+// pathCheck probes a few instances that are not under suspicion. If none of them
+// responds promptly, the fault is likely to be on this entry instance's own path, so that
+// a probe without a response says nothing about the instance that was probed.
+type pathCheck struct {
+	done    chan struct{}
+	began   time.Time
+	targets []provider.Instance
+
+	mu     sync.Mutex
+	prompt int
+}
+
+// checkPath returns a check of the own path that runs beside a probe of an instance.
+// Checks that begin within probeTimeout of each other share the probes.
+func (o *Observer) checkPath(ctx context.Context, suspect provider.Instance) *pathCheck {
+	now := clocker.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c := o.path; c != nil && now.Sub(c.began) < probeTimeout && !c.includes(suspect.ID) {
+		return c
+	}
+	c := &pathCheck{done: make(chan struct{}), began: now, targets: o.references(now, suspect)}
+	o.path = c
+	go o.runPathCheck(ctx, c)
+	return c
+}
+
+// references returns random instances of different fabric domains and data centres that
+// are neither lost nor under suspicion themselves, so that one failure hits few of them.
+// The caller holds o.mu.
+func (o *Observer) references(now time.Time, suspect provider.Instance) []provider.Instance {
+	type place struct{ dataCentre, domain string }
+	placeOf := func(in provider.Instance) place {
+		if in.FabricDomain == "" {
+			// A plain server fails by itself.
+			return place{in.DataCentre, in.ID}
+		}
+		return place{in.DataCentre, in.FabricDomain}
+	}
+	taken := map[place]bool{placeOf(suspect): true}
+	all := o.tracker.Instances()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	var chosen []provider.Instance
+	for _, in := range all {
+		if len(chosen) == pathReferences {
+			break
+		}
+		if taken[placeOf(in)] || in.Leaving || o.tracker.IsLost(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval {
+			continue
+		}
+		taken[placeOf(in)] = true
+		chosen = append(chosen, in)
+	}
+	return chosen
+}
+
+func (o *Observer) runPathCheck(ctx context.Context, c *pathCheck) {
+	defer close(c.done)
+	var probes sync.WaitGroup
+	for _, in := range c.targets {
+		probes.Go(func() {
+			if o.Prober.Probe(ctx, in, promptResponse) == nil {
+				c.mu.Lock()
+				c.prompt++
+				c.mu.Unlock()
+			}
+		})
+	}
+	probes.Wait()
+}
+
+// result waits for the probes and returns how many instances were probed and how many
+// responded promptly.
+func (c *pathCheck) result() (probed, prompt int) {
+	<-c.done
+	return len(c.targets), c.prompt
+}
+
+func (c *pathCheck) includes(id string) bool {
+	for _, in := range c.targets {
+		if in.ID == id {
+			return true
+		}
+	}
+	return false
+}
