--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -67,6 +67,8 @@
 	instances []provider.Instance
 	down      bool
 	dead      map[string]bool
+	// unreachable makes the probes of all instances fail.
+	unreachable bool
 	// peers is the number of other entry instances.
 	peers int
 }
@@ -88,7 +90,7 @@
 func (p *platformStub) Probe(_ context.Context, in provider.Instance, _ time.Duration) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.dead[in.ID] {
+	if p.dead[in.ID] || p.unreachable {
 		return errDown
 	}
 	return nil
--- /dev/null
+++ b/internal/observer/path_test.go
@@ -0,0 +1,107 @@
+package observer
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// unconfirmedAfter is how long an instance must have responded to no probe before it is
+// given up although the path may be the cause.
+const unconfirmedAfter = 2 * time.Second
+
+// pathStub is a platform with instances in several fabric domains, to which probes are
+// answered after a delay.
+type pathStub struct {
+	*stub
+	instances []provider.Instance
+	// delay returns the time after which an instance responds.
+	delay func(id string) time.Duration
+}
+
+func (s *pathStub) Fetch(context.Context, bool) (Snapshot, error) {
+	return Snapshot{ListedAt: clocker.Now(), Instances: s.instances}, nil
+}
+
+func (s *pathStub) Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error {
+	delay := s.delay(in.ID)
+	if !sleep(ctx, min(delay, timeout)) || delay >= timeout {
+		return errNoResponse
+	}
+	return nil
+}
+
+// newPathObserver returns an observer of instances a, b, c and so on, each in a fabric
+// domain of its own.
+func newPathObserver(count int, delay func(id string) time.Duration) (*pathStub, *Observer) {
+	s := &pathStub{stub: &stub{peers: 2, announced: make(chan messenger.LossesMessage, 8)}, delay: delay}
+	for i := range count {
+		s.instances = append(s.instances, provider.Instance{
+			ID: string(rune('a' + i)), Incarnation: "1", Service: "s", FabricDomain: strconv.Itoa(i),
+		})
+	}
+	o := New(Dependencies{Source: s, Prober: s, Announcer: s, Scope: tally.NoopScope})
+	o.poll(context.Background())
+	return s, o
+}
+
+// TestOwnPathFailureIsNoLoss guards against an entry instance whose own path is congested
+// holding sound backend servers for lost and telling its peers so: no instance responds in
+// time, or the references only slowly.
+func TestOwnPathFailureIsNoLoss(t *testing.T) {
+	for name, reference := range map[string]time.Duration{"silent": time.Hour, "slow": promptResponse + probeTimeout/4} {
+		t.Run(name, func(t *testing.T) {
+			s, o := newPathObserver(6, func(id string) time.Duration {
+				if id == "a" {
+					return time.Hour
+				}
+				return reference
+			})
+			o.runCheck(t.Context(), s.instances[0])
+			assert.Assert(t, !isLost(o))
+			select {
+			case m := <-s.announced:
+				t.Fatalf("announced %+v", m)
+			default:
+			}
+		})
+	}
+}
+
+// TestLossBesideOwnPath checks that an instance that does not respond while others do is
+// lost at once, and that its peers are told.
+func TestLossBesideOwnPath(t *testing.T) {
+	s, o := newPathObserver(6, func(id string) time.Duration {
+		if id == "a" {
+			return time.Hour
+		}
+		return time.Millisecond
+	})
+	began := time.Now()
+	o.runCheck(t.Context(), s.instances[0])
+	assert.Assert(t, isLost(o))
+	assert.Assert(t, time.Since(began) < 4*probeTimeout, "the loss was found after %s", time.Since(began))
+	assert.DeepEqual(t, (<-s.announced).Losses, lossOfA)
+}
+
+// TestLongPathFailureStopsSending guards against requests being sent on and on over a path
+// that stays broken: instances that respond to no probe for that long are lost
+// for this entry instance, but not for its peers.
+func TestLongPathFailureStopsSending(t *testing.T) {
+	s, o := newPathObserver(6, func(string) time.Duration { return time.Hour })
+	began := time.Now()
+	for !isLost(o) && time.Since(began) < 2*unconfirmedAfter {
+		o.runCheck(t.Context(), s.instances[0])
+	}
+	assert.Assert(t, isLost(o))
+	assert.Assert(t, time.Since(began) >= unconfirmedAfter)
+	assert.Equal(t, len(s.announced), 0)
+}
