Observer: a missing response is evidence only if other instances respond

Callers' streams were cut in the middle beside a change of the configuration. Cause: an entry instance whose link is full of a configuration that it distributes gets no response to its probes (80 ms, two in a row), took that for the loss of sound servers, cut what ran there and told its peers, which did the same; the groups were dissolved.

When a first probe is not answered, a few instances in other places are probed beside the second one (shared by checks at the same moment). If none of them responds promptly, nothing is decided; after two seconds of that, the instance is lost for this entry instance only, and not announced. While the own path is disturbed, silence does not count as a stall either, as another server would not be reached any better.

--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -142,6 +142,7 @@
 	now := clocker.Now()
 	var silent, stalled, busy []*upstream
 	manyPeers := f.Peers.Count() > maxInformedPeers
+	pathDisturbed := f.Observer.PathDisturbed()
 	f.mu.Lock()
 	for name, u := range f.upstreams {
 		if len(u.active) == 0 {
@@ -164,7 +165,7 @@
 		if silence > probeAfter {
 			silent = append(silent, u)
 		}
-		if u.state().group != nil && u.anyStreaming() && silence > u.state().stallAfter {
+		if u.state().group != nil && u.anyStreaming() && silence > u.state().stallAfter && !pathDisturbed {
 			stalled = append(stalled, u)
 		}
 	}
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -12,6 +12,7 @@
 	LineServerCrashed     = "server crashed under a request"
 	LineInstanceLost      = "instance held for lost"
 	LineInstanceRecovered = "instance answers again"
+	LinePathDisturbed     = "own path disturbed"
 	LineInstanceLeaving   = "instance says that it leaves"
 	LineServerDeferral    = "server wants nothing until"
 	LineServerLimit       = "server limit changed"
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
 
@@ -11,6 +12,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // HandleLosses applies a peer's findings on lost instances. A loss that this
@@ -92,35 +94,66 @@
 	}
 }
 
-// runCheck probes one instance. If it does not answer, it marks the
+// runCheck probes one instance. If it does not respond while others do, it marks the
 // instance lost and announces the loss to the peers.
 func (o *Observer) runCheck(ctx context.Context, in provider.Instance) {
 	err := o.Prober.Probe(ctx, in, probeTimeout)
 	if err == nil {
+		o.handleResponse(in)
 		return
 	}
 	path := o.checkPath(ctx, in)
 	for range probeAttempts - 1 {
 		if err = o.Prober.Probe(ctx, in, probeTimeout); err == nil {
+			o.handleResponse(in)
 			return
 		}
 	}
-	references, prompt := path.result()
+	evidence := path.result()
 	if ctx.Err() != nil {
 		return
 	}
+	now := clocker.Now()
 	o.mu.Lock()
-	changed := o.tracker.MarkLost(clocker.Now(), in.ID, in.Incarnation)
+	verdict := o.suspicions.Judge(now, in.ID, in.Incarnation, evidence)
+	if verdict == tracker.Undecided {
+		o.disturbedAt = now
+		o.mu.Unlock()
+		o.Scope.Counter("path_disturbances").Inc(1)
+		log.WithFields(log.Fields{logger.FieldInstance: in.ID, "references": evidence.References}).WithError(err).Info(logger.LinePathDisturbed)
+		return
+	}
+	changed := o.tracker.MarkLost(now, in.ID, in.Incarnation)
 	o.ownLosses[in.ID] = true
 	o.mu.Unlock()
 	if !changed {
 		return
 	}
 	o.Scope.Tagged(map[string]string{"source": "probe"}).Counter("losses").Inc(1)
-	log.WithFields(log.Fields{logger.FieldInstance: in.ID, "incarnation": in.Incarnation, logger.FieldGroup: in.Membership.Group, "source": "probe", "references": references, "references_prompt": prompt}).
-		WithError(err).Warn(logger.LineInstanceLost)
+	log.WithFields(log.Fields{
+		logger.FieldInstance: in.ID, "incarnation": in.Incarnation, logger.FieldGroup: in.Membership.Group, "source": "probe",
+		"verdict": verdict.String(), "references": evidence.References, "references_prompt": evidence.Prompt,
+	}).WithError(err).Warn(logger.LineInstanceLost)
 	o.signal()
-	o.Announcer.Announce(ctx, messenger.LossesMessage{Losses: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
+	if verdict == tracker.Lost {
+		o.Announcer.Announce(ctx, messenger.LossesMessage{Losses: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
+	}
+}
+
+// handleResponse records that an instance has responded to a probe.
+func (o *Observer) handleResponse(in provider.Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.suspicions.Clear(in.ID)
+	o.disturbedAt = time.Time{}
+}
+
+// PathDisturbed reports whether the last probes from here were answered by no instance, so
+// that silence says nothing about a backend server.
+func (o *Observer) PathDisturbed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.disturbedAt.IsZero() && clocker.Since(o.disturbedAt) < pathMemory
 }
 
 // recheckLoop probes lost instances and clears the losses of those that answer.
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -120,6 +120,10 @@
 	checkedAt map[string]time.Time
 	// path is the last check of the own path, or nil.
 	path *pathCheck
+	// suspicions holds the instances that respond to no probe while the own path may be
+	// the cause, and disturbedAt is when that was last found, or zero.
+	suspicions  *tracker.Suspicions
+	disturbedAt time.Time
 	// ownLosses holds the IDs of the instances whose loss this instance's own
 	// probes found.
 	ownLosses map[string]bool
@@ -144,6 +148,7 @@
 	return &Observer{
 		Dependencies: d,
 		tracker:      tracker.New(),
+		suspicions:   tracker.NewSuspicions(),
 		checkedAt:    make(map[string]time.Time),
 		ownLosses:    make(map[string]bool),
 		interval:     PollInterval,
--- a/internal/observer/path.go
+++ b/internal/observer/path.go
@@ -8,6 +8,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 const (
@@ -17,6 +18,9 @@
 	// path to it is free: a new connection takes two round trips, so that a slower path
 	// makes a probe of a live instance fail.
 	promptResponse = probeTimeout / 2
+	// pathMemory is how long the path counts as disturbed after probes without any
+	// response: until the next check of a silent instance.
+	pathMemory = 2 * checkInterval
 )
 
 // pathCheck probes a few instances that are not under suspicion. If none of them
@@ -90,11 +94,10 @@
 	probes.Wait()
 }
 
-// result waits for the probes and returns how many instances were probed and how many
-// responded promptly.
-func (c *pathCheck) result() (probed, prompt int) {
+// result waits for the probes and returns what they say about the path.
+func (c *pathCheck) result() tracker.PathEvidence {
 	<-c.done
-	return len(c.targets), c.prompt
+	return tracker.PathEvidence{References: len(c.targets), Prompt: c.prompt}
 }
 
 func (c *pathCheck) includes(id string) bool {
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -108,6 +108,7 @@
 		}
 	}
 	now := clocker.Now()
+	o.suspicions.Prune(now)
 	for id, at := range o.checkedAt {
 		if now.Sub(at) > time.Minute {
 			delete(o.checkedAt, id)
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -41,6 +41,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracker := New()
 		tracker.SetGroupSizes(map[string]int{"m": 2})
+		suspicions := NewSuspicions()
 		start := time.Unix(1000, 0)
 		at := func(d *datadriven.TestData) time.Time {
 			ms := 0
@@ -63,6 +64,19 @@
 				d.ScanArgs(t, "instance", &id)
 				d.ScanArgs(t, "incarnation", &incarnation)
 				return fmt.Sprintf("new: %t\n", tracker.MarkLost(at(d), id, incarnation))
+			case "judge":
+				id, incarnation := "", ""
+				var path PathEvidence
+				d.ScanArgs(t, "instance", &id)
+				d.ScanArgs(t, "incarnation", &incarnation)
+				d.ScanArgs(t, "references", &path.References)
+				d.ScanArgs(t, "prompt", &path.Prompt)
+				return suspicions.Judge(at(d), id, incarnation, path).String() + "\n"
+			case "respond":
+				suspicions.Clear(d.CmdArgs[0].Key)
+			case "prune":
+				suspicions.Prune(at(d))
+				return fmt.Sprintf("suspected: %d\n", len(suspicions.byID))
 			case "clear_loss":
 				tracker.ClearLoss(d.CmdArgs[0].Key)
 			case "select_group":
