--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -64,19 +64,8 @@
 				d.ScanArgs(t, "instance", &id)
 				d.ScanArgs(t, "incarnation", &incarnation)
 				return fmt.Sprintf("new: %t\n", tracker.MarkLost(at(d), id, incarnation))
-			case "judge":
-				id, incarnation := "", ""
-				var path PathEvidence
-				d.ScanArgs(t, "instance", &id)
-				d.ScanArgs(t, "incarnation", &incarnation)
-				d.ScanArgs(t, "references", &path.References)
-				d.ScanArgs(t, "prompt", &path.Prompt)
-				return suspicions.Judge(at(d), id, incarnation, path).String() + "\n"
-			case "respond":
-				suspicions.Clear(d.CmdArgs[0].Key)
-			case "prune":
-				suspicions.Prune(at(d))
-				return fmt.Sprintf("suspected: %d\n", len(suspicions.byID))
+			case "judge", "respond", "prune":
+				return runSuspicionCommand(t, suspicions, at, d)
 			case "clear_loss":
 				tracker.ClearLoss(d.CmdArgs[0].Key)
 			case "select_group":
@@ -110,3 +99,23 @@
 		})
 	})
 }
+
+// runSuspicionCommand runs a command on the suspicions of instances.
+func runSuspicionCommand(t *testing.T, suspicions *Suspicions, at func(*datadriven.TestData) time.Time, d *datadriven.TestData) string {
+	t.Helper()
+	switch d.Cmd {
+	case "respond":
+		suspicions.Clear(d.CmdArgs[0].Key)
+		return ""
+	case "prune":
+		suspicions.Prune(at(d))
+		return fmt.Sprintf("suspected: %d\n", len(suspicions.byID))
+	}
+	id, incarnation := "", ""
+	var path PathEvidence
+	d.ScanArgs(t, "instance", &id)
+	d.ScanArgs(t, "incarnation", &incarnation)
+	d.ScanArgs(t, "references", &path.References)
+	d.ScanArgs(t, "prompt", &path.Prompt)
+	return suspicions.Judge(at(d), id, incarnation, path).String() + "\n"
+}
