Forwarder: a reported loss does not end an answer that arrives, or the last attempt at once

Beside the false losses of a congested entry instance, all others cut the answers of the servers that it named, also those whose events went on arriving, and also where no attempt was left that could have gone on: the caller lost an answer that was on its way.

What arrives here outweighs what a peer reports: an upstream that has sent something within the shortest silence that is acted upon is left alone. An attempt whose request can't go on elsewhere ends only after the loss has lasted for 1.5 s, as sound servers may be silent for a second. Ruled out: waiting for the deadline, which would hold callers of dead servers in vain.

TestProgressOutweighsReportedLoss failed with an unexpected EOF before, and TestLossKeepsLastAttempt with 502 instead of the answer; TestLossEndsLastAttemptInTheEnd bounds the wait (it passed before).

--- /dev/null
+++ b/internal/forwarder/loss_test.go
@@ -0,0 +1,79 @@
+package forwarder
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+)
+
+// TestProgressOutweighsReportedLoss guards against an answer that arrives being cut because
+// a peer that can't reach the server reports it as lost.
+func TestProgressOutweighsReportedLoss(t *testing.T) {
+	f := newFixture(t)
+	var attempts atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		attempts.Add(1)
+		writeHeader(w, r, "text/event-stream")
+		for id := 1; id <= 20; id++ {
+			if r.Context().Err() != nil {
+				return
+			}
+			writeAndFlush(w, testEvent(id))
+			if id == 5 {
+				head := r.Header.Get("For")
+				f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{{Instance: head, Incarnation: "1"}}})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	f.addGroup("a", handler)
+	f.addGroup("b", handler)
+	f.applyConfig()
+	_, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(body, testEvent(20)), "%q", body)
+	assert.Equal(t, attempts.Load(), int32(1))
+}
+
+// TestLossKeepsLastAttempt guards against an answer being given up because its server has
+// not responded to probes for a moment, when no other attempt could bring it.
+func TestLossKeepsLastAttempt(t *testing.T) {
+	f := newFixture(t)
+	f.addServer("s", "plain", func(w http.ResponseWriter, r *http.Request) {
+		f.platform.kill("s")
+		time.Sleep(1500 * time.Millisecond)
+		writeHeader(w, r, "text/plain")
+		writeAndFlush(w, "done")
+	})
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	status, body, err := f.call("POST", "/once/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "done")
+}
+
+// TestLossEndsLastAttemptInTheEnd guards against a caller being held until its deadline by
+// a server that stays silent.
+func TestLossEndsLastAttemptInTheEnd(t *testing.T) {
+	f := newFixture(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	f.addServer("s", "plain", func(http.ResponseWriter, *http.Request) {
+		f.platform.kill("s")
+		<-stop
+	})
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	began := time.Now()
+	status, _, err := f.call("POST", "/once/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(began) < 2600*time.Millisecond, "the caller got the answer after %s", time.Since(began))
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -76,6 +76,9 @@
 	// stallEjection is how long a stalled upstream gets no new requests: the
 	// time that remains until the engine itself gives up.
 	stallEjection = 4 * time.Second
+	// confirmedLossAge is how long a loss must have lasted before it ends a request that
+	// can't go on elsewhere. Live servers may be silent for a second.
+	confirmedLossAge = 1500 * time.Millisecond
 )
 
 // upstreamFor returns the upstream of a destination. It creates a new one if
@@ -135,7 +138,7 @@
 	u.ejectedUntil = clocker.Now().Add(d)
 }
 
-// checkUpstreams cancels the attempts on upstreams with a lost member, probes
+// checkUpstreams cancels attempts on upstreams with a lost member, probes
 // upstreams that are silent, and cancels the attempts on those that are silent
 // for too long.
 func (f *Forwarder) checkUpstreams(ctx context.Context) {
@@ -179,7 +182,7 @@
 	}
 	for _, u := range busy {
 		if f.Observer.AnyLostOrRestarted(u.state().members) {
-			f.cancelAttempts(u, errMemberLost)
+			f.cancelLost(u)
 		}
 	}
 }
@@ -218,10 +221,21 @@
 	}
 }
 
-func (f *Forwarder) cancelAttempts(u *upstream, cause error) {
+// cancelLost cancels the attempts on an upstream with a lost member, unless it makes
+// progress all the same: then the report of the loss is wrong. An attempt whose request
+// can't go on elsewhere waits until the loss has lasted for confirmedLossAge, because the
+// server may still respond.
+func (f *Forwarder) cancelLost(u *upstream) {
+	now := clocker.Now()
+	confirmed := f.Observer.LostBefore(now.Add(-confirmedLossAge), u.state().members)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if now.Sub(u.lastProgress) < minProbeAfter {
+		return
+	}
 	for a := range u.active {
-		a.cancel(cause)
+		if confirmed || a.canRetry(now) {
+			a.cancel(errMemberLost)
+		}
 	}
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -279,6 +279,22 @@
 	return false
 }
 
+// LostBefore reports whether any of these instances has restarted, or was found lost
+// before a time and has not responded since.
+func (o *Observer) LostBefore(at time.Time, members []provider.Instance) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, in := range members {
+		if since, lost := o.tracker.LostSince(in.ID); lost && since.Before(at) {
+			return true
+		}
+		if now, listed := o.tracker.Instance(in.ID); listed && now.Incarnation != in.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *Observer) signal() {
 	select {
 	case o.changed <- struct{}{}:
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -116,7 +116,8 @@
 // loss is evidence that one incarnation of an instance is lost.
 type loss struct {
 	incarnation string
-	at          time.Time
+	// since is the time of the first evidence, and at that of the last one.
+	since, at time.Time
 }
 
 // statedLeaving is an instance's own statement that it leaves. It is stronger than any
@@ -318,8 +319,12 @@
 	if known && in.Incarnation != incarnation {
 		return false
 	}
-	_, alreadyLost := t.losses[id]
-	t.losses[id] = loss{incarnation: incarnation, at: now}
+	earlier, alreadyLost := t.losses[id]
+	since := now
+	if alreadyLost && earlier.incarnation == incarnation {
+		since = earlier.since
+	}
+	t.losses[id] = loss{incarnation: incarnation, since: since, at: now}
 	if !alreadyLost {
 		t.rebuild()
 	}
@@ -340,6 +345,13 @@
 	return lost
 }
 
+// LostSince returns the time of the first evidence that an instance is lost, and whether
+// there is any.
+func (t *Tracker) LostSince(id string) (time.Time, bool) {
+	l, lost := t.losses[id]
+	return l.since, lost
+}
+
 // LostInstances returns the known instances that are marked as lost, sorted by
 // ID.
 func (t *Tracker) LostInstances() []provider.Instance {
