Relayer: the configuration packed, as the list is

Each new version was sent whole and as it is to every peer that fetches it.

TestPackedConfig did not compile before (there was no packed form); the search of all histories asks for the plain form, as for the list.

A version is still sent whole, not as the change.

--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -146,6 +146,8 @@
 	ConfigVersion uint64
 	// AcceptsPacked says that the caller understands ChangesReply.Packed.
 	AcceptsPacked bool
+	// AcceptsPackedConfig says that it understands ChangesReply.PackedConfig.
+	AcceptsPackedConfig bool
 }
 
 // ChangesReply holds the changes since the caller's state. Ages are as of the
@@ -163,7 +165,7 @@
 	Whole   bool
 	Changed []provider.Instance
 	// Packed replaces Changed where the caller accepts it. It is the result of
-	// PackInstances.
+	// Pack.
 	Packed  []byte
 	Removed []string
 
@@ -174,4 +176,6 @@
 	ConfigRewritten bool
 	// Config is set if the caller has an older version.
 	Config *mapper.Config
+	// PackedConfig replaces Config where the caller accepts it. It is the result of Pack.
+	PackedConfig []byte
 }
--- a/internal/relayer/list_bench_test.go
+++ b/internal/relayer/list_bench_test.go
@@ -1,16 +1,20 @@
 package relayer
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -60,11 +64,72 @@
 	reply := state.changesSince(time.Unix(1000, 0), messenger.ChangesArguments{AcceptsPacked: true})
 	assert.Assert(t, reply.Whole && len(reply.Changed) == 0)
 	assert.Assert(t, receivers*8*len(reply.Packed) <= linkBitsPerSecond, "%d bytes", len(reply.Packed))
-	unpacked, err := messenger.UnpackInstances(reply.Packed)
+	unpacked, err := messenger.Unpack[[]provider.Instance](reply.Packed)
 	assert.NilError(t, err)
 	assert.Assert(t, reflect.DeepEqual(unpacked, state.all()))
 	reply = state.changesSince(time.Unix(1000, 0), messenger.ChangesArguments{})
 	assert.Equal(t, len(reply.Changed), 760)
-	_, err = messenger.UnpackInstances(reply.Packed)
+	_, err = messenger.Unpack[[]provider.Instance](reply.Packed)
 	assert.Assert(t, err != nil)
 }
+
+// testRoutes returns a configuration with that many routes with random names.
+func testRoutes(n int) mapper.Config {
+	random := rand.New(rand.NewPCG(1, 2))
+	name := func() string { return strconv.FormatUint(random.Uint64()>>30, 36) }
+	config := mapper.Config{Version: 9}
+	for range n {
+		config.Routes = append(config.Routes, mapper.Route{
+			Name: "r-" + name(), Host: name() + ".example", Prefix: "/" + name() + "/" + name() + "/",
+			Targets: []mapper.Target{{Service: "engines", Weight: 1}}, Repeat: mapper.Streaming, Resumable: true,
+			Timeout: 6 * time.Second, Objective: 300 * time.Millisecond, GapObjective: 200 * time.Millisecond, MaxAttempts: 2,
+		})
+	}
+	return config
+}
+
+// TestPackedConfig guards against a configuration that fills the link of the entry instance
+// which distributes it, so that its probes of backend servers time out: 1,500 routes must
+// take half the bytes or less, and be the same once they are unpacked. A peer that does not
+// accept the packed form gets the other one.
+func TestPackedConfig(t *testing.T) {
+	config := mapper.New(testRoutes(1500))
+	state := newVersionedState(1)
+	state.updateConfig(time.Unix(1000, 0), "", config, true)
+	reply := state.changesSince(time.Unix(1000, 0), newVersionedState(2).arguments())
+	var plain bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&plain).Encode(config.Config))
+	assert.Assert(t, reply.Config == nil && len(reply.PackedConfig) > 0)
+	assert.Assert(t, 2*len(reply.PackedConfig) <= plain.Len(), "%d of %d bytes", len(reply.PackedConfig), plain.Len())
+	assert.NilError(t, reply.Unpack())
+	assert.Assert(t, reflect.DeepEqual(*reply.Config, config.Config))
+
+	reply = state.changesSince(time.Unix(1000, 0), messenger.ChangesArguments{AcceptsPacked: true})
+	assert.Assert(t, reply.Config != nil && reply.PackedConfig == nil)
+	reply = state.changesSince(time.Unix(1000, 0), state.arguments())
+	assert.Assert(t, reply.Config == nil && reply.PackedConfig == nil)
+	damaged := messenger.ChangesReply{PackedConfig: []byte{1, 2, 3}}
+	assert.Assert(t, damaged.Unpack() != nil)
+}
+
+// BenchmarkPackedConfig measures the packing and unpacking of a configuration, and its size
+// beside the plain one.
+func BenchmarkPackedConfig(b *testing.B) {
+	for _, n := range []int{1500, 12_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			config := testRoutes(n)
+			var plain bytes.Buffer
+			assert.NilError(b, gob.NewEncoder(&plain).Encode(config))
+			size := 0
+			for b.Loop() {
+				packed, err := messenger.Pack(config)
+				assert.NilError(b, err)
+				_, err = messenger.Unpack[mapper.Config](packed)
+				assert.NilError(b, err)
+				size = len(packed)
+			}
+			b.ReportMetric(float64(size), "bytes")
+			b.ReportMetric(float64(plain.Len()), "plain_bytes")
+		})
+	}
+}
--- a/internal/relayer/search_test.go
+++ b/internal/relayer/search_test.go
@@ -91,7 +91,7 @@
 	}
 	arguments := to.state.arguments()
 	// Packing takes most of the time, and has a test of its own.
-	arguments.AcceptsPacked = false
+	arguments.AcceptsPacked, arguments.AcceptsPackedConfig = false, false
 	reply := from.changesSince(m.at, arguments)
 	if reply.Era >= to.state.era {
 		to.applyReply(m.at, "reader", reply)
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -35,6 +35,9 @@
 	// packed is the packed list with the content packedContent.
 	packed        []byte
 	packedContent uint64
+	// packedConfig is the packed configuration of the version packedConfigVersion.
+	packedConfig        []byte
+	packedConfigVersion uint64
 	// era is the highest era of the platform's table in which a list was read.
 	era uint64
 	// eraSince is when the era began, as far as it is known here, or zero if it is
@@ -275,7 +278,7 @@
 
 // arguments returns what a peer is asked for: the changes since this state.
 func (v *versionedState) arguments() messenger.ChangesArguments {
-	return messenger.ChangesArguments{Epoch: v.epoch, Revision: v.revision, ConfigVersion: v.configVersion(), AcceptsPacked: true}
+	return messenger.ChangesArguments{Epoch: v.epoch, Revision: v.revision, ConfigVersion: v.configVersion(), AcceptsPacked: true, AcceptsPackedConfig: true}
 }
 
 // configVersion returns the version of the known configuration, or zero.
@@ -308,7 +311,7 @@
 // packedList returns the packed list of all instances, or nil if it can't be packed.
 func (v *versionedState) packedList() []byte {
 	if v.packed == nil || v.packedContent != v.content {
-		packed, err := messenger.PackInstances(v.all())
+		packed, err := messenger.Pack(v.all())
 		if err != nil {
 			log.WithError(err).Error("list of instances not packed; it is sent as it is")
 			return nil
@@ -318,6 +321,19 @@
 	return v.packed
 }
 
+// packedConfiguration returns the packed configuration, or nil if it can't be packed.
+func (v *versionedState) packedConfiguration() []byte {
+	if v.packedConfig == nil || v.packedConfigVersion != v.config.Version {
+		packed, err := messenger.Pack(v.config.Config)
+		if err != nil {
+			log.WithError(err).Error("configuration not packed; it is sent as it is")
+			return nil
+		}
+		v.packedConfig, v.packedConfigVersion = packed, v.config.Version
+	}
+	return v.packedConfig
+}
+
 // changesSince returns the changes since the epoch, revision and configuration
 // version that a peer has.
 func (v *versionedState) changesSince(now time.Time, arguments messenger.ChangesArguments) messenger.ChangesReply {
@@ -351,7 +367,12 @@
 		reply.ConfigAge = now.Sub(v.configConfirmedAt)
 		reply.ConfigVersion, reply.ConfigRewritten = v.config.Version, v.configRewritten
 		if arguments.ConfigVersion < v.config.Version {
-			reply.Config = &v.config.Config
+			if arguments.AcceptsPackedConfig {
+				reply.PackedConfig = v.packedConfiguration()
+			}
+			if reply.PackedConfig == nil {
+				reply.Config = &v.config.Config
+			}
 		}
 	}
 	return reply
