Observer: references also where all instances are suspected; a loss known only here stays here

References were taken only from instances above suspicion: where requests run on all of them, which is when a congested path shows, none was left and all were lost and announced (6 of 6 streams of a test cut; 2, 3 and 6 instances announced of as many). A loss that is only known here dissolved groups if the holder of the lease found it. With all servers dark callers were held until their deadline.

Suspected instances, those lost only here and those of the same domain serve as references where there are no better ones; the scheduler counts only losses for all; a refused connection is evidence by itself; after 1.2 s without any response an instance is lost here, since callers leave after two; only a prompt response ends a disturbance.

Left: a peer's report still ends silent attempts without an own probe.

--- a/internal/forwarder/loss_test.go
+++ b/internal/forwarder/loss_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,20 +62,57 @@
 }
 
 // TestLossEndsLastAttemptInTheEnd guards against a caller being held until its deadline by
-// a server that stays silent.
+// a server that stays silent, alone or with all others.
 func TestLossEndsLastAttemptInTheEnd(t *testing.T) {
+	for name, others := range map[string]bool{"alone": false, "all": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			stop := make(chan struct{})
+			defer close(stop)
+			f.addServer("s", "plain", func(http.ResponseWriter, *http.Request) {
+				f.platform.set(func(p *platformStub) { p.dead["s"], p.unreachable = true, others })
+				<-stop
+			})
+			f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+			f.applyConfig()
+			began := time.Now()
+			status, _, err := f.call("POST", "/once/", "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusBadGateway)
+			assert.Assert(t, time.Since(began) < 2600*time.Millisecond, "the caller got the answer after %s", time.Since(began))
+		})
+	}
+}
+
+// TestManyStreamsSurviveOwnPathFailure guards against streams being cut when the own path is
+// congested while all backend servers have requests, so that none is above suspicion.
+func TestManyStreamsSurviveOwnPathFailure(t *testing.T) {
 	f := newFixture(t)
-	stop := make(chan struct{})
-	defer close(stop)
-	f.addServer("s", "plain", func(http.ResponseWriter, *http.Request) {
-		f.platform.kill("s")
-		<-stop
-	})
-	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	var attempts, waiting atomic.Int32
+	const streams = 6
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		attempts.Add(1)
+		writeHeader(w, r, "text/event-stream")
+		writeAndFlush(w, testEvent(1))
+		if waiting.Add(1) == streams {
+			f.platform.set(func(p *platformStub) { p.unreachable = true })
+		}
+		time.Sleep(time.Second)
+		f.platform.set(func(p *platformStub) { p.unreachable = false })
+		writeAndFlush(w, testEvent(2))
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		f.addGroup(name, handler)
+	}
 	f.applyConfig()
-	began := time.Now()
-	status, _, err := f.call("POST", "/once/", "r1")
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusBadGateway)
-	assert.Assert(t, time.Since(began) < 2600*time.Millisecond, "the caller got the answer after %s", time.Since(began))
+	var calls sync.WaitGroup
+	for i := range streams {
+		calls.Go(func() {
+			_, body, err := f.call("POST", "/stream/", "r"+strconv.Itoa(i))
+			assert.Check(t, err == nil, "%v", err)
+			assert.Check(t, body == testEvent(1)+testEvent(2), "%q", body)
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, attempts.Load(), int32(streams))
 }
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
@@ -74,6 +76,7 @@
 // o.mu.
 func (o *Observer) clearLoss(id, source string) {
 	o.tracker.ClearLoss(id)
+	o.suspicions.Clear(id)
 	delete(o.ownLosses, id)
 	o.Scope.Counter("losses_taken_back").Inc(1)
 	log.WithFields(log.Fields{logger.FieldInstance: id, "source": source}).Info(logger.LineInstanceRecovered)
@@ -97,15 +100,17 @@
 // runCheck probes one instance. If it does not respond while others do, it marks the
 // instance lost and announces the loss to the peers.
 func (o *Observer) runCheck(ctx context.Context, in provider.Instance) {
+	began := clocker.Now()
 	err := o.Prober.Probe(ctx, in, probeTimeout)
 	if err == nil {
-		o.handleResponse(in)
+		o.handleResponse(in, began)
 		return
 	}
 	path := o.checkPath(ctx, in)
 	for range probeAttempts - 1 {
+		began = clocker.Now()
 		if err = o.Prober.Probe(ctx, in, probeTimeout); err == nil {
-			o.handleResponse(in)
+			o.handleResponse(in, began)
 			return
 		}
 	}
@@ -115,7 +120,12 @@
 	}
 	now := clocker.Now()
 	o.mu.Lock()
-	verdict := o.suspicions.Judge(now, in.ID, in.Incarnation, evidence)
+	since := o.suspicions.Since(now, in.ID)
+	verdict := tracker.Lost
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		// A refused connection is a response of the machine: no process listens there.
+		verdict = o.suspicions.Judge(now, in.ID, in.Incarnation, evidence)
+	}
 	if verdict == tracker.Undecided {
 		o.disturbedAt = now
 		o.mu.Unlock()
@@ -123,7 +133,12 @@
 		log.WithFields(log.Fields{logger.FieldInstance: in.ID, "references": evidence.References}).WithError(err).Info(logger.LinePathDisturbed)
 		return
 	}
-	changed := o.tracker.MarkLost(now, in.ID, in.Incarnation)
+	var changed bool
+	if verdict == tracker.LostHere {
+		changed = o.tracker.MarkLostHere(now, since, in.ID, in.Incarnation)
+	} else {
+		changed = o.tracker.MarkLost(now, in.ID, in.Incarnation)
+	}
 	o.ownLosses[in.ID] = true
 	o.mu.Unlock()
 	if !changed {
@@ -140,12 +155,14 @@
 	}
 }
 
-// handleResponse records that an instance has responded to a probe.
-func (o *Observer) handleResponse(in provider.Instance) {
+// handleResponse records that an instance has responded to a probe that began at a time.
+func (o *Observer) handleResponse(in provider.Instance, began time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.suspicions.Clear(in.ID)
-	o.disturbedAt = time.Time{}
+	if clocker.Since(began) <= promptResponse {
+		o.disturbedAt = time.Time{}
+	}
 }
 
 // PathDisturbed reports whether the last probes from here were answered by no instance, so
--- a/internal/observer/path.go
+++ b/internal/observer/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,33 +51,40 @@
 	return c
 }
 
-// references returns random instances of different fabric domains and data centres that
-// are neither lost nor under suspicion themselves, so that one failure hits few of them.
-// The caller holds o.mu.
+// references returns random instances to probe beside a suspect, of as many places as there
+// are, so that one failure hits few of them. Instances in another place than the suspect's,
+// and those that are not under suspicion themselves, go first; but where all are suspected,
+// as when the own path fails, a response of any of them counts. The caller holds o.mu.
 func (o *Observer) references(now time.Time, suspect provider.Instance) []provider.Instance {
-	type place struct{ dataCentre, domain string }
-	placeOf := func(in provider.Instance) place {
-		if in.FabricDomain == "" {
-			// A plain server fails by itself.
-			return place{in.DataCentre, in.ID}
-		}
-		return place{in.DataCentre, in.FabricDomain}
-	}
-	taken := map[place]bool{placeOf(suspect): true}
 	all := o.tracker.Instances()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	var chosen []provider.Instance
+	taken := map[place]bool{placeOf(suspect): true}
+	var apart, suspected, rest []provider.Instance
 	for _, in := range all {
-		if len(chosen) == pathReferences {
-			break
-		}
-		if taken[placeOf(in)] || in.Leaving || o.tracker.IsLost(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval {
-			continue
+		switch {
+		case in.ID == suspect.ID || in.Leaving || o.tracker.LostForAll(in.ID):
+		case taken[placeOf(in)]:
+			rest = append(rest, in)
+		case o.tracker.IsLost(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval:
+			suspected = append(suspected, in)
+		default:
+			taken[placeOf(in)] = true
+			apart = append(apart, in)
 		}
-		taken[placeOf(in)] = true
-		chosen = append(chosen, in)
 	}
-	return chosen
+	chosen := slices.Concat(apart, suspected, rest)
+	return chosen[:min(len(chosen), pathReferences)]
+}
+
+// place is a set of instances that are likely to fail together.
+type place struct{ dataCentre, domain string }
+
+func placeOf(in provider.Instance) place {
+	if in.FabricDomain == "" {
+		// A plain server fails by itself.
+		return place{in.DataCentre, in.ID}
+	}
+	return place{in.DataCentre, in.FabricDomain}
 }
 
 func (o *Observer) runPathCheck(ctx context.Context, c *pathCheck) {
--- a/internal/observer/path_test.go
+++ b/internal/observer/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,11 +13,12 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // unconfirmedAfter is how long an instance must have responded to no probe before it is
-// given up although the path may be the cause.
-const unconfirmedAfter = 2 * time.Second
+// given up although the path may be the cause. Callers leave after two seconds.
+const unconfirmedAfter = 1200 * time.Millisecond
 
 // pathStub is a platform with instances in several fabric domains, to which probes are
 // answered after a delay.
@@ -25,6 +27,8 @@
 	instances []provider.Instance
 	// delay returns the time after which an instance responds.
 	delay func(id string) time.Duration
+	// failure is the error of a probe without a response.
+	failure error
 }
 
 func (s *pathStub) Fetch(context.Context, bool) (Snapshot, error) {
@@ -34,7 +38,7 @@
 func (s *pathStub) Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error {
 	delay := s.delay(in.ID)
 	if !sleep(ctx, min(delay, timeout)) || delay >= timeout {
-		return errNoResponse
+		return s.failure
 	}
 	return nil
 }
@@ -42,7 +46,7 @@
 // newPathObserver returns an observer of instances a, b, c and so on, each in a fabric
 // domain of its own.
 func newPathObserver(count int, delay func(id string) time.Duration) (*pathStub, *Observer) {
-	s := &pathStub{stub: &stub{peers: 2, announced: make(chan messenger.LossesMessage, 8)}, delay: delay}
+	s := &pathStub{stub: &stub{peers: 2, announced: make(chan messenger.LossesMessage, 8)}, delay: delay, failure: errNoResponse}
 	for i := range count {
 		s.instances = append(s.instances, provider.Instance{
 			ID: string(rune('a' + i)), Incarnation: "1", Service: "s", FabricDomain: strconv.Itoa(i),
@@ -105,3 +109,54 @@
 	assert.Assert(t, time.Since(began) >= unconfirmedAfter)
 	assert.Equal(t, len(s.announced), 0)
 }
+
+// TestOwnPathFailureOfAll guards against losses being announced when the own path fails while
+// requests run on all instances, so that each of them is under suspicion: for a moment, and
+// for so long that they are given up here one after the other.
+func TestOwnPathFailureOfAll(t *testing.T) {
+	for _, count := range []int{2, 3, 6} {
+		t.Run(strconv.Itoa(count), func(t *testing.T) {
+			s, o := newPathObserver(count, func(string) time.Duration { return time.Hour })
+			o.Suspect(t.Context(), s.instances)
+			time.Sleep(4 * probeTimeout)
+			assert.Equal(t, len(lostInstances(o)), 0)
+			for began := time.Now(); time.Since(began) < 2*unconfirmedAfter; time.Sleep(checkInterval) {
+				o.Suspect(t.Context(), s.instances)
+			}
+			assert.Equal(t, len(lostInstances(o)), count)
+			assert.Equal(t, len(s.announced), 0)
+			o.WithTracker(func(tr *tracker.Tracker) {
+				for _, in := range s.instances {
+					assert.Assert(t, !tr.LostForAll(in.ID))
+				}
+			})
+		})
+	}
+}
+
+// TestOwnPathFailureInOneDomain guards against the same where all instances share a fabric
+// domain.
+func TestOwnPathFailureInOneDomain(t *testing.T) {
+	s, o := newPathObserver(6, func(string) time.Duration { return time.Hour })
+	for i := range s.instances {
+		s.instances[i].FabricDomain = "d"
+	}
+	o.poll(t.Context())
+	o.runCheck(t.Context(), s.instances[0])
+	assert.Equal(t, len(lostInstances(o)), 0)
+}
+
+// TestRefusedProbeIsLoss checks that an instance whose machine refuses the connection is lost
+// at once, whatever the path is like.
+func TestRefusedProbeIsLoss(t *testing.T) {
+	s, o := newPathObserver(6, func(string) time.Duration { return time.Hour })
+	s.failure = syscall.ECONNREFUSED
+	o.runCheck(t.Context(), s.instances[0])
+	assert.DeepEqual(t, (<-s.announced).Losses, lossOfA)
+}
+
+func lostInstances(o *Observer) []provider.Instance {
+	var lost []provider.Instance
+	o.WithTracker(func(tr *tracker.Tracker) { lost = tr.LostInstances() })
+	return lost
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -248,7 +248,7 @@
 // the group's creation and false.
 func (s *Scheduler) currentInstance(v View, member provider.Instance) (provider.Instance, bool) {
 	in, listed := v.Tracker.Instance(member.ID)
-	if !listed || in.Incarnation != member.Incarnation || v.Tracker.IsLost(member.ID) {
+	if !listed || in.Incarnation != member.Incarnation || v.Tracker.LostForAll(member.ID) {
 		return member, false
 	}
 	return in, true
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -193,11 +193,16 @@
 			switch d.Cmd {
 			case "instances":
 				s.addInstances(d)
-			case "mark_lost":
-				var at int
-				d.ScanArgs(t, "at", &at)
+			case "mark_lost", "mark_lost_here":
+				var ms int
+				d.ScanArgs(t, "at", &ms)
+				at := s.start.Add(time.Duration(ms) * time.Millisecond)
 				for _, id := range strings.Fields(d.Input) {
-					s.tracker.MarkLost(s.start.Add(time.Duration(at)*time.Millisecond), id, "1")
+					if d.Cmd == "mark_lost_here" {
+						s.tracker.MarkLostHere(at, at, id, "1")
+					} else {
+						s.tracker.MarkLost(at, id, "1")
+					}
 				}
 			case "highest_epoch":
 				var epoch int
--- a/pkg/tracker/suspicion.go
+++ b/pkg/tracker/suspicion.go
@@ -20,7 +20,7 @@
 const (
 	// unconfirmedLossAge is how long an instance must have responded to no probe before it
 	// counts as lost here although the path may be the cause.
-	unconfirmedLossAge = 2 * time.Second
+	unconfirmedLossAge = 1200 * time.Millisecond
 	// suspicionGap is the time between two unanswered probes from which they are no
 	// evidence of one long failure.
 	suspicionGap = time.Second
@@ -72,6 +72,15 @@
 	return Undecided
 }
 
+// Since returns the start of the series of unanswered probes of an instance, or now if
+// there is none.
+func (s *Suspicions) Since(now time.Time, id string) time.Time {
+	if current, found := s.byID[id]; found {
+		return current.since
+	}
+	return now
+}
+
 // Clear ends the suspicion of an instance that has responded.
 func (s *Suspicions) Clear(id string) { delete(s.byID, id) }
 
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -118,6 +118,8 @@
 	incarnation string
 	// since is the time of the first evidence, and at that of the last one.
 	since, at time.Time
+	// here reports whether the instance is only known not to be reachable from here.
+	here bool
 }
 
 // statedLeaving is an instance's own statement that it leaves. It is stronger than any
@@ -315,22 +317,39 @@
 // reports whether the instance was not marked before. Evidence about another
 // incarnation than the listed one is ignored.
 func (t *Tracker) MarkLost(now time.Time, id, incarnation string) bool {
+	return t.mark(id, loss{incarnation: incarnation, since: now, at: now})
+}
+
+// MarkLostHere is like MarkLost for an instance that has not been reachable from here since
+// a time, though others may reach it.
+func (t *Tracker) MarkLostHere(now, since time.Time, id, incarnation string) bool {
+	return t.mark(id, loss{incarnation: incarnation, since: since, at: now, here: true})
+}
+
+func (t *Tracker) mark(id string, l loss) bool {
 	in, known := t.instances[id]
-	if known && in.Incarnation != incarnation {
+	if known && in.Incarnation != l.incarnation {
 		return false
 	}
 	earlier, alreadyLost := t.losses[id]
-	since := now
-	if alreadyLost && earlier.incarnation == incarnation {
-		since = earlier.since
+	if alreadyLost && earlier.incarnation == l.incarnation {
+		l.since = earlier.since
+		l.here = l.here && earlier.here
 	}
-	t.losses[id] = loss{incarnation: incarnation, since: since, at: now}
+	t.losses[id] = l
 	if !alreadyLost {
 		t.rebuild()
 	}
 	return !alreadyLost
 }
 
+// LostForAll reports whether there is evidence that an instance is lost for all entry
+// instances, and not only not reachable from here.
+func (t *Tracker) LostForAll(id string) bool {
+	l, lost := t.losses[id]
+	return lost && !l.here
+}
+
 // ClearLoss removes the evidence of a loss because the instance has responded.
 func (t *Tracker) ClearLoss(id string) {
 	if _, lost := t.losses[id]; lost {
