Tests that fail: a silent peer holds up each call for 2 s, and a list outlives its bound

A backend server that leaves may be sent requests until its list entry has reached every instance, within a bound of 2 or 3 s. TestListAgeIsBounded drives the observer's own loop over a relayer whose sources fall silent or lose the store, beside a sound store; TestSilentPeerCostsNoMoreThanTheCall is one call with 100 ms to a peer that accepts connections and says nothing.

Seen: the call takes 2.00 s. Lists of 3.41 s (silent readers), 2.52 to 2.92 s (and one of them has told of a newer version) and 2.95 s (silent relays and readers) against a bound of 2 s; sources that lost the store, and a bound of 3 s with silent relays (2.95 s), are kept. Time for which the machine did not run the test is taken off the ages.

--- a/internal/messenger/pool_test.go
+++ b/internal/messenger/pool_test.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"context"
 	"crypto/rand"
 	"net"
 	"net/netip"
@@ -48,3 +49,21 @@
 	assert.NilError(t, p.Call(t.Context(), idle, "Echo.Echo", "again", &reply))
 	assert.Equal(t, reply, "again")
 }
+
+// TestSilentPeerCostsNoMoreThanTheCall guards against a call that takes as long as a
+// handshake may, whatever time its caller gives it: a peer that accepts connections and
+// says nothing held up each call for 2 s.
+func TestSilentPeerCostsNoMoreThanTheCall(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	p := NewPool(Security{})
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	began := time.Now()
+	var reply string
+	err = p.Call(ctx, listener.Addr().(*net.TCPAddr).AddrPort(), "Echo.Echo", "hello", &reply)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 5*timeout, "took %s", time.Since(began))
+}
--- /dev/null
+++ b/internal/relayer/age_test.go
@@ -0,0 +1,221 @@
+package relayer
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// source is a peer whose state is current until it is cut off from the store, and
+// that can fall silent.
+type source struct {
+	state       *versionedState
+	cut, silent atomic.Bool
+	released    <-chan struct{}
+	listener    net.Listener
+}
+
+// News implements the peers' call.
+func (s *source) News(arguments messenger.ChangesArguments, reply *messenger.ChangesReply) error {
+	if s.silent.Load() {
+		<-s.released
+	}
+	if !s.cut.Load() {
+		s.state.confirmList(clocker.Now(), 1)
+		s.state.configConfirmedAt = clocker.Now()
+	}
+	*reply = s.state.changesSince(clocker.Now(), arguments)
+	return nil
+}
+
+// Accept implements [net.Listener]. A silent source's connections are never served.
+func (s *source) Accept() (net.Conn, error) {
+	conn, err := s.listener.Accept()
+	if err == nil && s.silent.Load() {
+		<-s.released
+	}
+	return conn, err
+}
+
+// Close implements [net.Listener].
+func (s *source) Close() error { return s.listener.Close() }
+
+// Addr implements [net.Listener].
+func (s *source) Addr() net.Addr { return s.listener.Addr() }
+
+func newSource(t *testing.T) *source {
+	t.Helper()
+	s := &source{state: newVersionedState(1), released: t.Context().Done()}
+	s.state.updateList(InstancesReading{At: clocker.Now(), Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}})
+	s.state.updateConfig(clocker.Now(), "", mapper.New(mapper.Config{Version: 1}), false)
+	var err error
+	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, s, rand.Read)
+	assert.NilError(t, err)
+	go server.Serve(t.Context(), s)
+	return s
+}
+
+// soundStore answers each reading after a time.
+type soundStore struct{ takes time.Duration }
+
+func (s soundStore) ReadInstances(context.Context) (InstancesReading, error) {
+	at := clocker.Now()
+	time.Sleep(s.takes)
+	return InstancesReading{At: at, Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}}, nil
+}
+
+func (s soundStore) ReadConfig(context.Context) (ConfigReading, error) {
+	at := clocker.Now()
+	time.Sleep(s.takes)
+	return ConfigReading{At: at, Table: mapper.New(mapper.Config{Version: 1})}, nil
+}
+
+func (soundStore) Era() uint64 { return 0 }
+
+// noPeers is the prober and the announcer of an observer without either.
+type noPeers struct{}
+
+func (noPeers) Probe(context.Context, provider.Instance, time.Duration) error { return nil }
+func (noPeers) Announce(context.Context, messenger.LossesMessage)             {}
+func (noPeers) Count() int                                                    { return 1 }
+
+// TestListAgeIsBounded guards against a list of backend servers that an instance acts upon
+// for longer than a server may be sent requests after the store knows that it leaves:
+// each step of a fetch kept its own limit, and nobody added them up. The store is sound;
+// the instance's sources fall silent, or go on answering without the store.
+func TestListAgeIsBounded(t *testing.T) {
+	const (
+		storeTakes = 50 * time.Millisecond
+		watched    = 4 * time.Second
+		phases     = 3
+		calmAge    = 900 * time.Millisecond
+	)
+	type run struct {
+		leaf  *leaf
+		bound time.Duration
+		name  string
+	}
+	var runs []*run
+	for _, test := range []struct {
+		name    string
+		bound   time.Duration
+		members int
+		// disturb is what happens to each source.
+		disturb func(*source)
+		// told means that a silent source has told of a newer configuration.
+		told bool
+	}{
+		{name: "silent readers", bound: 2 * time.Second, members: 4, disturb: fallSilent},
+		{name: "readers without the store", bound: 2 * time.Second, members: 4, disturb: cutOff},
+		{name: "silent readers, newer version told", bound: 2 * time.Second, members: 4, disturb: fallSilent, told: true},
+		{name: "silent relays and readers", bound: 3 * time.Second, members: 16, disturb: fallSilent},
+		{name: "relays and readers without the store", bound: 3 * time.Second, members: 16, disturb: cutOff},
+		{name: "silent relays and readers, short bound", bound: 2 * time.Second, members: 16, disturb: fallSilent},
+	} {
+		for phase := range phases {
+			l := newLeaf(t, soundStore{takes: storeTakes}, test.members, test.bound)
+			l.disturb, l.told = test.disturb, test.told
+			l.calm = time.Second + time.Duration(phase)*observer.PollInterval/phases
+			l.watched = watched
+			runs = append(runs, &run{leaf: l, bound: test.bound, name: fmt.Sprint(test.name, " ", phase)})
+		}
+	}
+	var running sync.WaitGroup
+	for _, r := range runs {
+		running.Go(r.leaf.run)
+	}
+	running.Wait()
+	for _, r := range runs {
+		t.Run(r.name, func(t *testing.T) {
+			assert.Assert(t, r.leaf.ageInCalm < calmAge, "%s in calm", r.leaf.ageInCalm)
+			assert.Assert(t, r.leaf.oldest <= r.bound, "acted upon a list of %s", r.leaf.oldest)
+		})
+	}
+}
+
+// leaf is an instance that fetches from others.
+type leaf struct {
+	source   *source
+	relayer  *Relayer
+	observer *observer.Observer
+	disturb  func(*source)
+	told     bool
+	// calm is the time until the sources are disturbed, and watched the time from then.
+	calm, watched time.Duration
+
+	// ageInCalm is the list's age before the disturbance, and oldest the greatest one after
+	// it, less the time for which the machine did not run the test.
+	ageInCalm, oldest time.Duration
+}
+
+func newLeaf(t *testing.T, store soundStore, count int, bound time.Duration) *leaf {
+	t.Helper()
+	l := &leaf{source: newSource(t)}
+	var members []gossiper.Member
+	for i := range count {
+		members = append(members, gossiper.Member{ID: fmt.Sprint("entry-", i), Peer: l.source.Addr().(*net.TCPAddr).AddrPort()})
+	}
+	l.relayer = New(Dependencies{
+		Platform: store, Members: stubMembers(leafFirst(t, members)),
+		Pool: messenger.NewPool(messenger.Security{}), Epoch: 9, MaxAge: StateMaxAge(bound),
+	})
+	l.observer = observer.New(observer.Dependencies{Source: l.relayer, Prober: noPeers{}, Announcer: noPeers{}, Scope: tally.NoopScope})
+	l.observer.Start(t.Context())
+	return l
+}
+
+func (l *leaf) run() {
+	const (
+		step  = 5 * time.Millisecond
+		stall = 25 * time.Millisecond
+	)
+	time.Sleep(l.calm)
+	l.ageInCalm = l.observer.ListAge()
+	l.disturb(l.source)
+	began := time.Now()
+	stalled := time.Duration(0)
+	for last := began; time.Since(began) < l.watched+stalled; {
+		time.Sleep(step)
+		if gap := time.Since(last); gap > stall {
+			stalled += gap
+		}
+		last = time.Now()
+		l.oldest = max(l.oldest, l.observer.ListAge()-stalled)
+		if l.told && l.relayer.HearVersion(l.source.Addr().(*net.TCPAddr).AddrPort(), 2) {
+			l.observer.Refresh()
+		}
+	}
+}
+
+func fallSilent(s *source) { s.silent.Store(true) }
+func cutOff(s *source)     { s.cut.Store(true) }
+
+// leafFirst returns the members with one that is neither reader nor relay first.
+func leafFirst(t *testing.T, members []gossiper.Member) []gossiper.Member {
+	t.Helper()
+	for i, m := range members {
+		if own, from := sources(m, members); own == roleLeaf && len(from) >= readerCount {
+			members[0], members[i] = members[i], members[0]
+			return members
+		}
+	}
+	t.Fatal("no leaf")
+	return nil
+}
