Messenger: a call to a silent peer ends when its caller's time ends

A call over a new connection took as long as the handshake may, 2 s, whatever time the caller gave it (300 ms for the platform's state, 100 ms for a permit, 300 ms for messages to all): the context ended the connecting, not the handshake after it. A peer that is frozen, starved or cut off accepts connections and says nothing; each call that times out closes the connection, so that from the second call on each takes 2 s. A fetch of the state asks its sources 80 ms apart and then the store, and a peer that has told of a newer version before them: 2 s and 2.2 s, which fits the fetches of over 4 s on a small instance.

Ruled out: the connecting itself (bounded by the context) and the wait for the reply.

The connection is closed when the context ends. TestSilentPeerCostsNoMoreThanTheCall took 2.00 s before, passes now. In TestListAgeIsBounded the lists of silent readers are within 2 s now (3.41 s before); those with a newer version told are 2.39 s old (2.52 to 2.92 s), those of silent relays and readers 2.81 s (2.95 s), and the test stays red.

--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -211,7 +211,13 @@
 		config.ServerName = address.Addr().String()
 		conn = tls.Client(conn, config)
 	}
-	if err := answerChallenge(conn, p.security.Token); err != nil {
+	// A peer that says nothing holds up the caller for no longer than its context.
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	err = answerChallenge(conn, p.security.Token)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		conn.Close()
 		return nil, err
 	}
