Relayer: a fetch as a whole fits into the bound, and reads the store in time

A server that leaves could get requests on a list older than the bound. What one instance acts upon is as old as what it took (1.6 s, 2.2 s with relays, whatever the bound), plus the time until the next fetch (0.6 s), plus that fetch: a peer that has told of a newer version (0.3 s), up to six peers 80 ms apart (0.7 s), then the store (0.7 s), the peers again (0.7 s). A fetch whose peers all failed while the list was below 1.6 s left the store alone for another 0.6 s and the same again. The sum passes 2 and 3 s with a sound store; each step kept its own limit, and only the first was derived from the bound.

Ruled out: the feed at the readers (a held call returns at a change) and the tracker, which applies whatever list it gets. A shorter interval was not taken: it costs calls in calm.

The change: once there is a state, a fetch ends after 0.25 s; the store is read beside the peers as soon as the state is within 0.6 s of the bound (half an interval above the age of what is taken), and not held by it there; the peer that told of a newer version is asked beside the others; what arrives late is the next result; an instance that is behind fetches again after 0.3 s; peers that a call failed to come last for 3 s. In calm the store is left to the readers as before, which the test counts. The store counts as unavailable when it refused within 1.6 s or is silent for 0.7 s, not because a fetch was short.

--- a/internal/hostedrunner/metrics.go
+++ b/internal/hostedrunner/metrics.go
@@ -77,17 +77,17 @@
 }
 
 // ReadInstances implements [relayer.Platform].
-func (m *storeMetrics) ReadInstances(ctx context.Context) (relayer.InstancesReading, error) {
+func (m *storeMetrics) ReadInstances(ctx context.Context, hold bool) (relayer.InstancesReading, error) {
 	started := time.Now()
-	reading, err := m.source.ReadInstances(ctx)
+	reading, err := m.source.ReadInstances(ctx, hold)
 	m.recordCall("read_instances", started, err)
 	return reading, err
 }
 
 // ReadConfig implements [relayer.Platform].
-func (m *storeMetrics) ReadConfig(ctx context.Context) (relayer.ConfigReading, error) {
+func (m *storeMetrics) ReadConfig(ctx context.Context, hold bool) (relayer.ConfigReading, error) {
 	started := time.Now()
-	reading, err := m.source.ReadConfig(ctx)
+	reading, err := m.source.ReadConfig(ctx, hold)
 	m.recordCall("read_config", started, err)
 	return reading, err
 }
--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -21,10 +21,11 @@
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
-// source is a peer whose state is current until it is cut off from the store, and
-// that can fall silent.
+// source is a peer that knows the store's state of a time ago until it is cut off from the
+// store, and that can fall silent.
 type source struct {
 	state       *versionedState
+	lag         time.Duration
 	cut, silent atomic.Bool
 	released    <-chan struct{}
 	listener    net.Listener
@@ -36,8 +37,9 @@
 		<-s.released
 	}
 	if !s.cut.Load() {
-		s.state.confirmList(clocker.Now(), 1)
-		s.state.configConfirmedAt = clocker.Now()
+		at := clocker.Now().Add(-s.lag)
+		s.state.confirmList(at, 1)
+		s.state.configConfirmedAt = at
 	}
 	*reply = s.state.changesSince(clocker.Now(), arguments)
 	return nil
@@ -58,11 +60,11 @@
 // Addr implements [net.Listener].
 func (s *source) Addr() net.Addr { return s.listener.Addr() }
 
-func newSource(t *testing.T) *source {
+func newSource(t *testing.T, lag time.Duration) *source {
 	t.Helper()
-	s := &source{state: newVersionedState(1), released: t.Context().Done()}
-	s.state.updateList(InstancesReading{At: clocker.Now(), Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}})
-	s.state.updateConfig(clocker.Now(), "", mapper.New(mapper.Config{Version: 1}), false)
+	s := &source{state: newVersionedState(1), lag: lag, released: t.Context().Done()}
+	s.state.updateList(InstancesReading{At: clocker.Now().Add(-lag), Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}})
+	s.state.updateConfig(clocker.Now().Add(-lag), "", mapper.New(mapper.Config{Version: 1}), false)
 	var err error
 	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -73,21 +75,25 @@
 }
 
 // soundStore answers each reading after a time.
-type soundStore struct{ takes time.Duration }
+type soundStore struct {
+	takes time.Duration
+	reads atomic.Int32
+}
 
-func (s soundStore) ReadInstances(context.Context) (InstancesReading, error) {
+func (s *soundStore) ReadInstances(context.Context, bool) (InstancesReading, error) {
+	s.reads.Add(1)
 	at := clocker.Now()
 	time.Sleep(s.takes)
 	return InstancesReading{At: at, Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}}, nil
 }
 
-func (s soundStore) ReadConfig(context.Context) (ConfigReading, error) {
+func (s *soundStore) ReadConfig(context.Context, bool) (ConfigReading, error) {
 	at := clocker.Now()
 	time.Sleep(s.takes)
 	return ConfigReading{At: at, Table: mapper.New(mapper.Config{Version: 1})}, nil
 }
 
-func (soundStore) Era() uint64 { return 0 }
+func (*soundStore) Era() uint64 { return 0 }
 
 // noPeers is the prober and the announcer of an observer without either.
 type noPeers struct{}
@@ -99,13 +105,18 @@
 // TestListAgeIsBounded guards against a list of backend servers that an instance acts upon
 // for longer than a server may be sent requests after the store knows that it leaves:
 // each step of a fetch kept its own limit, and nobody added them up. The store is sound;
-// the instance's sources fall silent, or go on answering without the store.
+// the instance's sources fall silent, or go on answering without the store. In calm the store
+// is left to the readers.
 func TestListAgeIsBounded(t *testing.T) {
 	const (
 		storeTakes = 50 * time.Millisecond
 		watched    = 4 * time.Second
-		phases     = 3
-		calmAge    = 900 * time.Millisecond
+		phases     = 4
+		calmAge    = 700 * time.Millisecond
+		// readerLag is how far a reader may lag behind a store that holds its calls, and
+		// relayLag how far a relay that asks it.
+		readerLag = 570 * time.Millisecond
+		relayLag  = readerLag + relayInterval
 	)
 	type run struct {
 		leaf  *leaf
@@ -130,7 +141,12 @@
 		{name: "silent relays and readers, short bound", bound: 2 * time.Second, members: 16, disturb: fallSilent},
 	} {
 		for phase := range phases {
-			l := newLeaf(t, soundStore{takes: storeTakes}, test.members, test.bound)
+			lag := readerLag
+			if test.members > maxDirectMembers {
+				lag = relayLag
+			}
+			lag = lag * time.Duration(phase) / (phases - 1)
+			l := newLeaf(t, newSource(t, lag), &soundStore{takes: storeTakes}, test.members, test.bound)
 			l.disturb, l.told = test.disturb, test.told
 			l.calm = time.Second + time.Duration(phase)*observer.PollInterval/phases
 			l.watched = watched
@@ -144,7 +160,9 @@
 	running.Wait()
 	for _, r := range runs {
 		t.Run(r.name, func(t *testing.T) {
-			assert.Assert(t, r.leaf.ageInCalm < calmAge, "%s in calm", r.leaf.ageInCalm)
+			assert.Assert(t, r.leaf.ageInCalm < calmAge+r.leaf.source.lag, "%s in calm", r.leaf.ageInCalm)
+			assert.Equal(t, r.leaf.readsInCalm, int32(0))
+			t.Logf("at most %s of %s", r.leaf.oldest.Round(time.Millisecond), r.bound)
 			assert.Assert(t, r.leaf.oldest <= r.bound, "acted upon a list of %s", r.leaf.oldest)
 		})
 	}
@@ -153,6 +171,7 @@
 // leaf is an instance that fetches from others.
 type leaf struct {
 	source   *source
+	store    *soundStore
 	relayer  *Relayer
 	observer *observer.Observer
 	disturb  func(*source)
@@ -163,11 +182,13 @@
 	// ageInCalm is the list's age before the disturbance, and oldest the greatest one after
 	// it, less the time for which the machine did not run the test.
 	ageInCalm, oldest time.Duration
+	// readsInCalm is how often the store was read before the disturbance.
+	readsInCalm int32
 }
 
-func newLeaf(t *testing.T, store soundStore, count int, bound time.Duration) *leaf {
+func newLeaf(t *testing.T, from *source, store *soundStore, count int, bound time.Duration) *leaf {
 	t.Helper()
-	l := &leaf{source: newSource(t)}
+	l := &leaf{source: from, store: store}
 	var members []gossiper.Member
 	for i := range count {
 		members = append(members, gossiper.Member{ID: fmt.Sprint("entry-", i), Peer: l.source.Addr().(*net.TCPAddr).AddrPort()})
@@ -187,7 +208,7 @@
 		stall = 25 * time.Millisecond
 	)
 	time.Sleep(l.calm)
-	l.ageInCalm = l.observer.ListAge()
+	l.ageInCalm, l.readsInCalm = l.observer.ListAge(), l.store.reads.Load()
 	l.disturb(l.source)
 	began := time.Now()
 	stalled := time.Duration(0)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,6 +43,8 @@
 	// fetchMargin is what a fetch may take, together with a source that does not answer,
 	// and the sending of a request by its result.
 	fetchMargin = 300 * time.Millisecond
+	// fetchTimeout is how long a fetch waits for peers once there is a state.
+	fetchTimeout = fetchMargin - 50*time.Millisecond
 	// peerCallTimeout bounds one call to a peer.
 	peerCallTimeout = 300 * time.Millisecond
 	// firstCallTimeout replaces it while this instance has no list, since the whole list
@@ -56,20 +58,21 @@
 	storeFirst = 700 * time.Millisecond
 	// settleTime is how long a reading that has ended waits for the other one.
 	settleTime = 20 * time.Millisecond
-	// relayInterval is the time between two fetches of a relay, and between the starts of
-	// two readings of a reader while changes come.
+	// relayInterval is the time between two fetches of a relay, or of an instance whose
+	// state is older than the sources' should be, and between the starts of two readings of
+	// a reader while changes come.
 	relayInterval = 300 * time.Millisecond
 )
 
 // Platform is the platform's store.
 type Platform interface {
-	// ReadInstances reads the list of backend servers. While nothing changes, it may
-	// wait for a change for up to half a second.
-	ReadInstances(ctx context.Context) (InstancesReading, error)
+	// ReadInstances reads the list of backend servers. If hold is set, it may wait for a
+	// change for up to half a second while nothing changes.
+	ReadInstances(ctx context.Context, hold bool) (InstancesReading, error)
 	// Era returns the newest era that the table's responses have shown.
 	Era() uint64
 	// ReadConfig reads the operator's configuration. It may wait like ReadInstances.
-	ReadConfig(ctx context.Context) (ConfigReading, error)
+	ReadConfig(ctx context.Context, hold bool) (ConfigReading, error)
 }
 
 // InstancesReading is the list of backend servers as it was read.
@@ -142,9 +145,19 @@
 	started    time.Time
 	readList   flight
 	readConfig flight
+	// readHeard fetches from the peer that has told of a newer configuration.
+	readHeard flight
 
 	mu    sync.Mutex
 	state *versionedState
+	// returned is the list's time, and returnedVersion the configuration's version, in the
+	// last result of Fetch.
+	returned        time.Time
+	returnedVersion uint64
+	// direct reports whether the last call of Fetch was to read the store.
+	direct bool
+	// failedAt is when a call to a peer failed, unless a later one succeeded, by ID.
+	failedAt map[string]time.Time
 	// listFromStore reports whether the last change of the list was read from the store.
 	listFromStore bool
 	// heardVersion is the newest version of the configuration that a peer has told,
@@ -157,9 +170,10 @@
 func New(d Dependencies) *Relayer {
 	state := newVersionedState(d.Epoch)
 	state.firstStart = d.FirstStart
-	r := &Relayer{Dependencies: d, state: state, started: clocker.Now()}
+	r := &Relayer{Dependencies: d, state: state, started: clocker.Now(), failedAt: make(map[string]time.Time)}
 	r.readList.task = r.updateListFromStore
 	r.readConfig.task = r.updateConfigFromStore
+	r.readHeard.task = r.fetchHeardVersion
 	return r
 }
 
@@ -172,28 +186,12 @@
 // Interval returns the time between two calls of Fetch that suits this instance's role,
 // or zero if it has none.
 func (r *Relayer) Interval() time.Duration {
-	if own, _ := sources(r.Members.Self(), r.Members.Live()); own != roleLeaf {
+	if own, _ := sources(r.Members.Self(), r.Members.Live()); own != roleLeaf || r.isBehind() {
 		return relayInterval
 	}
 	return 0
 }
 
-// Fetch implements [observer.Source].
-func (r *Relayer) Fetch(ctx context.Context, direct bool) (observer.Snapshot, error) {
-	own, from := sources(r.Members.Self(), r.Members.Live())
-	r.fetchHeardVersion(ctx)
-	var err error
-	switch {
-	case direct || own == roleReader:
-		err = r.fetchFromStore(ctx, from)
-	case !r.fetchFromPeers(ctx, from) && !r.isRecent():
-		err = r.fetchFromStore(ctx, from)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state.snapshot(), err
-}
-
 // StateMaxAge returns the MaxAge for a bound within which a change must be in force, or
 // zero if there is no bound: what is taken is acted upon until the next fetch, so that its
 // age and the time until then must fit into the bound together.
@@ -223,62 +221,6 @@
 	return true
 }
 
-// fetchHeardVersion fetches a newer configuration than the known one from the peer that
-// has told of it. It bounds the time in which a change is in force here even if the
-// instance's sources lag behind; and a process that has just started has no other way to
-// learn of it while the store shows an older copy.
-func (r *Relayer) fetchHeardVersion(ctx context.Context) {
-	r.mu.Lock()
-	address, news := r.heardFrom, r.heardVersion > r.state.configVersion()
-	// Another peer tells the version again if this call fails.
-	r.heardVersion = 0
-	r.mu.Unlock()
-	if !news {
-		return
-	}
-	for _, m := range r.Members.Live() {
-		if m.Peer == address {
-			r.fetchFromPeer(ctx, m)
-			return
-		}
-	}
-}
-
-// isRecent reports whether the known state is recent enough to leave the store alone.
-func (r *Relayer) isRecent() bool {
-	limit := r.hardMaxAge()
-	now := clocker.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state.config != nil && now.Sub(r.state.listedAt) <= limit && now.Sub(r.state.configConfirmedAt) <= limit
-}
-
-// hardMaxAge returns the age from which a peer's reply is discarded.
-func (r *Relayer) hardMaxAge() time.Duration {
-	if r.Members.Count() > maxDirectMembers {
-		return relayedMaxAge
-	}
-	return maxAge
-}
-
-// softMaxAge returns the age from which other sources are asked too.
-func (r *Relayer) softMaxAge() time.Duration {
-	hard := r.hardMaxAge()
-	if r.MaxAge > 0 && r.MaxAge < hard {
-		return r.MaxAge
-	}
-	return hard
-}
-
-// fetchFromPeers asks the members and reports whether one sent a recent reply.
-func (r *Relayer) fetchFromPeers(ctx context.Context, from []gossiper.Member) bool {
-	delay := hedgeDelay
-	if !r.hasState() {
-		delay = firstHedgeDelay
-	}
-	return hedge(ctx, delay, from, r.fetchFromPeer)
-}
-
 // fetchFromPeer fetches the changes from one peer and reports whether they were so
 // recent that no other peer needs to be asked. Ages count from the start of the call.
 func (r *Relayer) fetchFromPeer(ctx context.Context, peer gossiper.Member) bool {
@@ -293,7 +235,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply messenger.ChangesReply
-	if err := r.Pool.Call(ctx, peer.Peer, messenger.MethodNews, &arguments, &reply); err != nil {
+	err := r.Pool.Call(ctx, peer.Peer, messenger.MethodNews, &arguments, &reply)
+	r.noteCall(peer.ID, err)
+	if err != nil {
 		log.WithField("peer", peer.ID).WithError(err).Debug("fetch of platform state from peer failed")
 		return false
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -29,14 +29,14 @@
 	configRead bool
 }
 
-func (p *stubPlatform) ReadInstances(context.Context) (InstancesReading, error) {
+func (p *stubPlatform) ReadInstances(context.Context, bool) (InstancesReading, error) {
 	p.reads++
 	at := clocker.Now()
 	time.Sleep(p.listDelay)
 	return InstancesReading{At: at, Instances: []provider.Instance{{ID: "from-store"}}}, p.listErr
 }
 
-func (p *stubPlatform) ReadConfig(context.Context) (ConfigReading, error) {
+func (p *stubPlatform) ReadConfig(context.Context, bool) (ConfigReading, error) {
 	return ConfigReading{At: clocker.Now(), Table: mapper.New(mapper.Config{Version: p.version})}, nil
 }
 
@@ -247,12 +247,12 @@
 // heldPlatform is a store that holds readings of the configuration while nothing changes.
 type heldPlatform struct{ stubPlatform }
 
-func (p *heldPlatform) ReadConfig(ctx context.Context) (ConfigReading, error) {
+func (p *heldPlatform) ReadConfig(ctx context.Context, hold bool) (ConfigReading, error) {
 	if p.configRead {
 		time.Sleep(450 * time.Millisecond)
 	}
 	p.configRead = true
-	return p.stubPlatform.ReadConfig(ctx)
+	return p.stubPlatform.ReadConfig(ctx, hold)
 }
 
 // TestHeldReadingDoesNotDelayTheOther guards against a change of the list that waits for the
--- a/internal/relayer/store.go
+++ b/internal/relayer/store.go
@@ -19,19 +19,38 @@
 		return errLeftToPeers
 	}
 	list, config := r.readList.begin(ctx), r.readConfig.begin(ctx)
-	await := awaitFirst
 	if !r.hasState() {
-		await = awaitBoth
+		err := awaitBoth(ctx, list, config, storeFirst)
+		if err == nil || r.fetchFromPeers(ctx, from) {
+			return nil
+		}
+		return awaitBoth(ctx, list, config, maxAge)
+	}
+	if len(from) == 0 {
+		if err := awaitFirst(ctx, list, config, storeFirst); err == nil {
+			return nil
+		}
+		return awaitBoth(ctx, list, config, maxAge)
 	}
-	err := await(ctx, list, config, storeFirst)
-	if err == nil || r.fetchFromPeers(ctx, from) {
+	err := awaitFirst(ctx, list, config, min(storeFirst, max(hedgeDelay, r.untilStoreAge())))
+	if err == nil {
 		return nil
 	}
-	if len(from) > 0 && r.hasState() {
-		// The readings that are still running are in the state at the next call.
+	wait, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if r.askPeers(wait, ctx, from) {
+		return nil
+	}
+	// The readings that are still running are in the state at the next call.
+	return r.storeTrouble()
+}
+
+// storeTrouble returns why the store is taken for unavailable, or nil if it is not.
+func (r *Relayer) storeTrouble() error {
+	if err := r.readList.trouble(storeFirst); err != nil {
 		return err
 	}
-	return awaitBoth(ctx, list, config, maxAge)
+	return r.readConfig.trouble(storeFirst)
 }
 
 // leavesStoreToPeers reports whether the instance waits for a peer that reads the store.
@@ -105,7 +124,7 @@
 
 // updateListFromStore updates the list of backend servers.
 func (r *Relayer) updateListFromStore(ctx context.Context) error {
-	reading, err := r.Platform.ReadInstances(ctx)
+	reading, err := r.Platform.ReadInstances(ctx, r.readsSteadily())
 	if err != nil {
 		return err
 	}
@@ -121,7 +140,7 @@
 
 // updateConfigFromStore updates the configuration.
 func (r *Relayer) updateConfigFromStore(ctx context.Context) error {
-	reading, err := r.Platform.ReadConfig(ctx)
+	reading, err := r.Platform.ReadConfig(ctx, r.readsSteadily())
 	if err != nil {
 		return err
 	}
