Forwarder: a request to a server that the list may have lost sight of waits for the list

An instance that has been paused, or gets too little processor time to apply what it fetches, sends its requests by the list of before, and a request that was queued is sent by a decision about servers that is as old as the list.

The change: before an attempt is sent, it waits up to 0.2 s for a newer list, if the list is older than three quarters of the bound and the chosen server has not answered within that time without saying that it leaves (pkg/screener remembers answers for 10 s). It does not wait while the store is known not to answer, nor again after a wait in vain until the next reading has ended, and without a newer list the request is sent all the same: callers are better served by an old list than by none.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,6 +78,7 @@
 		x.predictedFirstEvent = chosen.firstEvent
 		x.spread = x.spread || group.Spread()
 	}
+	x.f.confirmServer(a.ctx, u)
 	x.logAttempt(u, chosen.running)
 	err := x.f.send(x, a)
 	if err != nil {
@@ -240,7 +241,11 @@
 	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
 	})
-	a.body = bodychecker.New(x.request.Body, func() bool { return x.isAllowed() && f.isServing(u) })
+	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
+	a.body = bodychecker.New(x.request.Body, isAllowed)
+	if !isAllowed() {
+		return bodychecker.ErrNotAllowed
+	}
 	request, err := f.serverRequest(a, x)
 	if err != nil {
 		return err
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -37,11 +37,11 @@
 	// clocks, and the time from the caller's sending of a request until it has
 	// been read.
 	keyTTLMargin = 800 * time.Millisecond
-	// configAgeFraction is the fraction of ConfigTTL from which a configuration is
-	// confirmed again before a request is routed by it, and configPatience how long the
-	// request waits for that.
-	configAgeFraction = 0.75
-	configPatience    = 200 * time.Millisecond
+	// viewAgeFraction is the fraction of ConfigTTL and LeavingTTL from which the
+	// configuration or the list of servers is confirmed again before a request is sent by
+	// it, and viewPatience how long the request waits for that.
+	viewAgeFraction = 0.75
+	viewPatience    = 200 * time.Millisecond
 )
 
 // exchange is one request with all of its attempts.
@@ -136,7 +136,7 @@
 // begin authorises a request and sets its pool and its deadlines.
 func (f *Forwarder) begin(ctx context.Context, r *Request) (*exchange, *Refusal) {
 	if ttl := f.settings.Load().ConfigTTL; ttl > 0 {
-		f.Observer.AwaitConfig(ctx, time.Duration(configAgeFraction*float64(ttl)), configPatience)
+		f.Observer.AwaitConfig(ctx, time.Duration(viewAgeFraction*float64(ttl)), viewPatience)
 	}
 	config := f.Observer.Config()
 	if config == nil {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -66,7 +66,9 @@
 	config    *mapper.RouteTable
 	instances []provider.Instance
 	down      bool
-	dead      map[string]bool
+	// held holds readings of the store until it is closed, unless it is nil.
+	held chan struct{}
+	dead map[string]bool
 	// peers is the number of other entry instances.
 	peers int
 }
@@ -76,6 +78,12 @@
 func (*platformStub) Interval() time.Duration { return 0 }
 
 func (p *platformStub) Fetch(context.Context, bool) (observer.Snapshot, error) {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -100,6 +100,9 @@
 	// ConfigTTL is the time within which a confirmed change of the configuration must be
 	// in force, or zero if there is none.
 	ConfigTTL time.Duration
+	// LeavingTTL is the time within which a backend server that leaves must get no more
+	// requests, or zero if there is none.
+	LeavingTTL time.Duration
 	// RetryRatio and RetrySlack bound the retries of all entry instances
 	// together.
 	RetryRatio float64
--- a/internal/forwarder/screen.go
+++ b/internal/forwarder/screen.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,9 @@
 	if metadata.Leaving {
 		f.Observer.HandleLeaving(in)
 	}
+	f.mu.Lock()
+	f.screener.NoteAnswer(clocker.Now(), limitKey(in), metadata.Leaving)
+	f.mu.Unlock()
 	if metadata.DeferralErr != nil {
 		log.WithField(logger.FieldInstance, in.ID).WithError(metadata.DeferralErr).Warn("time to wait of a server ignored")
 	}
@@ -46,6 +50,22 @@
 	})
 }
 
+// confirmServer waits a short time for a newer list if the one that names the head of an
+// upstream is so old that the head may have begun to leave, unless the head itself has
+// answered since. Without a newer list the request is sent all the same.
+func (f *Forwarder) confirmServer(ctx context.Context, u *upstream) {
+	maxAge := time.Duration(viewAgeFraction * float64(f.settings.Load().LeavingTTL))
+	if maxAge <= 0 {
+		return
+	}
+	f.mu.Lock()
+	answered := f.screener.HasAnswered(clocker.Now(), limitKey(u.head()), maxAge)
+	f.mu.Unlock()
+	if !answered {
+		f.Observer.AwaitList(ctx, maxAge, viewPatience)
+	}
+}
+
 // isDeferred reports whether the head of an upstream wants nothing at this moment.
 func (f *Forwarder) isDeferred(u *upstream) bool {
 	f.mu.Lock()
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -257,7 +257,7 @@
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL,
+		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL,
 	}
 }
 
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -128,7 +128,7 @@
 	storeReachable bool
 	// applied is closed when the next read has been applied.
 	applied chan struct{}
-	// awaitedInVain reports whether a wait of AwaitConfig has ended without a read.
+	// awaitedInVain reports whether a wait for a fresh view has ended without a read.
 	awaitedInVain bool
 	// eraChanged reports whether a later era than the first one was read.
 	eraChanged bool
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -25,12 +25,23 @@
 // past. It does not wait while the store is known not to respond, and after one wait in
 // vain not before the next read has ended, since nothing newer is to be had then.
 func (o *Observer) AwaitConfig(ctx context.Context, maxAge, limit time.Duration) {
+	o.await(ctx, limit, func() bool { return clocker.Since(o.configConfirmedAt) < maxAge })
+}
+
+// AwaitList waits like AwaitConfig until the list of backend servers was current less than
+// maxAge ago.
+func (o *Observer) AwaitList(ctx context.Context, maxAge, limit time.Duration) {
+	o.await(ctx, limit, func() bool { return clocker.Since(o.tracker.UpdatedAt()) < maxAge })
+}
+
+// await waits until the view is fresh. isFresh is called under the observer's lock.
+func (o *Observer) await(ctx context.Context, limit time.Duration, isFresh func() bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		o.mu.Lock()
 		known := o.config != nil && o.storeReachable && !o.awaitedInVain
-		fresh := clocker.Since(o.configConfirmedAt) < maxAge
+		fresh := isFresh()
 		applied := o.applied
 		o.mu.Unlock()
 		if fresh || !known {
--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -52,15 +52,52 @@
 // no harm.
 const MaxDeferral = 10 * time.Minute
 
+const (
+	// answerTTL is how long the last answer of a server is remembered.
+	answerTTL = 10 * time.Second
+	// answerPruneInterval is the time between two removals of old answers.
+	answerPruneInterval = time.Second
+)
+
 // Screener holds what the servers have said of themselves. It is not safe for concurrent
 // use.
 type Screener struct {
 	// deferredUntil is the time until which a server wants nothing, by server.
 	deferredUntil map[string]time.Time
+	// answeredAt is when a server last answered without saying that it leaves, by server.
+	answeredAt     map[string]time.Time
+	answersPruneAt time.Time
 }
 
 // New returns a Screener that knows of no server.
-func New() *Screener { return &Screener{deferredUntil: make(map[string]time.Time)} }
+func New() *Screener {
+	return &Screener{deferredUntil: make(map[string]time.Time), answeredAt: make(map[string]time.Time)}
+}
+
+// NoteAnswer records that a server has answered, and whether it said that it leaves.
+func (s *Screener) NoteAnswer(now time.Time, server string, leaving bool) {
+	if !now.Before(s.answersPruneAt) {
+		s.answersPruneAt = now.Add(answerPruneInterval)
+		for other, at := range s.answeredAt {
+			if now.Sub(at) >= answerTTL {
+				delete(s.answeredAt, other)
+			}
+		}
+	}
+	if leaving {
+		delete(s.answeredAt, server)
+		return
+	}
+	s.answeredAt[server] = now
+}
+
+// HasAnswered reports whether a server has answered within maxAge without saying that it
+// leaves, so that its entry in the list needs no confirmation. Times up to 10 s are
+// remembered.
+func (s *Screener) HasAnswered(now time.Time, server string, maxAge time.Duration) bool {
+	at, found := s.answeredAt[server]
+	return found && now.Sub(at) < maxAge
+}
 
 // Defer records that a server wants nothing for a time. A later statement does not
 // shorten an earlier one. It reports whether the time has changed.
--- a/pkg/screener/script_test.go
+++ b/pkg/screener/script_test.go
@@ -26,6 +26,11 @@
 			switch d.Cmd {
 			case "defer":
 				return fmt.Sprintf("changed=%t\n", s.Defer(now, server, time.Duration(wait)*time.Millisecond))
+			case "answer":
+				s.NoteAnswer(now, server, d.HasArg("leaving"))
+				return ""
+			case "answered":
+				return fmt.Sprintf("%t\n", s.HasAnswered(now, server, 1500*time.Millisecond))
 			case "screen":
 				e := Evidence{Lost: d.HasArg("lost"), Leaving: d.HasArg("leaving"), NoPermit: d.HasArg("no_permit")}
 				if ejected >= 0 {
