Relayer: the list is within its bound also when the store takes 0.3 s for it

The whole list of 760 servers is 16 pages one after the other, so that the first reading of an instance that does not follow the store takes longer than a fetch waits. A fetch that ended while the store was being read left what arrived to the next one, and an instance whose peers all failed came back after its whole interval, past the age from which it reads the store.

Once the store has been asked, a fetch waits for it unless something else has arrived by 0.25 s; the next fetch of an instance that is no source begins by the age from which the store is read.

--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -109,7 +109,7 @@
 // is left to the readers.
 func TestListAgeIsBounded(t *testing.T) {
 	const (
-		storeTakes = 50 * time.Millisecond
+		storeTakes = 300 * time.Millisecond
 		watched    = 4 * time.Second
 		phases     = 4
 		calmAge    = 700 * time.Millisecond
--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -13,7 +13,8 @@
 const failureTTL = 3 * time.Second
 
 // Fetch implements [observer.Source]. Once there is a state, it takes no longer than what
-// StateMaxAge leaves for it, and what arrives later is in the next result.
+// StateMaxAge leaves for it, unless nothing has arrived until then and the store is being
+// read. What arrives later is in the next result.
 func (r *Relayer) Fetch(ctx context.Context, direct bool) (observer.Snapshot, error) {
 	began := clocker.Now()
 	own, from := sources(r.Members.Self(), r.Members.Live())
@@ -45,41 +46,48 @@
 
 // fetchFromSources asks the peers, the next one when the one before is slow, and the store
 // beside them as soon as the state is too old to wait for them. It returns when one of
-// them has sent a recent state, or after fetchTimeout.
+// them has sent a recent state; after fetchTimeout also with less, and without anything if
+// the store has not been asked.
 func (r *Relayer) fetchFromSources(ctx context.Context, from []gossiper.Member) error {
-	if r.hasLateReply() {
+	if r.age() <= r.softMaxAge() && r.hasMore() {
 		return nil
 	}
-	wait, cancel := context.WithTimeout(ctx, fetchTimeout)
+	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := peerFetch{relayer: r, from: from, done: make(chan bool, 1)}
 	go p.run(wait, ctx)
-	store := time.NewTimer(max(hedgeDelay, r.untilStoreAge()))
-	defer store.Stop()
 	s := storeFetch{relayer: r, done: make(chan error, 1)}
-	asked, pending := false, 1
-	for pending > 0 {
+	storeDue := time.NewTimer(max(hedgeDelay, r.untilStoreAge()))
+	defer storeDue.Stop()
+	timeout := time.NewTimer(fetchTimeout)
+	defer timeout.Stop()
+	asked := false
+	for running := 1; running > 0; {
 		wantsStore := false
 		select {
 		case succeeded := <-p.done:
 			if succeeded {
 				return nil
 			}
-			pending--
+			running--
 			wantsStore = r.untilStoreAge() <= 0
-		case <-store.C:
+		case <-storeDue.C:
 			wantsStore = true
 		case err := <-s.done:
 			if err == nil {
 				return nil
 			}
-			pending--
-		case <-wait.Done():
-			pending = 0
+			running--
+		case <-timeout.C:
+			if !asked || r.hasMore() {
+				running = 0
+			}
+		case <-ctx.Done():
+			return ctx.Err()
 		}
-		if wantsStore && !asked && wait.Err() == nil {
+		if wantsStore && !asked {
 			asked = true
-			pending++
+			running++
 			go s.run(wait, ctx)
 		}
 	}
@@ -160,12 +168,11 @@
 	}
 }
 
-// hasLateReply reports whether something recent has arrived since the last result of Fetch.
-func (r *Relayer) hasLateReply() bool {
-	recent := r.age() <= r.softMaxAge()
+// hasMore reports whether something has arrived that is not in the last result of Fetch.
+func (r *Relayer) hasMore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return recent && (r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion)
+	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion
 }
 
 // hasNewsLocked reports whether a peer has told of a newer configuration. The caller holds
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -183,13 +183,24 @@
 	return own == roleReader
 }
 
-// Interval returns the time between two calls of Fetch that suits this instance's role,
-// or zero if it has none.
+// Interval implements [observer.Source]. An instance whose sources lag behind fetches again
+// when its state is so old that it has to read the store.
 func (r *Relayer) Interval() time.Duration {
-	if own, _ := sources(r.Members.Self(), r.Members.Live()); own != roleLeaf || r.isBehind() {
+	own, _ := sources(r.Members.Self(), r.Members.Live())
+	if own != roleLeaf {
 		return relayInterval
 	}
-	return 0
+	if !r.hasState() {
+		return 0
+	}
+	interval := observer.PollInterval
+	if r.isBehind() {
+		interval = relayInterval
+	}
+	if until := r.untilStoreAge(); until > 0 {
+		interval = min(interval, until)
+	}
+	return interval
 }
 
 // StateMaxAge returns the MaxAge for a bound within which a change must be in force, or
