Forwarder: nothing of a request reaches a server that the last check refuses

Right before a request is sent, the forwarder asks once more whether the route, the key and the server still allow it. The check sat in the request's body. The transport writes the header out before it reads a body of a type that it does not know, so that the server got the header of each request that was refused there, with an error in place of the body; the request then went to another server as not sent. A request without a body was checked before its connection was made, which may take 0.4 s. A server that leaves got requests after the list had said so, and one that answers before it has read the body may have run them, which "nothing was sent" denies.

The check runs now when the first byte of the request is about to be written to its connection. If nothing could be written, the request counts as not sent, as before. Ruled out: a type of body that the transport knows, which can't check; the hooks of httptrace, which can't refuse.

--- a/internal/bodychecker/body.go
+++ b/internal/bodychecker/body.go
@@ -38,7 +38,8 @@
 }
 
 // Check reports whether the request may be sent now, and if so marks it as sent.
-// It is for requests with an empty body, which transports never read.
+// It is for requests with an empty body, which transports never read, and for callers that
+// see when the header is about to be written.
 func (b *Body) Check() bool {
 	if !b.allowed() {
 		return false
@@ -47,6 +48,9 @@
 	return true
 }
 
+// Retract records that nothing of the request has been written after all.
+func (b *Body) Retract() { b.sent.Store(false) }
+
 // Sent reports whether any of the request may have been sent.
 func (b *Body) Sent() bool { return b.sent.Load() }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -239,7 +239,12 @@
 		attribute.String("request", x.request.ID), attribute.String("lane", u.name)))
 	a.span = span
 	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			a.connected.Store(true)
+			if conn, ok := info.Conn.(*checkedConn); ok {
+				conn.expect(a.body)
+			}
+		},
 	})
 	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
 	a.body = bodychecker.New(x.request.Body, isAllowed)
@@ -280,10 +285,6 @@
 	request.Host = x.request.Host
 	request.Header = withoutHopByHop(x.request.Header)
 	request.ContentLength = int64(len(x.request.Body))
-	if len(x.request.Body) == 0 && !a.body.Check() {
-		// An empty body is never read, so the check runs here.
-		return nil, bodychecker.ErrNotAllowed
-	}
 	if _, given := request.Header["User-Agent"]; !given {
 		request.Header["User-Agent"] = nil
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -282,7 +282,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return conn, nil
+	return &checkedConn{Conn: conn}, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer acknowledges
