--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -240,3 +240,62 @@
 	t.Fatal("no leaf")
 	return nil
 }
+
+// hangingStore answers at once until it hangs.
+type hangingStore struct {
+	soundStore
+	hangs   atomic.Bool
+	release <-chan struct{}
+}
+
+func (s *hangingStore) ReadInstances(ctx context.Context, hold bool) (InstancesReading, error) {
+	if s.hangs.Load() {
+		<-s.release
+	}
+	return s.soundStore.ReadInstances(ctx, hold)
+}
+
+// TestReaderAgeIsBounded guards against a reader whose list outlives the bound, for itself
+// and for all that ask it, because its calls to the store hang and one of the other readers
+// is silent; the third one is sound.
+func TestReaderAgeIsBounded(t *testing.T) {
+	const (
+		bound   = 2 * time.Second
+		watched = 4 * time.Second
+		stall   = 25 * time.Millisecond
+	)
+	var members []gossiper.Member
+	for i := range readerCount {
+		members = append(members, gossiper.Member{ID: fmt.Sprint("entry-", i)})
+	}
+	silent, sound := newSource(t, 0), newSource(t, 0)
+	_, others := sources(members[0], members)
+	for i := range members {
+		switch members[i].ID {
+		case others[0].ID:
+			members[i].Peer = silent.Addr().(*net.TCPAddr).AddrPort()
+		case others[1].ID:
+			members[i].Peer = sound.Addr().(*net.TCPAddr).AddrPort()
+		}
+	}
+	store := &hangingStore{release: t.Context().Done()}
+	r := New(Dependencies{
+		Platform: store, Members: stubMembers(members), Pool: messenger.NewPool(messenger.Security{}), Epoch: 9, MaxAge: StateMaxAge(bound),
+	})
+	o := observer.New(observer.Dependencies{Source: r, Prober: noPeers{}, Announcer: noPeers{}, Scope: tally.NoopScope})
+	o.Start(t.Context())
+	time.Sleep(time.Second)
+	silent.silent.Store(true)
+	store.hangs.Store(true)
+	oldest, stalled, last := time.Duration(0), time.Duration(0), time.Now()
+	for began := last; time.Since(began) < watched+stalled; {
+		time.Sleep(5 * time.Millisecond)
+		if gap := time.Since(last); gap > stall {
+			stalled += gap
+		}
+		last = time.Now()
+		oldest = max(oldest, o.ListAge()-stalled)
+	}
+	t.Logf("at most %s of %s", oldest.Round(time.Millisecond), bound)
+	assert.Assert(t, oldest <= bound)
+}
