Relayer: an instance in a new era does not read the store at the pace of one that lags

An instance that the store has just answered comes back after its usual interval.

TestNewEraIsReadInCalm: 0.3 s before, 0.6 s after. Also: only responses with a server's proof, or that say that the request was not run, count as answers that spare a wait for the list; and the tests' sources take a lock, without which the race detector objects to the test.

--- a/internal/forwarder/screen.go
+++ b/internal/forwarder/screen.go
@@ -23,9 +23,11 @@
 	if metadata.Leaving {
 		f.Observer.HandleLeaving(in)
 	}
-	f.mu.Lock()
-	f.screener.NoteAnswer(clocker.Now(), limitKey(in), metadata.Leaving)
-	f.mu.Unlock()
+	if metadata.Leaving || metadata.Verified || metadata.NotRun {
+		f.mu.Lock()
+		f.screener.NoteAnswer(clocker.Now(), limitKey(in), metadata.Leaving)
+		f.mu.Unlock()
+	}
 	if metadata.DeferralErr != nil {
 		log.WithField(logger.FieldInstance, in.ID).WithError(metadata.DeferralErr).Warn("time to wait of a server ignored")
 	}
--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -24,11 +24,13 @@
 // source is a peer that knows the store's state of a time ago until it is cut off from the
 // store, and that can fall silent.
 type source struct {
-	state       *versionedState
 	lag         time.Duration
 	cut, silent atomic.Bool
 	released    <-chan struct{}
 	listener    net.Listener
+
+	mu    sync.Mutex
+	state *versionedState
 }
 
 // News implements the peers' call.
@@ -36,6 +38,8 @@
 	if s.silent.Load() {
 		<-s.released
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.cut.Load() {
 		at := clocker.Now().Add(-s.lag)
 		s.state.confirmList(at, 1)
@@ -299,3 +303,37 @@
 	t.Logf("at most %s of %s", oldest.Round(time.Millisecond), bound)
 	assert.Assert(t, oldest <= bound)
 }
+
+// unconfirmedStore is a store in a new era that does not show the configuration's rewriting.
+type unconfirmedStore struct{ soundStore }
+
+func (s *unconfirmedStore) ReadConfig(ctx context.Context, hold bool) (ConfigReading, error) {
+	reading, err := s.soundStore.ReadConfig(ctx, hold)
+	reading.Era = 1
+	return reading, err
+}
+
+// TestNewEraIsReadInCalm guards against reads of the store at the pace of an instance that
+// lags behind, by hundreds of instances at once, while the newest that there is does not
+// count as confirmed.
+func TestNewEraIsReadInCalm(t *testing.T) {
+	const bound = 2 * time.Second
+	l := newLeaf(t, newSource(t, 0), &soundStore{}, maxDirectMembers+4, bound)
+	store := &unconfirmedStore{}
+	r := New(Dependencies{
+		Platform: store, Members: l.relayer.Members, Pool: messenger.NewPool(messenger.Security{}), Epoch: 9, MaxAge: StateMaxAge(bound),
+		EraSettled: func(context.Context, uint64) bool { return false },
+	})
+	_, err := r.Fetch(t.Context(), false)
+	assert.NilError(t, err)
+	cutOff(l.source)
+	r.mu.Lock()
+	r.state.observeEra(clocker.Now(), 1)
+	r.state.configConfirmedAt = clocker.Now().Add(-relayedMaxAge)
+	r.mu.Unlock()
+	_, err = r.Fetch(t.Context(), false)
+	assert.NilError(t, err)
+	assert.Equal(t, store.reads.Load(), int32(1))
+	assert.Assert(t, r.age() > r.softMaxAge())
+	assert.Equal(t, r.Interval(), observer.PollInterval)
+}
--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -19,7 +19,7 @@
 	began := clocker.Now()
 	own, from := sources(r.Members.Self(), r.Members.Live())
 	r.mu.Lock()
-	r.direct = direct
+	r.direct, r.storeAnswered = direct, false
 	hasNews := r.hasNewsLocked()
 	r.mu.Unlock()
 	var heard *landing
@@ -75,6 +75,9 @@
 			wantsStore = true
 		case err := <-s.done:
 			if err == nil {
+				r.mu.Lock()
+				r.storeAnswered = true
+				r.mu.Unlock()
 				return nil
 			}
 			running--
@@ -213,9 +216,13 @@
 }
 
 // isBehind reports whether the state is older than sources should be, or more of it is
-// under way.
+// under way. What the store itself has just told can't be newer, though it may not count as
+// confirmed at the start of an era.
 func (r *Relayer) isBehind() bool {
-	return r.hasState() && (r.age() > r.softMaxAge() || r.readHeard.isRunning())
+	r.mu.Lock()
+	answered := r.storeAnswered
+	r.mu.Unlock()
+	return r.hasState() && (r.age() > r.softMaxAge() && !answered || r.readHeard.isRunning())
 }
 
 // isRecent reports whether the known state is recent enough to leave the store alone.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -154,8 +154,10 @@
 	// last result of Fetch.
 	returned        time.Time
 	returnedVersion uint64
-	// direct reports whether the last call of Fetch was to read the store.
-	direct bool
+	// direct reports whether the last call of Fetch was to read the store, and storeAnswered
+	// whether the store answered it beside the peers.
+	direct        bool
+	storeAnswered bool
 	// failedAt is when a call to a peer failed, unless a later one succeeded, by ID.
 	failedAt map[string]time.Time
 	// listFromStore reports whether the last change of the list was read from the store.
