--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -66,13 +66,13 @@
 	config    *mapper.RouteTable
 	instances []provider.Instance
 	down      bool
+	dead      map[string]bool
+	// peers is the number of other entry instances.
+	peers int
 	// held holds readings of the store until it is closed, unless it is nil.
 	held chan struct{}
 	// lag is how old the list is that readings return.
-	lag  time.Duration
-	dead map[string]bool
-	// peers is the number of other entry instances.
-	peers int
+	lag time.Duration
 }
 
 var errDown = errors.New("the store is unavailable")
