--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,6 +78,7 @@
 		x.predictedFirstEvent = chosen.firstEvent
 		x.spread = x.spread || group.Spread()
 	}
+	x.f.confirmServer(a.ctx, u)
 	x.logAttempt(u, chosen.running)
 	err := x.f.send(x, a)
 	if err != nil {
@@ -238,9 +239,18 @@
 		attribute.String("request", x.request.ID), attribute.String("lane", u.name)))
 	a.span = span
 	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			a.connected.Store(true)
+			if conn, ok := info.Conn.(*checkedConn); ok {
+				conn.expect(a.body)
+			}
+		},
 	})
-	a.body = bodychecker.New(x.request.Body, func() bool { return x.isAllowed() && f.isServing(u) })
+	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
+	a.body = bodychecker.New(x.request.Body, isAllowed)
+	if !isAllowed() {
+		return bodychecker.ErrNotAllowed
+	}
 	request, err := f.serverRequest(a, x)
 	if err != nil {
 		return err
@@ -275,10 +285,6 @@
 	request.Host = x.request.Host
 	request.Header = withoutHopByHop(x.request.Header)
 	request.ContentLength = int64(len(x.request.Body))
-	if len(x.request.Body) == 0 && !a.body.Check() {
-		// An empty body is never read, so the check runs here.
-		return nil, bodychecker.ErrNotAllowed
-	}
 	if _, given := request.Header["User-Agent"]; !given {
 		request.Header["User-Agent"] = nil
 	}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -71,6 +71,10 @@
 	unreachable bool
 	// peers is the number of other entry instances.
 	peers int
+	// held holds readings of the store until it is closed, unless it is nil.
+	held chan struct{}
+	// lag is how old the list is that readings return.
+	lag time.Duration
 }
 
 var errDown = errors.New("the store is unavailable")
@@ -78,13 +82,19 @@
 func (*platformStub) Interval() time.Duration { return 0 }
 
 func (p *platformStub) Fetch(context.Context, bool) (observer.Snapshot, error) {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
 		return observer.Snapshot{}, errDown
 	}
 	now := clocker.Now()
-	return observer.Snapshot{Instances: slices.Clone(p.instances), ListedAt: now, Config: p.config, ConfirmedAt: now}, nil
+	return observer.Snapshot{Instances: slices.Clone(p.instances), ListedAt: now.Add(-p.lag), Config: p.config, ConfirmedAt: now}, nil
 }
 
 func (p *platformStub) Probe(_ context.Context, in provider.Instance, _ time.Duration) error {
