Forwarder: a strike names the parts of the request's prompt

What the requests that crash servers have in common could not be seen: no line names the parts of a prompt, and nothing counts the strikes that peers report. Decisions are as before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -48,6 +48,8 @@
 	span      trace.Span
 	// sentAt is when the attempt began.
 	sentAt time.Time
+	// firstEventAt is when the first event of a stream arrived, or zero.
+	firstEventAt time.Time
 	// complete says that the response has been read to its end.
 	complete bool
 	// memory is what the attempt's response takes of the budget of responses.
@@ -103,19 +105,20 @@
 func (x *exchange) handleBreak(a *attempt, err error) retrier.Event {
 	cause := a.cause(err)
 	event := x.excludeUpstream(a.active.upstream, cause)
-	x.checkForCrash(a.active.upstream, cause)
+	x.checkForCrash(a, cause)
 	return event
 }
 
 // checkForCrash records a strike if the server, and not the forwarder, broke
 // the connection and the server turns out to be lost or to have restarted.
-func (x *exchange) checkForCrash(u *upstream, err error) {
+func (x *exchange) checkForCrash(a *attempt, err error) {
+	evidence := crashEvidence{upstream: a.active.upstream, firstEventAt: a.firstEventAt, brokeAt: clocker.Now()}
 	switch {
 	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled):
-	case x.f.Observer.AnyLostOrRestarted(u.state().members[:1]):
-		x.recordStrike(u)
+	case x.f.Observer.AnyLostOrRestarted(evidence.upstream.state().members[:1]):
+		x.recordStrike(evidence)
 	default:
-		go x.runCrashCheck(u)
+		go x.runCrashCheck(evidence)
 	}
 }
 
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -85,13 +85,29 @@
 	return x.retryMachine.CanRetry(now, x.excusableAttempt(now) >= 0)
 }
 
+// crashEvidence describes an attempt that the server broke.
+type crashEvidence struct {
+	upstream *upstream
+	// firstEventAt is when the first event of a stream arrived, or zero.
+	firstEventAt time.Time
+	brokeAt      time.Time
+}
+
+// streamed returns how long the attempt's stream had lasted when it broke.
+func (e crashEvidence) streamed() time.Duration {
+	if e.firstEventAt.IsZero() {
+		return 0
+	}
+	return e.brokeAt.Sub(e.firstEventAt)
+}
+
 // runCrashCheck records a strike against the request if one of maxCrashChecks
 // checks shows that the head is lost or has restarted.
-func (x *exchange) runCrashCheck(u *upstream) {
+func (x *exchange) runCrashCheck(e crashEvidence) {
 	for range maxCrashChecks {
 		time.Sleep(crashCheckInterval)
-		if x.f.Observer.AnyLostOrRestarted(u.state().members[:1]) {
-			x.recordStrike(u)
+		if x.f.Observer.AnyLostOrRestarted(e.upstream.state().members[:1]) {
+			x.recordStrike(e)
 			return
 		}
 	}
@@ -99,14 +115,28 @@
 
 // recordStrike records that the request crashed the upstream's head and reports
 // it to the peers.
-func (x *exchange) recordStrike(u *upstream) {
-	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: u.head().ID + "/" + u.head().Incarnation}
+func (x *exchange) recordStrike(e crashEvidence) {
+	head := e.upstream.head()
+	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: head.ID + "/" + head.Incarnation}
 	x.f.mu.Lock()
 	added := x.f.quarantine.RecordStrike(clocker.Now(), strike)
 	x.f.mu.Unlock()
 	if !added {
 		return
 	}
-	log.WithFields(log.Fields{logger.FieldRequest: x.request.ID, logger.FieldInstance: u.head().ID}).Warn(logger.LineServerCrashed)
+	x.f.metrics.strikes.Inc(1)
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldInstance: head.ID, logger.FieldParts: partNames(x.request.PromptParts),
+		"started": !e.firstEventAt.IsZero(), "streamed_ms": e.streamed().Milliseconds(),
+	}).Warn(logger.LineServerCrashed)
 	x.f.Peers.BroadcastStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
 }
+
+// partNames returns the names of parts for the log.
+func partNames(parts []quarantiner.Part) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = p.String()
+	}
+	return names
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -232,6 +232,7 @@
 // AddStrikes records strikes that a peer reported.
 func (f *Forwarder) AddStrikes(strikes []quarantiner.Strike) {
 	now := clocker.Now()
+	f.metrics.peerStrikes.Inc(int64(len(strikes)))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range strikes {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -19,7 +19,11 @@
 	retries tally.Counter
 	// deferrals counts the servers that said that they want nothing for a time.
 	deferrals tally.Counter
-	queueTime tally.Histogram
+	// strikes and peerStrikes count the strikes of requests of this entry instance and
+	// those that peers reported.
+	strikes     tally.Counter
+	peerStrikes tally.Counter
+	queueTime   tally.Histogram
 	// firstEventTime and requestTime run from a request's arrival to its first
 	// event and to its end.
 	firstEventTime tally.Histogram
@@ -32,6 +36,8 @@
 		attempts:       scope.Counter("tries"),
 		retries:        scope.Counter("moves"),
 		deferrals:      scope.Counter("server_deferrals"),
+		strikes:        scope.Tagged(map[string]string{"source": "own"}).Counter("strikes"),
+		peerStrikes:    scope.Tagged(map[string]string{"source": "peer"}).Counter("strikes"),
 		queueTime:      scope.Histogram("queue_time", latencyBuckets),
 		firstEventTime: scope.Histogram("first_event_time", latencyBuckets),
 		requestTime:    scope.Histogram("request_time", latencyBuckets),
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -27,6 +27,8 @@
 	// LengthHint is the caller's estimate of the length of the response in
 	// tokens, or zero.
 	LengthHint int
+	// PromptParts are the parts of the prompt that other requests may share, in order.
+	PromptParts []quarantiner.Part
 }
 
 // OutboundMetadata is what a codec writes into the headers of a request to a
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return nil, x.endBrokenStream(err)
 	}
+	a.firstEventAt = clocker.Now()
 	x.f.recordProgress(a.active)
 	x.recordEvent(event)
 	return &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: event, stream: x}, retrier.Event{}
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -44,6 +44,8 @@
 	FieldKind     = "kind"
 	FieldOutcome  = "outcome"
 	FieldComplete = "complete"
+	// FieldParts holds the parts of a prompt that other requests may share.
+	FieldParts = "parts"
 	// FieldVersion is the version of LineConfigInForce, and FieldConfigVersion that by
 	// which a request is handled.
 	FieldVersion       = "version"
