Forwarder: a failing test of requests that share a part which crashes servers

Two entry instances, whose strikes reach each other after 50 ms, send requests to 24 groups whose heads crash when they begin to answer a request with one part, whatever else it holds, and are back under new IDs after 0.7 s. No two of these requests are alike; the sound ones share their organisation, first part and middle parts. The bounds are those of the users' documentation: at most three such requests reach servers later than 3 s after the fifth crash, and sound ones are served at least half as often from 6 s after it.

The fixture can start a second forwarder with the same servers.

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,7 +33,13 @@
 type testCodec struct{}
 
 func (testCodec) ParseRequest(h http.Header) RequestMetadata {
-	return RequestMetadata{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), PromptTokens: 100}
+	m := RequestMetadata{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), PromptTokens: 100}
+	for _, text := range splitList(h.Get("Parts")) {
+		if id, err := strconv.ParseUint(text, 10, 64); err == nil {
+			m.PromptParts = append(m.PromptParts, quarantiner.Part(id))
+		}
+	}
+	return m
 }
 
 func (testCodec) PrepareRequest(h http.Header, m OutboundMetadata) {
@@ -69,6 +75,8 @@
 	dead      map[string]bool
 	// peers is the number of other entry instances.
 	peers int
+	// forwarders are those of the entry instances whose strikes reach each other.
+	forwarders []*Forwarder
 }
 
 var errDown = errors.New("the store is unavailable")
@@ -100,8 +108,24 @@
 	return p.peers + 1
 }
 
-func (p *platformStub) Announce(context.Context, messenger.LossesMessage)      {}
-func (p *platformStub) BroadcastStrikes(context.Context, []quarantiner.Strike) {}
+func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
+
+// peerDelay is the time that a message takes from one entry instance to another.
+const peerDelay = 50 * time.Millisecond
+
+// BroadcastStrikes delivers the strikes to all forwarders; the sender knows them already.
+func (p *platformStub) BroadcastStrikes(_ context.Context, strikes []quarantiner.Strike) {
+	p.broadcast(func(f *Forwarder) { f.AddStrikes(strikes) })
+}
+
+func (p *platformStub) broadcast(deliver func(*Forwarder)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.forwarders {
+		time.AfterFunc(peerDelay, func() { deliver(f) })
+	}
+}
+
 func (p *platformStub) RequestPermit(_ context.Context, r permitter.Request) (permitter.Reply, error) {
 	return p.issuePermit(r), nil
 }
@@ -153,23 +177,30 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, platform: &platformStub{dead: make(map[string]bool)}}
+	f.forwarder, f.server = f.newForwarder()
+	f.platform.issuePermit = f.forwarder.IssuePermit
+	return f
+}
+
+// newForwarder starts a forwarder with the fixture's backend servers, and its HTTP
+// server.
+func (f *fixture) newForwarder() (*Forwarder, *httptest.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := observer.New(observer.Dependencies{Source: f.platform, Prober: f.platform, Announcer: f.platform, Scope: tally.NoopScope})
-	f.forwarder = New(Dependencies{
+	forwarder := New(Dependencies{
 		Settings: Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, MemoryBytes: testMemoryBytes},
 		Observer: o, Codec: testCodec{}, Peers: f.platform,
 		Tracer: noop.NewTracerProvider().Tracer(""), Scope: tally.NoopScope,
 	})
-	f.platform.issuePermit = f.forwarder.IssuePermit
 	o.Start(ctx)
-	f.forwarder.Start(ctx)
-	f.server = httptest.NewServer(f.forwarder.Handler())
-	t.Cleanup(func() { f.server.Close(); cancel() })
-	return f
+	forwarder.Start(ctx)
+	server := httptest.NewServer(forwarder.Handler())
+	f.t.Cleanup(func() { server.Close(); cancel() })
+	return forwarder, server
 }
 
 // addServer adds a backend server. Its handler may break the connection.
-func (f *fixture) addServer(id, service string, handler http.HandlerFunc) {
+func (f *fixture) addServer(id, service string, handler http.HandlerFunc) *httptest.Server {
 	f.t.Helper()
 	server := httptest.NewServer(handler)
 	f.t.Cleanup(server.Close)
@@ -177,13 +208,14 @@
 	f.platform.set(func(p *platformStub) {
 		p.instances = append(p.instances, provider.Instance{ID: id, Incarnation: "1", Service: service, Address: address, Slots: 2})
 	})
+	return server
 }
 
 // addGroup adds a group of two members: a head with that handler, and a member
 // without a server.
-func (f *fixture) addGroup(name string, handler http.HandlerFunc) {
+func (f *fixture) addGroup(name string, handler http.HandlerFunc) *httptest.Server {
 	f.t.Helper()
-	f.addServer(name+"-head", "engines", handler)
+	server := f.addServer(name+"-head", "engines", handler)
 	f.platform.set(func(p *platformStub) {
 		head := &p.instances[len(p.instances)-1]
 		head.Membership = provider.Membership{Group: "m~" + name, Epoch: 1, State: provider.Serving}
@@ -192,6 +224,7 @@
 			Membership: provider.Membership{Group: "m~" + name, Epoch: 1, Rank: 1, State: provider.MemberReady},
 		})
 	})
+	return server
 }
 
 // applyConfig applies the test configuration and waits until it is in force.
@@ -224,19 +257,26 @@
 
 func (f *fixture) callWith(method, path, id, key string) (int, string, error) {
 	f.t.Helper()
-	request, err := http.NewRequest(method, f.server.URL+path, bytes.NewReader([]byte("body")))
+	return f.callAt(f.server, method, path, id, key, "body", "")
+}
+
+// callAt sends a request whose prompt has those parts to one of the forwarders' servers.
+func (f *fixture) callAt(server *httptest.Server, method, path, id, key, body, parts string) (int, string, error) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
 	request.Host = "h"
 	request.Header.Set("Id", id)
 	request.Header.Set("Key", key)
 	request.Header.Set("Model", "m")
-	response, err := f.server.Client().Do(request)
+	request.Header.Set("Parts", parts)
+	response, err := server.Client().Do(request)
 	if err != nil {
 		return 0, "", err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(body), err
+	received, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(received), err
 }
 
 // testEvent returns one event of a stream.
--- /dev/null
+++ b/internal/forwarder/parts_test.go
@@ -0,0 +1,195 @@
+package forwarder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// crashAllowance is how long after the fifth crash more requests with the part may
+	// still be sent on, and allowedRequests how many after that, as the users'
+	// documentation states.
+	crashAllowance  = 3 * time.Second
+	countedCrashes  = 5
+	allowedRequests = 3
+	// crashingPart crashes servers, and sharedPart is the first part of all prompts.
+	crashingPart = "666"
+	sharedPart   = "1"
+)
+
+// crashingServers are the heads of groups that crash when they begin to answer a
+// request with crashingPart, and are back after respawnDelay under new IDs.
+type crashingServers struct {
+	f *fixture
+
+	mu      sync.Mutex
+	crashes []time.Time
+	// sent holds the time at which each request with crashingPart that reached a server
+	// was sent by its caller.
+	sent []time.Time
+	// began holds the requests that a server has begun to answer, by ID.
+	began map[string]bool
+	// sentAt holds when each request was sent by its caller.
+	sentAt map[string]time.Time
+}
+
+const (
+	respawnDelay = 700 * time.Millisecond
+	writeDelay   = 60 * time.Millisecond
+)
+
+// crashingServer is one of crashingServers.
+type crashingServer struct {
+	all    *crashingServers
+	server *httptest.Server
+
+	mu   sync.Mutex
+	id   string
+	down bool
+}
+
+func (s *crashingServers) add(name string) {
+	c := &crashingServer{all: s, id: name + "-head"}
+	c.server = s.f.addGroup(name, c.handle)
+}
+
+func (c *crashingServer) handle(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	down := c.down
+	c.mu.Unlock()
+	if down {
+		resetConnection(w)
+		return
+	}
+	crashes := slices.Contains(splitList(r.Header.Get("Parts")), crashingPart)
+	s := c.all
+	s.mu.Lock()
+	s.began[r.Header.Get("Id")] = true
+	if crashes {
+		s.sent = append(s.sent, s.sentAt[r.Header.Get("Id")])
+	}
+	s.mu.Unlock()
+	writeHeader(w, r, "text/event-stream")
+	http.NewResponseController(w).Flush()
+	time.Sleep(writeDelay)
+	if crashes {
+		c.crash()
+		return
+	}
+	for i := range 12 {
+		writeAndFlush(w, testEvent(i+1))
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// crash breaks all connections of the server and brings it back after respawnDelay.
+func (c *crashingServer) crash() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return
+	}
+	c.down = true
+	c.all.mu.Lock()
+	c.all.crashes = append(c.all.crashes, time.Now())
+	c.all.mu.Unlock()
+	c.all.f.platform.kill(c.id)
+	go c.server.CloseClientConnections()
+	time.AfterFunc(respawnDelay, c.respawn)
+}
+
+func (c *crashingServer) respawn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = false
+	old := c.id
+	c.id += "'"
+	c.all.f.platform.set(func(p *platformStub) {
+		p.instances = slices.Clone(p.instances)
+		for i := range p.instances {
+			if p.instances[i].ID == old {
+				p.instances[i].ID, p.instances[i].Incarnation = c.id, c.id
+			}
+		}
+	})
+}
+
+// call sends a request with those parts to one of the entry instances.
+func (s *crashingServers) call(entry *httptest.Server, id string, parts ...string) {
+	s.mu.Lock()
+	s.sentAt[id] = time.Now()
+	s.mu.Unlock()
+	// The outcome is read from what reaches the servers.
+	_, _, _ = s.f.callAt(entry, "POST", "/stream/", id, "k", id, strings.Join(parts, ","))
+}
+
+// TestPartThatCrashesServersIsBlocked guards against a part of a prompt crashing one
+// server after the other because the requests with it differ otherwise, and against
+// sound requests that share their other parts being refused with them.
+func TestPartThatCrashesServersIsBlocked(t *testing.T) {
+	f := newFixture(t)
+	second, secondServer := f.newForwarder()
+	f.platform.set(func(p *platformStub) { p.peers, p.forwarders = 1, []*Forwarder{f.forwarder, second} })
+	s := &crashingServers{f: f, began: make(map[string]bool), sentAt: make(map[string]time.Time)}
+	for i := range 24 {
+		s.add(fmt.Sprint("g", i))
+	}
+	f.applyConfig()
+	entries := []*httptest.Server{f.server, secondServer}
+	random := rand.New(rand.NewPCG(1, 2))
+	var calls sync.WaitGroup
+	started := time.Now()
+	const (
+		crashingFrom = 2 * time.Second
+		end          = 13 * time.Second
+		interval     = 150 * time.Millisecond
+	)
+	for i := 0; time.Since(started) < end; i++ {
+		middle := fmt.Sprint(10 + random.IntN(6))
+		entry := entries[random.IntN(len(entries))]
+		calls.Go(func() { s.call(entry, fmt.Sprint("sound", i), sharedPart, middle) })
+		if time.Since(started) > crashingFrom {
+			entry := entries[random.IntN(len(entries))]
+			calls.Go(func() { s.call(entry, fmt.Sprint("bad", i), sharedPart, crashingPart, middle) })
+		}
+		time.Sleep(interval)
+	}
+	calls.Wait()
+
+	assert.Assert(t, len(s.crashes) >= countedCrashes, "%d servers crashed", len(s.crashes))
+	fifth := s.crashes[countedCrashes-1]
+	late := 0
+	for _, at := range s.sent {
+		if at.After(fifth.Add(crashAllowance)) {
+			late++
+		}
+	}
+	assert.Assert(t, late <= allowedRequests, "%d requests with the part reached servers later than %s after the fifth crash; %d servers crashed", late, crashAllowance, len(s.crashes))
+	before, after := s.soundShare(started, started.Add(crashingFrom)), s.soundShare(fifth.Add(2*crashAllowance), time.Now())
+	assert.Assert(t, after >= before/2, "%.2f of the sound requests were served before the crashes, %.2f after them", before, after)
+	t.Logf("%d servers crashed; %.2f and %.2f of the sound requests were served", len(s.crashes), before, after)
+}
+
+// soundShare returns which share of the sound requests that were sent in a time a server
+// began to answer.
+func (s *crashingServers) soundShare(from, to time.Time) float64 {
+	sent, began := 0, 0
+	for id, at := range s.sentAt {
+		if strings.HasPrefix(id, "sound") && at.After(from) && at.Before(to) {
+			sent++
+			if s.began[id] {
+				began++
+			}
+		}
+	}
+	return float64(began) / float64(max(1, sent))
+}
