Forwarder: a crashing server in the test does not end its own response

The handler of the crashing servers returned after the crash, and the server could end its response as a complete one before the connection was closed: the request that caused the crash then looked answered. It aborts the connection now, as a crashed server does.

--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -83,7 +83,8 @@
 	time.Sleep(writeDelay)
 	if crashes {
 		c.crash()
-		return
+		// Without this the server would end the response as a complete one.
+		panic(http.ErrAbortHandler)
 	}
 	for i := range 12 {
 		writeAndFlush(w, testEvent(i+1))
