--- a/pkg/quarantiner/evidence.go
+++ b/pkg/quarantiner/evidence.go
@@ -60,7 +60,7 @@
 	part        Part
 	sites       int
 	first, last time.Time
-	requests    map[Fingerprint]struct{}
+	requests    []Fingerprint
 	position    int
 	cleared     bool
 }
@@ -75,8 +75,8 @@
 	c.sites++
 	c.position = max(c.position, s.position)
 	for _, request := range s.requests {
-		if len(c.requests) < limits.Requests {
-			c.requests[request] = struct{}{}
+		if len(c.requests) < limits.Requests && !slices.Contains(c.requests, request) {
+			c.requests = append(c.requests, request)
 		}
 	}
 }
--- a/pkg/quarantiner/parts.go
+++ b/pkg/quarantiner/parts.go
@@ -265,14 +265,24 @@
 // mostLikely returns the most likely cause of the crashes, or nil if the evidence
 // suffices against no part.
 func (q *PartQuarantine) mostLikely(crashes []*crash) *charge {
+	if len(crashes) < q.limits.Sites {
+		return nil
+	}
+	// Few parts are named often enough to be looked at closely.
+	sites := make(map[Part]int)
+	for _, c := range crashes {
+		for part := range c.suspects {
+			sites[part]++
+		}
+	}
 	charges := make(map[Part]*charge)
 	for _, c := range crashes {
 		for part, s := range c.suspects {
-			if q.trusted(c.at, part) {
+			if sites[part] < q.limits.Sites || q.trusted(c.at, part) {
 				continue
 			}
 			if charges[part] == nil {
-				charges[part] = &charge{part: part, requests: make(map[Fingerprint]struct{}), cleared: q.wasCleared(part)}
+				charges[part] = &charge{part: part, cleared: q.wasCleared(part)}
 			}
 			charges[part].add(q.limits, c.at, s)
 		}
--- a/pkg/quarantiner/parts_model_test.go
+++ b/pkg/quarantiner/parts_model_test.go
@@ -406,3 +406,21 @@
 		}
 	}
 }
+
+// BenchmarkAdvance measures a judgement over as many crashes as are held, with the parts
+// of 30 requests at each.
+func BenchmarkAdvance(b *testing.B) {
+	q := NewPartQuarantine(modelLimits)
+	random := rand.New(rand.NewPCG(1, 37))
+	strike := func(site, request int) {
+		parts := []Part{Part(random.IntN(4)), Part(100 + random.IntN(400)), Part(1000 + request)}
+		q.RecordStrike(modelStart, Strike{Fingerprint: Fingerprint(request), Site: fmt.Sprint(site), Parts: parts, Age: time.Duration(site) * time.Second})
+	}
+	for i := range modelLimits.SiteCapacity * 30 {
+		strike(i/30, i)
+	}
+	for i := 0; b.Loop(); i++ {
+		strike(0, i)
+		q.Advance(modelStart.Add(time.Second))
+	}
+}
