--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -48,6 +48,12 @@
 	span      trace.Span
 	// sentAt is when the attempt began.
 	sentAt time.Time
+	// firstEventAt is when the first event of a stream arrived, or zero.
+	firstEventAt time.Time
+	// awaited is how long the forwarder has waited for the events after the first, and
+	// sound says that the attempt has shown that its request does not crash the server.
+	awaited time.Duration
+	sound   bool
 	// complete says that the response has been read to its end.
 	complete bool
 	// memory is what the attempt's response takes of the budget of responses.
@@ -89,7 +95,7 @@
 		}
 		x.failedUpstreams[u.name] = true
 		x.lastErr = a.cause(err)
-		if !errors.Is(err, bodychecker.ErrNotAllowed) {
+		if !errors.IsAny(x.lastErr, bodychecker.ErrNotAllowed, errBlocked) {
 			x.f.Observer.Suspect(context.WithoutCancel(x.ctx), u.state().members)
 		}
 		x.f.finishAttempt(a, true)
@@ -104,19 +110,20 @@
 func (x *exchange) handleBreak(a *attempt, err error) retrier.Event {
 	cause := a.cause(err)
 	event := x.excludeUpstream(a.active.upstream, cause)
-	x.checkForCrash(a.active.upstream, cause)
+	x.checkForCrash(a, cause)
 	return event
 }
 
 // checkForCrash records a strike if the server, and not the forwarder, broke
 // the connection and the server turns out to be lost or to have restarted.
-func (x *exchange) checkForCrash(u *upstream, err error) {
+func (x *exchange) checkForCrash(a *attempt, err error) {
+	evidence := crashEvidence{upstream: a.active.upstream, firstEventAt: a.firstEventAt, brokeAt: clocker.Now(), sound: a.sound}
 	switch {
-	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled):
-	case x.f.Observer.AnyLostOrRestarted(u.state().members[:1]):
-		x.recordStrike(u)
+	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled, errBlocked):
+	case x.f.Observer.AnyLostOrRestarted(evidence.upstream.state().members[:1]):
+		x.recordStrike(evidence)
 	default:
-		go x.runCrashCheck(u)
+		go x.runCrashCheck(evidence)
 	}
 }
 
@@ -189,6 +196,9 @@
 		return nil, event
 	}
 	a.complete = true
+	if a.response.StatusCode < http.StatusMultipleChoices && isDelimited(a.response) {
+		x.clearParts(a, a.sentAt)
+	}
 	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body, memory: a.memory}
 	a.memory = nil
 	if response.Status >= http.StatusInternalServerError && x.route.Retryable() {
@@ -228,6 +238,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	return &attempt{ctx: ctx, sentAt: clocker.Now(), memory: x.f.responses.Open(), active: &activeAttempt{
 		cancel: cancel, canRetry: x.canRetry, promptTokens: x.request.PromptTokens,
+		parts: x.request.PromptParts,
 	}}
 }
 
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -36,7 +36,7 @@
 	}
 	x.failedUpstreams[u.name] = true
 	x.lastErr = err
-	canceledHere := errors.IsAny(err, errMemberLost, errStalled)
+	canceledHere := errors.IsAny(err, errMemberLost, errStalled, errBlocked)
 	// An attempt may have run before its first event arrived, so it counts
 	// against the maximum. Only an earlier attempt may be excused.
 	event.RefundAttempt = x.excuseEarlier(u)
@@ -85,13 +85,31 @@
 	return x.retryMachine.CanRetry(now, x.excusableAttempt(now) >= 0)
 }
 
+// crashEvidence describes an attempt that the server broke.
+type crashEvidence struct {
+	upstream *upstream
+	// firstEventAt is when the first event of a stream arrived, or zero.
+	firstEventAt time.Time
+	brokeAt      time.Time
+	// sound says that the request had shown before that it does not crash the server.
+	sound bool
+}
+
+// streamed returns how long the attempt's stream had lasted when it broke.
+func (e crashEvidence) streamed() time.Duration {
+	if e.firstEventAt.IsZero() {
+		return 0
+	}
+	return e.brokeAt.Sub(e.firstEventAt)
+}
+
 // runCrashCheck records a strike against the request if one of maxCrashChecks
 // checks shows that the head is lost or has restarted.
-func (x *exchange) runCrashCheck(u *upstream) {
+func (x *exchange) runCrashCheck(e crashEvidence) {
 	for range maxCrashChecks {
 		time.Sleep(crashCheckInterval)
-		if x.f.Observer.AnyLostOrRestarted(u.state().members[:1]) {
-			x.recordStrike(u)
+		if x.f.Observer.AnyLostOrRestarted(e.upstream.state().members[:1]) {
+			x.recordStrike(e)
 			return
 		}
 	}
@@ -99,14 +117,26 @@
 
 // recordStrike records that the request crashed the upstream's head and reports
 // it to the peers.
-func (x *exchange) recordStrike(u *upstream) {
-	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: u.head().ID + "/" + u.head().Incarnation}
+func (x *exchange) recordStrike(e crashEvidence) {
+	head := e.upstream.head()
+	now := clocker.Now()
+	strike := quarantiner.Strike{Fingerprint: x.fingerprint, Site: head.ID + "/" + head.Incarnation, Age: now.Sub(e.brokeAt)}
 	x.f.mu.Lock()
-	added := x.f.quarantine.RecordStrike(clocker.Now(), strike)
+	if !e.sound {
+		strike.Parts = x.f.parts.Suspects(e.brokeAt, x.request.PromptParts)
+	}
+	added := x.f.quarantine.RecordStrike(now, strike)
+	if added {
+		x.f.parts.RecordStrike(now, strike)
+	}
 	x.f.mu.Unlock()
 	if !added {
 		return
 	}
-	log.WithFields(log.Fields{logger.FieldRequest: x.request.ID, logger.FieldInstance: u.head().ID}).Warn(logger.LineServerCrashed)
+	x.f.metrics.strikes.Inc(1)
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldInstance: head.ID, logger.FieldParts: partNames(x.request.PromptParts), logger.FieldSuspects: partNames(strike.Parts),
+		"started": !e.firstEventAt.IsZero(), "streamed_ms": e.streamed().Milliseconds(),
+	}).Warn(logger.LineServerCrashed)
 	x.f.Peers.BroadcastStrikes(context.WithoutCancel(x.ctx), []quarantiner.Strike{strike})
 }
