--- a/pkg/quarantiner/evidence.go
+++ b/pkg/quarantiner/evidence.go
@@ -81,13 +81,24 @@
 	}
 }
 
-// suffices reports whether the charge is enough to block the part.
-func (c *charge) suffices(limits PartLimits) bool {
+// suffices reports whether the charge is enough to block the part, given all crashes that
+// are not explained.
+func (c *charge) suffices(limits PartLimits, crashes []*crash) bool {
 	sites, span := limits.Sites, limits.Span
 	if c.cleared {
 		sites, span = limits.ClearedSites, limits.ClearedSpan
 	}
-	return c.sites >= sites && c.last.Sub(c.first) >= span && len(c.requests) >= limits.Requests
+	if c.sites < sites || c.last.Sub(c.first) < span || len(c.requests) < limits.Requests {
+		return false
+	}
+	since, until := c.first.Add(-limits.ShareMargin), c.last.Add(limits.ShareMargin)
+	meanwhile := 0
+	for _, other := range crashes {
+		if !other.at.Before(since) && !other.at.After(until) {
+			meanwhile++
+		}
+	}
+	return float64(c.sites) >= limits.Share*float64(meanwhile)
 }
 
 // outweighs reports whether a part is the more likely cause of the crashes than another
--- a/pkg/quarantiner/parts.go
+++ b/pkg/quarantiner/parts.go
@@ -16,6 +16,11 @@
 	Sites    int
 	Requests int
 	Span     time.Duration
+	// Share is the least fraction of the crashes in that time, and ShareMargin before
+	// and after it, that the part has to explain. Where many servers fail for another
+	// reason, each part explains few.
+	Share       float64
+	ShareMargin time.Duration
 	// ClearedSites and ClearedSpan replace Sites and Span for a part that was cleared.
 	ClearedSites int
 	ClearedSpan  time.Duration
@@ -289,7 +294,7 @@
 	}
 	var worst *charge
 	for _, candidate := range charges {
-		if candidate.suffices(q.limits) && (worst == nil || candidate.outweighs(worst)) {
+		if candidate.suffices(q.limits, crashes) && (worst == nil || candidate.outweighs(worst)) {
 			worst = candidate
 		}
 	}
