Quarantine: a part that was sound before is blocked for twenty seconds at a time

Where all servers of a model fail one after the other within some seconds, a part that all requests share may be blocked; no run is left that could clear it, so that its callers would be refused for five minutes, long after the servers are back.

Crashes count against a part that was cleared before for twenty seconds only. If it is the culprit after all, five further crashes block it again; a part that never ran without a crash stays blocked as before.

--- a/pkg/quarantiner/parts.go
+++ b/pkg/quarantiner/parts.go
@@ -24,6 +24,9 @@
 	// ClearedSites and ClearedSpan replace Sites and Span for a part that was cleared.
 	ClearedSites int
 	ClearedSpan  time.Duration
+	// ClearedExpiry replaces Expiry for a part that was cleared: where all servers fail, no
+	// run is left that could clear it again.
+	ClearedExpiry time.Duration
 	// Trust is how long after a clearance crashes don't count against the part.
 	Trust time.Duration
 	// Settling is the time in which the strikes of a crash arrive from other entry
@@ -253,12 +256,16 @@
 			q.checkNoLaterThan(settled)
 			continue
 		}
-		q.checkNoLaterThan(c.at.Add(q.limits.Expiry))
+		expiry := q.limits.Expiry
+		if now.Sub(c.at) < q.limits.ClearedExpiry {
+			expiry = q.limits.ClearedExpiry
+		}
+		q.checkNoLaterThan(c.at.Add(expiry))
 		unexplained = append(unexplained, c)
 	}
 	blocked := make(map[Part]int)
 	for {
-		worst := q.mostLikely(unexplained)
+		worst := q.mostLikely(now, unexplained)
 		if worst == nil {
 			return blocked
 		}
@@ -269,7 +276,7 @@
 
 // mostLikely returns the most likely cause of the crashes, or nil if the evidence
 // suffices against no part.
-func (q *PartQuarantine) mostLikely(crashes []*crash) *charge {
+func (q *PartQuarantine) mostLikely(now time.Time, crashes []*crash) *charge {
 	if len(crashes) < q.limits.Sites {
 		return nil
 	}
@@ -283,7 +290,7 @@
 	charges := make(map[Part]*charge)
 	for _, c := range crashes {
 		for part, s := range c.suspects {
-			if sites[part] < q.limits.Sites || q.trusted(c.at, part) {
+			if sites[part] < q.limits.Sites || q.trusted(c.at, part) || q.expired(now, c.at, part) {
 				continue
 			}
 			if charges[part] == nil {
@@ -307,6 +314,12 @@
 	return found && !r.clearedAt.IsZero() && !crashedAt.After(r.clearedAt.Add(q.limits.Trust))
 }
 
+// expired reports whether a crash at a time no longer counts against a part that was
+// cleared before.
+func (q *PartQuarantine) expired(now, crashedAt time.Time, part Part) bool {
+	return q.wasCleared(part) && now.Sub(crashedAt) >= q.limits.ClearedExpiry
+}
+
 func (q *PartQuarantine) wasCleared(part Part) bool {
 	r, found := q.records.Peek(part)
 	return found && !r.clearedAt.IsZero()
--- a/pkg/quarantiner/parts_model_test.go
+++ b/pkg/quarantiner/parts_model_test.go
@@ -47,7 +47,7 @@
 )
 
 var modelLimits = PartLimits{
-	Sites: 3, Requests: 3, Span: 300 * time.Millisecond, Share: 0.5, ShareMargin: time.Second, ClearedSites: 5, ClearedSpan: time.Second,
+	Sites: 3, Requests: 3, Span: 300 * time.Millisecond, Share: 0.5, ShareMargin: time.Second, ClearedSites: 5, ClearedSpan: time.Second, ClearedExpiry: 20 * time.Second,
 	Trust: 2 * time.Second, Settling: 250 * time.Millisecond, Expiry: 5 * time.Minute,
 	SiteCapacity: 128, PartCapacity: 4096, PartsPerSite: 256, PartsPerRequest: 32,
 }
--- a/pkg/quarantiner/parts_script_test.go
+++ b/pkg/quarantiner/parts_script_test.go
@@ -10,7 +10,7 @@
 )
 
 var scriptLimits = PartLimits{
-	Sites: 3, Requests: 3, Span: 500 * time.Millisecond, Share: 0.5, ShareMargin: time.Second, ClearedSites: 5, ClearedSpan: time.Second,
+	Sites: 3, Requests: 3, Span: 500 * time.Millisecond, Share: 0.5, ShareMargin: time.Second, ClearedSites: 5, ClearedSpan: time.Second, ClearedExpiry: 20 * time.Second,
 	Trust: 2 * time.Second, Settling: 250 * time.Millisecond, Expiry: time.Minute,
 	SiteCapacity: 8, PartCapacity: 8, PartsPerSite: 6, PartsPerRequest: 4,
 }
