Observer: a reported loss ends requests here only after a probe from here

A peer that can't reach a server reports it lost; where the retraction is late or lost, each other entry instance gave up the answers that it was waiting for from there (once requests ended with 502 after 1.5 s), although it could reach the server.

Silent upstreams with a member that only a peer reports as lost are probed from here first; a response clears the loss here, and only an own finding, or a restart, ends attempts.

--- a/internal/forwarder/loss_test.go
+++ b/internal/forwarder/loss_test.go
@@ -116,3 +116,23 @@
 	calls.Wait()
 	assert.Equal(t, attempts.Load(), int32(streams))
 }
+
+// TestReportedLossIsCheckedHere guards against an answer being given up because of a peer's
+// report, which is never retracted, of a server that this entry instance reaches.
+func TestReportedLossIsCheckedHere(t *testing.T) {
+	f := newFixture(t)
+	// Where there are many entry instances, each checks a reported loss only rarely.
+	f.platform.set(func(p *platformStub) { p.peers = 10_000 })
+	f.addServer("s", "plain", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{{Instance: "s", Incarnation: "1"}}})
+		time.Sleep(2 * time.Second)
+		writeHeader(w, r, "text/plain")
+		writeAndFlush(w, "done")
+	})
+	f.applyConfig()
+	status, body, err := f.call("POST", "/once/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "done")
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -184,8 +184,15 @@
 		f.cancelStalled(u)
 	}
 	for _, u := range busy {
-		if f.Observer.AnyLostOrRestarted(u.state().members) {
+		members := u.state().members
+		if !f.Observer.AnyLostOrRestarted(members) {
+			continue
+		}
+		if f.Observer.FoundLostOrRestarted(members) {
 			f.cancelLost(u)
+		} else {
+			// A peer that can't reach a server is no reason to end its requests here.
+			f.Observer.Suspect(ctx, members)
 		}
 	}
 }
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -83,13 +83,14 @@
 }
 
 // Suspect probes instances whose requests make no progress and marks those that
-// do not answer lost. It does not wait for the probes.
+// do not answer lost, also if a peer has reported them lost already. It does not wait for
+// the probes.
 func (o *Observer) Suspect(ctx context.Context, members []provider.Instance) {
 	now := clocker.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, in := range members {
-		if o.tracker.IsLost(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval {
+		if o.ownLosses[in.ID] || now.Sub(o.checkedAt[in.ID]) < checkInterval {
 			continue
 		}
 		o.checkedAt[in.ID] = now
@@ -142,6 +143,7 @@
 	o.ownLosses[in.ID] = true
 	o.mu.Unlock()
 	if !changed {
+		o.signal()
 		return
 	}
 	o.Scope.Tagged(map[string]string{"source": "probe"}).Counter("losses").Inc(1)
@@ -160,6 +162,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.suspicions.Clear(in.ID)
+	if o.tracker.IsLost(in.ID) {
+		o.clearLoss(in.ID, "probe")
+		o.signal()
+	}
 	if clocker.Since(began) <= promptResponse {
 		o.disturbedAt = time.Time{}
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -269,26 +269,40 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, in := range members {
-		if o.tracker.IsLost(in.ID) {
+		if o.tracker.IsLost(in.ID) || o.restarted(in) {
 			return true
 		}
-		if now, listed := o.tracker.Instance(in.ID); listed && now.Incarnation != in.Incarnation {
+	}
+	return false
+}
+
+// FoundLostOrRestarted reports whether any of these instances has restarted, or was found
+// lost by probes from here, and not only by a peer's.
+func (o *Observer) FoundLostOrRestarted(members []provider.Instance) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, in := range members {
+		if o.ownLosses[in.ID] || o.restarted(in) {
 			return true
 		}
 	}
 	return false
 }
 
+// restarted reports whether an instance runs in another incarnation than this one. The
+// caller holds o.mu.
+func (o *Observer) restarted(in provider.Instance) bool {
+	now, listed := o.tracker.Instance(in.ID)
+	return listed && now.Incarnation != in.Incarnation
+}
+
 // LostBefore reports whether any of these instances has restarted, or was found lost
 // before a time and has not responded since.
 func (o *Observer) LostBefore(at time.Time, members []provider.Instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, in := range members {
-		if since, lost := o.tracker.LostSince(in.ID); lost && since.Before(at) {
-			return true
-		}
-		if now, listed := o.tracker.Instance(in.ID); listed && now.Incarnation != in.Incarnation {
+		if since, lost := o.tracker.LostSince(in.ID); lost && since.Before(at) || o.restarted(in) {
 			return true
 		}
 	}
