Relayer: a confirmation that an older copy gave does not pass to a newer version

What could happen: an instance counted a version of the configuration as confirmed at a time at which the store did not have it. If the store comes back from an older copy and the operator is late to write the newest version again, an instance that has just started, or that counts the era as old, confirms the older version. When a peer then sends the newer version, which it read before, the time of that confirmation stayed, so that the newer version counted as current without a reading that found it. Keys were checked against that age until it had run out.

Cause: updateConfig replaced the version and kept the time of the older one's confirmation. A newer version that was read before an older one is proof that the older one came from an older copy. The newer one now counts from its own reading. If the peer does not know when that was (a version that it has not confirmed in a new era), the time stays as before, since nothing shows which of the two readings came first; so the rule is kept for what is known.

In one era a newer version that is known to have been read earlier than an older one differs by the duration of a reading only, so that this takes nothing else away. The effect on served requests was not measured.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -304,14 +304,21 @@
 	hard, soft := r.hardMaxAge(), r.softMaxAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reply.ConfigVersion == 0 || reply.ListAge > hard || reply.ConfigAge > hard || reply.Era < r.state.era {
+	return r.takeReply(began, peer.ID, reply, hard) && reply.ListAge <= soft && reply.ConfigAge <= soft
+}
+
+// takeReply applies what counts of a peer's reply to a call that began at that time. It
+// reports whether the reply is younger than the limit and of the known era. The caller
+// holds r.mu.
+func (r *Relayer) takeReply(began time.Time, peer string, reply messenger.ChangesReply, limit time.Duration) bool {
+	if reply.ConfigVersion == 0 || reply.ListAge > limit || reply.ConfigAge > limit || reply.Era < r.state.era {
 		// A version of the configuration only rises, so that a newer one counts
 		// whatever its age.
-		r.applyConfig(began, peer.ID, reply)
+		r.applyConfig(began, peer, reply)
 		return false
 	}
-	r.applyReply(began, peer.ID, reply)
-	return reply.ListAge <= soft && reply.ConfigAge <= soft
+	r.applyReply(began, peer, reply)
+	return true
 }
 
 // applyReply applies a peer's reply to a call that began at that time.
@@ -332,9 +339,14 @@
 	if reply.Config != nil {
 		config = mapper.New(*reply.Config)
 	}
-	if config != nil && config.Version == reply.ConfigVersion {
-		r.state.updateConfig(began.Add(-reply.ConfigAge), peer, config, reply.ConfigRewritten && reply.Era == r.state.era)
+	if config == nil || config.Version != reply.ConfigVersion {
+		return
+	}
+	var at time.Time
+	if reply.ConfigAge < unconfirmed {
+		at = began.Add(-reply.ConfigAge)
 	}
+	r.state.updateConfig(at, peer, config, reply.ConfigRewritten && reply.Era == r.state.era)
 }
 
 // ChangesSince returns the changes since the state that a peer has. It answers
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"reflect"
 	"time"
 
@@ -57,6 +58,10 @@
 // that an older copy of the table has lost.
 const rewriteTimeout = 3 * time.Second
 
+// unconfirmed is the age of a configuration that was not confirmed: what
+// [time.Time.Sub] returns for the zero time.
+const unconfirmed time.Duration = math.MaxInt64
+
 type versionedInstance struct {
 	instance provider.Instance
 	revision uint64
@@ -252,10 +257,10 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// updateConfig applies a configuration that was the newest at that time. An
-// older version than the known one is ignored. In a new era of the platform's table
-// a configuration that may come from an older copy is no proof that there is no
-// newer one; it does not count as confirmed until the operator has had the time to
+// updateConfig applies a configuration that was the newest at that time, or at no known
+// time if it is zero. An older version than the known one is ignored. In a new era of the
+// platform's table a configuration that may come from an older copy is no proof that there
+// is no newer one; it does not count as confirmed until the operator has had the time to
 // write the newest one again.
 func (v *versionedState) updateConfig(at time.Time, source string, config *mapper.RouteTable, rewritten bool) {
 	if config == nil || v.config != nil && config.Version < v.config.Version {
@@ -263,6 +268,10 @@
 	}
 	if v.config == nil || config.Version > v.config.Version {
 		v.config, v.configSource = config, source
+		if !at.IsZero() && at.Before(v.configConfirmedAt) {
+			// What was read since then lacked this version: an older copy.
+			v.configConfirmedAt = at
+		}
 	}
 	v.configRewritten = v.configRewritten || rewritten
 	if !rewritten && v.eraIsNew(at) {
