Forwarder: a blank line of a stream costs no more than other lines

What could happen: a backend server that sends blank lines without end kept a processor busy for as long as the route's timeout lasts, each such request one, and the request ended after its timeout: with two requests in progress on an idle machine 3,083 and 3,182 ms after it was sent, where the timeout is 3,000.

Cause: to see whether an event has begun, readEvent looked through all of it again at each blank line, and an event that holds only blank lines was looked through to its end: up to 1 MB for each byte received. What was in the connection's buffer at the deadline was still taken apart in that way. Now it remembers whether the event holds anything.

Ruled out: comments and other lines (the look ended at their first byte).

Measured: 65,536 blank lines took 1.70 s of processor time, as many comments 6.4 ms (TestBlankLinesCostNoMoreThanOthers, which compares the two on one thread, so that a busy machine does not matter; at most 20 times as much is allowed).

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -30,22 +30,25 @@
 // within an event.
 func (a *attempt) readEvent() ([]byte, error) {
 	var event []byte
+	// blank says that the event holds nothing but blank lines so far.
+	blank := true
 	for {
 		line, err := a.reader.ReadSlice('\n')
 		if memoryErr := a.reserve(len(event) + len(line)); memoryErr != nil {
 			return nil, memoryErr
 		}
 		event = append(event, line...)
+		blank = blank && len(bytes.TrimSpace(line)) == 0
 		switch {
 		case len(event) > maxEventBytes:
 			return nil, errors.Newf("stream event is longer than %d bytes", maxEventBytes)
-		case err == io.EOF && len(bytes.TrimSpace(event)) == 0:
+		case err == io.EOF && blank:
 			return nil, io.EOF
 		case err == io.EOF:
 			return nil, io.ErrUnexpectedEOF
 		case err != nil && !isBufferFull(err):
 			return nil, err
-		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(event)) > 0:
+		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && !blank:
 			return event, nil
 		}
 	}
--- /dev/null
+++ b/internal/forwarder/stream_test.go
@@ -0,0 +1,56 @@
+package forwarder
+
+import (
+	"bufio"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
+)
+
+func readEvents(t *testing.T, stream string) []string {
+	t.Helper()
+	a := &attempt{reader: bufio.NewReaderSize(strings.NewReader(stream), streamBufferBytes), memory: bounder.NewBudget(defaultResponseMemory).Open()}
+	defer a.memory.Close()
+	var events []string
+	for {
+		event, err := a.readEvent()
+		if err != nil {
+			return events
+		}
+		events = append(events, string(event))
+	}
+}
+
+// TestBlankLinesCostNoMoreThanOthers guards against a server whose blank lines each cost as
+// much as all before them: they kept a processor busy for seconds, and a request beyond its
+// timeout.
+func TestBlankLinesCostNoMoreThanOthers(t *testing.T) {
+	const (
+		lines    = 64 << 10
+		maxRatio = 20
+	)
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	cost := func(line string) time.Duration {
+		began := threadTime(t)
+		readEvents(t, strings.Repeat(line, lines))
+		return threadTime(t) - began
+	}
+	comments := cost(":\n")
+	blank := cost("\n")
+	assert.Assert(t, blank < maxRatio*max(comments, time.Millisecond), "%s for blank lines, %s for comments", blank, comments)
+}
+
+// threadTime returns how long the thread has run on a processor.
+func threadTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage unix.Rusage
+	assert.NilError(t, unix.Getrusage(unix.RUSAGE_THREAD, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
