Forwarder: a long line of a stream does not end its event

What could happen: an event with a line whose length is a multiple of the reader's buffer (4,096 bytes) was taken for two. The first part went to the caller as a whole event without the ID that follows the line, and counted as delivered; if the stream broke then, it resumed after the event before, so that the caller got the beginning twice.

Cause: a line that fills the buffer is read in parts, and what remained of it, only its end, looked like the blank line that ends an event. Now only the beginning of a line can be one.

Measured: TestLongLineIsOneEvent failed for lines of 4,096 and 12,288 bytes and for 4,095 bytes with a carriage return (two events read as four); it passes now, as do the tests of streams and resumption.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -30,8 +30,9 @@
 // within an event.
 func (a *attempt) readEvent() ([]byte, error) {
 	var event []byte
-	// blank says that the event holds nothing but blank lines so far.
-	blank := true
+	// blank says that the event holds nothing but blank lines so far, and lineBegins that
+	// the next bytes are the first ones of a line.
+	blank, lineBegins := true, true
 	for {
 		line, err := a.reader.ReadSlice('\n')
 		if memoryErr := a.reserve(len(event) + len(line)); memoryErr != nil {
@@ -48,9 +49,10 @@
 			return nil, io.ErrUnexpectedEOF
 		case err != nil && !isBufferFull(err):
 			return nil, err
-		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && !blank:
+		case err == nil && lineBegins && len(bytes.TrimRight(line, "\r\n")) == 0 && !blank:
 			return event, nil
 		}
+		lineBegins = err == nil
 	}
 }
 
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +29,20 @@
 	}
 }
 
+// TestLongLineIsOneEvent guards against an event that is taken apart after a line that fills
+// the reader's buffer.
+func TestLongLineIsOneEvent(t *testing.T) {
+	for _, size := range []int{1, streamBufferBytes - 1, streamBufferBytes, streamBufferBytes + 1, 3 * streamBufferBytes} {
+		for _, end := range []string{"\n", "\r\n"} {
+			t.Run(fmt.Sprintf("%d%q", size, end), func(t *testing.T) {
+				event := "data:" + strings.Repeat("x", max(0, size-len("data:"))) + end + "id: 7" + end + end
+				events := readEvents(t, event+event)
+				assert.Assert(t, slices.Equal(events, []string{event, event}), "%d events of %d bytes together, want 2", len(events), len(strings.Join(events, "")))
+			})
+		}
+	}
+}
+
 // TestBlankLinesCostNoMoreThanOthers guards against a server whose blank lines each cost as
 // much as all before them: they kept a processor busy for seconds, and a request beyond its
 // timeout.
