Responses: endless answers leave room for the small answers of sound servers

What callers saw: 502 for a request that a sound server had run and answered, while another server sent answers without end. The memory for responses was full to the last byte (the sizes are powers of two: 24,117,248 of 24,117,248), so that an answer of a few bytes got no buffer and was lost.

Cause: the budget gave its last bytes to whoever came first, and a large response grows until nothing is left.

Ruled out: a buffer that does not count would make the memory unbounded. An equal part for each response would refuse large answers of which a few fit. Larger answers of sound servers can still be lost beside endless ones; that is as before.

Measured: TestSmallResponsesBesideEndlessOnes failed with that error; passes.

--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -36,7 +36,15 @@
 // Error is the error type of this package.
 type Error = faulter.Error[Kind]
 
-// Budget is the memory that the responses in progress may take together. It is safe for
+const (
+	// smallShare is the size up to which a share may use the reserve.
+	smallShare = 32 << 10
+	// reserveDivisor is the ratio of a budget's capacity to its reserve.
+	reserveDivisor = 16
+)
+
+// Budget is the memory that the responses in progress may take together. A part of it is
+// a reserve for small responses, so that large ones leave room for them. It is safe for
 // concurrent use.
 type Budget struct {
 	mu       sync.Mutex
@@ -69,8 +77,12 @@
 func (s *Share) Resize(size int64) error {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	if size > s.size && s.budget.used+size-s.size > s.budget.capacity {
-		return faulter.Newf("read response", KindNoMemory, "%d of %d bytes are in use", s.budget.used, s.budget.capacity)
+	limit := s.budget.capacity
+	if size > smallShare {
+		limit -= limit / reserveDivisor
+	}
+	if size > s.size && s.budget.used+size-s.size > limit {
+		return faulter.Newf("read response", KindNoMemory, "%d of %d bytes are in use", s.budget.used, limit)
 	}
 	s.budget.used += size - s.size
 	s.size = size
--- a/pkg/bounder/bounder_test.go
+++ b/pkg/bounder/bounder_test.go
@@ -64,6 +64,28 @@
 	assert.NilError(t, kept.Resize(1<<10))
 }
 
+// TestSmallResponsesBesideEndlessOnes guards against endless responses that take the whole
+// budget: the answer of a sound server, which has run the request, was lost.
+func TestSmallResponsesBesideEndlessOnes(t *testing.T) {
+	const capacity = 23 << 20
+	budget := NewBudget(capacity)
+	fill := func(size int64) {
+		for err := error(nil); err == nil; {
+			err = budget.Open().Resize(size)
+		}
+	}
+	for size := int64(8 << 20); size > smallShare; size /= 2 {
+		fill(size)
+	}
+	for range 40 {
+		data, err := ReadAll(strings.NewReader(strings.Repeat("x", smallShare/2-1)), 8<<20, budget.Open())
+		assert.NilError(t, err)
+		assert.Equal(t, len(data), smallShare/2-1)
+	}
+	fill(firstRead)
+	assert.Assert(t, budget.Used() <= capacity)
+}
+
 // FuzzReadAll checks for any chunks of any response that the result is the whole response
 // or an error, and that the budget gets everything back.
 func FuzzReadAll(f *testing.F) {
