--- a/internal/relayer/list_bench_test.go
+++ b/internal/relayer/list_bench_test.go
@@ -68,3 +68,14 @@
 	_, err = messenger.UnpackInstances(reply.Packed)
 	assert.Assert(t, err != nil)
 }
+
+// TestListIsPackedOnce guards against a list that is packed anew for each of many instances
+// that start together.
+func TestListIsPackedOnce(t *testing.T) {
+	state := newVersionedState(1)
+	state.updateList(InstancesReading{At: time.Unix(1000, 0), Version: 100, Instances: testList(8)})
+	first := state.packedList()
+	assert.Assert(t, &first[0] == &state.packedList()[0])
+	state.updateList(InstancesReading{At: time.Unix(1001, 0), Version: 101, Instances: testList(9)})
+	assert.Assert(t, &first[0] != &state.packedList()[0])
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -85,7 +85,8 @@
 	// removed in between is in neither list, but a peer may know it.
 	Followed bool
 	Removed  []string
-	// Unchanged reports whether the list is the same as that of the reading before.
+	// Unchanged reports whether there has been no change since the reading before, not even
+	// of an instance that was added and removed.
 	Unchanged bool
 	// At is a time at which the list was current.
 	At time.Time
--- a/internal/relayer/search_test.go
+++ b/internal/relayer/search_test.go
@@ -76,6 +76,7 @@
 	store *modelStore
 	era   uint64
 	after uint64
+	rows  map[string]uint64
 	// held is a reading of the configuration that the store has sent, but that has not
 	// arrived.
 	held *ConfigReading
@@ -96,7 +97,8 @@
 			}
 		}
 	}
-	r.era, r.after = s.era, s.version
+	reading.Unchanged = reading.Followed && len(reading.Removed) == 0 && maps.Equal(r.rows, s.rows)
+	r.era, r.after, r.rows = s.era, s.version, maps.Clone(s.rows)
 	key := listKey{epoch: storeEpoch(s.era), version: s.version}
 	if s.lists[key] == nil {
 		s.lists[key] = &modelList{rows: maps.Clone(s.rows)}
@@ -356,7 +358,10 @@
 // reader by the other, restarts, and a return of the store from an older copy, and against a
 // version that counts as confirmed later than it was read.
 func TestEveryHistoryConverges(t *testing.T) {
-	histories := search(t, []string{"", "ab1x2y", "a1xa2bR"}, "abc12xyzRGLE", 5)
+	const letters = "abc12xyzRGLE"
+	histories := search(t, []string{"", "ab1x2y", "a1xa2bR"}, letters, 5)
+	// The second reader does not know an instance that the leaf knows.
+	histories += search(t, []string{"21a1x", "21a1xaG"}, letters, 4)
 	assert.Assert(t, histories > 500_000)
 }
 
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -192,15 +192,15 @@
 	v.historySince = next
 }
 
-// applyReply applies the list in a peer's reply, which was current at that time. It
-// reports whether the reply was applied or confirms the known list.
-func (v *versionedState) applyReply(at time.Time, reply messenger.ChangesReply) bool {
+// applyReply applies the list in a peer's reply, which was current at that time, unless the
+// known list is newer.
+func (v *versionedState) applyReply(at time.Time, reply messenger.ChangesReply) {
 	switch {
 	case reply.Era < v.era, reply.Whole && at.Before(v.listedAt), !reply.Whole && reply.Epoch != v.epoch:
-		return false
+		return
 	case reply.Epoch == v.epoch && reply.Revision < v.revision:
 		// The peer has not seen the newest changes.
-		return !reply.Whole
+		return
 	}
 	v.observeEra(at, reply.Era)
 	if at.After(v.listedAt) {
@@ -223,7 +223,6 @@
 		}
 	}
 	v.revision = reply.Revision
-	return true
 }
 
 // observeEra records the era of the platform's table at a time.
