--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -157,13 +157,16 @@
 type fixture struct {
 	t        *testing.T
 	platform *platformStub
-	server   *httptest.Server
+	// serve starts the HTTP server of a forwarder.
+	serve  func(http.Handler) *httptest.Server
+	server *httptest.Server
 	// forwarder is the forwarder under test.
 	forwarder *Forwarder
 }
 
 const (
-	testKeyTTL = 3 * time.Second
+	testKeyTTL       = 3 * time.Second
+	testRouteTimeout = 3 * time.Second
 	// testMemoryBytes is the memory of the smallest processes that the users run.
 	testMemoryBytes = 184 << 20
 )
@@ -177,7 +180,7 @@
 	route := func(name string, repeat mapper.Repeat, service string) mapper.Route {
 		return mapper.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Targets: []mapper.Target{{Service: service, Weight: 1}},
-			Repeat: repeat, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond, GapObjective: 300 * time.Millisecond,
+			Repeat: repeat, Timeout: testRouteTimeout, Objective: 500 * time.Millisecond, GapObjective: 300 * time.Millisecond,
 			MaxAttempts: 2, Resumable: repeat == mapper.Streaming,
 		}
 	}
@@ -193,7 +196,14 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, platform: &platformStub{dead: make(map[string]bool)}}
+	return newFixtureWith(t, httptest.NewServer)
+}
+
+// newFixtureWith returns a fixture whose forwarder is served by the server that serve
+// starts.
+func newFixtureWith(t *testing.T, serve func(http.Handler) *httptest.Server) *fixture {
+	t.Helper()
+	f := &fixture{t: t, serve: serve, platform: &platformStub{dead: make(map[string]bool)}}
 	f.forwarder, f.server = f.newForwarder()
 	f.platform.issuePermit = f.forwarder.IssuePermit
 	return f
@@ -211,7 +221,7 @@
 	})
 	o.Start(ctx)
 	forwarder.Start(ctx)
-	server := httptest.NewServer(forwarder.Handler())
+	server := f.serve(forwarder.Handler())
 	f.t.Cleanup(func() { server.Close(); cancel() })
 	return forwarder, server
 }
@@ -247,7 +257,13 @@
 // applyConfig applies the test configuration and waits until it is in force.
 func (f *fixture) applyConfig() {
 	f.t.Helper()
-	f.platform.configure(testConfig(1))
+	f.apply(testConfig(1))
+}
+
+// apply applies a configuration and waits until it is in force.
+func (f *fixture) apply(config mapper.Config) {
+	f.t.Helper()
+	f.platform.configure(config)
 	f.eventually(func() bool {
 		status, _, _ := f.call("GET", "/nowhere/", "x")
 		return status == http.StatusNotFound
@@ -274,13 +290,23 @@
 
 func (f *fixture) callWith(method, path, id, key string) (int, string, error) {
 	f.t.Helper()
-	return f.callAt(f.server, method, path, id, key, "body", "")
+	return f.callContext(f.t.Context(), method, path, id, key)
+}
+
+func (f *fixture) callContext(ctx context.Context, method, path, id, key string) (int, string, error) {
+	f.t.Helper()
+	return f.send(ctx, f.server, method, path, id, key, "body", "")
 }
 
 // callAt sends a request whose prompt has those parts to one of the forwarders' servers.
 func (f *fixture) callAt(server *httptest.Server, method, path, id, key, body, parts string) (int, string, error) {
 	f.t.Helper()
-	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	return f.send(f.t.Context(), server, method, path, id, key, body, parts)
+}
+
+func (f *fixture) send(ctx context.Context, server *httptest.Server, method, path, id, key, body, parts string) (int, string, error) {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, server.URL+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
 	request.Host = "h"
 	request.Header.Set("Id", id)
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"reflect"
 	"time"
 
@@ -60,6 +61,10 @@
 // that an older copy of the table has lost.
 const rewriteTimeout = 3 * time.Second
 
+// unconfirmed is the age of a configuration that was not confirmed: what
+// [time.Time.Sub] returns for the zero time.
+const unconfirmed time.Duration = math.MaxInt64
+
 type versionedInstance struct {
 	instance provider.Instance
 	revision uint64
@@ -190,15 +195,15 @@
 	v.historySince = next
 }
 
-// applyReply applies the list in a peer's reply, which was current at that time. It
-// reports whether the reply was applied or confirms the known list.
-func (v *versionedState) applyReply(at time.Time, reply messenger.ChangesReply) bool {
+// applyReply applies the list in a peer's reply, which was current at that time, unless the
+// known list is newer.
+func (v *versionedState) applyReply(at time.Time, reply messenger.ChangesReply) {
 	switch {
 	case reply.Era < v.era, reply.Whole && at.Before(v.listedAt), !reply.Whole && reply.Epoch != v.epoch:
-		return false
+		return
 	case reply.Epoch == v.epoch && reply.Revision < v.revision:
 		// The peer has not seen the newest changes.
-		return !reply.Whole
+		return
 	}
 	v.observeEra(at, reply.Era)
 	if at.After(v.listedAt) {
@@ -221,7 +226,6 @@
 		}
 	}
 	v.revision = reply.Revision
-	return true
 }
 
 // observeEra records the era of the platform's table at a time.
@@ -255,10 +259,10 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// updateConfig applies a configuration that was the newest at that time. An
-// older version than the known one is ignored. In a new era of the platform's table
-// a configuration that may come from an older copy is no proof that there is no
-// newer one; it does not count as confirmed until the operator has had the time to
+// updateConfig applies a configuration that was the newest at that time, or at no known
+// time if it is zero. An older version than the known one is ignored. In a new era of the
+// platform's table a configuration that may come from an older copy is no proof that there
+// is no newer one; it does not count as confirmed until the operator has had the time to
 // write the newest one again.
 func (v *versionedState) updateConfig(at time.Time, source string, config *mapper.RouteTable, rewritten bool) {
 	if config == nil || v.config != nil && config.Version < v.config.Version {
@@ -266,6 +270,10 @@
 	}
 	if v.config == nil || config.Version > v.config.Version {
 		v.config, v.configSource = config, source
+		if !at.IsZero() && at.Before(v.configConfirmedAt) {
+			// What was read since then lacked this version: an older copy.
+			v.configConfirmedAt = at
+		}
 	}
 	v.configRewritten = v.configRewritten || rewritten
 	if !rewritten && v.eraIsNew(at) {
