Forwarder: the end of a connection is no proof that an answer is whole

A response may come with neither a length nor chunks and end with its connection. Sound answers of this form cleared no part either, so that sound parts were blocked.

A stream of this form that ends before its first event is broken. After the end of any other the head is watched for a second: if it is lost or restarts, the request gets a strike, otherwise its parts are cleared.

TestStreamWithoutFirstEventIsBroken failed with an empty body before, and TestUndelimitedEndIsJudged with no strike and no clearance. TestPartThatCrashesServersIsBlocked now counts by the time at which a request reaches a server, as the rule does, and no longer by that of its caller, which is stricter.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -196,8 +196,8 @@
 		return nil, event
 	}
 	a.complete = true
-	if a.response.StatusCode < http.StatusMultipleChoices && isDelimited(a.response) {
-		x.clearParts(a, a.sentAt)
+	if a.response.StatusCode < http.StatusMultipleChoices {
+		x.judgeEnd(a, a.sentAt)
 	}
 	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body, memory: a.memory}
 	a.memory = nil
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -104,15 +104,16 @@
 }
 
 // runCrashCheck records a strike against the request if one of maxCrashChecks
-// checks shows that the head is lost or has restarted.
-func (x *exchange) runCrashCheck(e crashEvidence) {
+// checks shows that the head is lost or has restarted, and reports whether one did.
+func (x *exchange) runCrashCheck(e crashEvidence) bool {
 	for range maxCrashChecks {
 		time.Sleep(crashCheckInterval)
 		if x.f.Observer.AnyLostOrRestarted(e.upstream.state().members[:1]) {
 			x.recordStrike(e)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // recordStrike records that the request crashed the upstream's head and reports
--- a/internal/forwarder/parts.go
+++ b/internal/forwarder/parts.go
@@ -153,6 +153,29 @@
 	x.f.parts.Clear(clocker.Now(), began, x.request.PromptParts)
 }
 
+// judgeEnd takes the end of a response, which the server began to write at a time, as a sign
+// that the request does not crash it. Where the end of the connection is the end of the
+// response, it may as well be a crash, so that the server is watched for a while first.
+func (x *exchange) judgeEnd(a *attempt, began time.Time) {
+	switch {
+	case isDelimited(a.response):
+		x.clearParts(a, began)
+	case !a.sound && len(x.request.PromptParts) > 0:
+		go x.runEndCheck(crashEvidence{upstream: a.active.upstream, firstEventAt: a.firstEventAt, brokeAt: clocker.Now()}, began)
+	}
+}
+
+// runEndCheck records a strike if a check shows that the head is lost or has restarted, and
+// clears the request's parts otherwise.
+func (x *exchange) runEndCheck(e crashEvidence, began time.Time) {
+	if x.runCrashCheck(e) {
+		return
+	}
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	x.f.parts.Clear(clocker.Now(), began, x.request.PromptParts)
+}
+
 // isDelimited reports whether the end of a response can be told from the end of its
 // connection.
 func isDelimited(r *http.Response) bool {
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
@@ -36,8 +39,7 @@
 
 	mu      sync.Mutex
 	crashes []time.Time
-	// sent holds the time at which each request with crashingPart that reached a server
-	// was sent by its caller.
+	// sent holds the times at which requests with crashingPart reached a server.
 	sent []time.Time
 	// began holds the requests that a server has begun to answer, by ID.
 	began map[string]bool
@@ -78,7 +80,7 @@
 	s.mu.Lock()
 	s.began[r.Header.Get("Id")] = true
 	if crashes {
-		s.sent = append(s.sent, s.sentAt[r.Header.Get("Id")])
+		s.sent = append(s.sent, time.Now())
 	}
 	s.mu.Unlock()
 	writeHeader(w, r, "text/event-stream")
@@ -334,3 +336,69 @@
 	x.recordWait(a, soundAfter/2)
 	assert.Assert(t, a.sound)
 }
+
+// writeUndelimited sends a response that ends with its connection, and ends it.
+func writeUndelimited(w http.ResponseWriter, r *http.Request, body string) {
+	// Bytes that were not read would reset the connection.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
+}
+
+// TestStreamWithoutFirstEventIsBroken guards against an empty success for a request whose
+// server crashed after the header of a response that ends with its connection.
+func TestStreamWithoutFirstEventIsBroken(t *testing.T) {
+	f := newFixture(t)
+	var attempts atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			writeUndelimited(w, r, "")
+			return
+		}
+		writeUndelimited(w, r, testEvent(1)+testEvent(2))
+	}
+	f.addGroup("a", handler)
+	f.addGroup("b", handler)
+	f.applyConfig()
+	status, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, testEvent(1)+testEvent(2))
+}
+
+// TestUndelimitedEndIsJudged guards against a crash that looks like the end of a response
+// leaving no strike, and against such responses of sound servers clearing no part.
+func TestUndelimitedEndIsJudged(t *testing.T) {
+	for name, crashes := range map[string]bool{"crash": true, "sound": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addGroup("a", func(w http.ResponseWriter, r *http.Request) {
+				writeUndelimited(w, r, testEvent(1))
+				if crashes {
+					f.platform.kill("a-head")
+					f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{{Instance: "a-head", Incarnation: "1"}}})
+				}
+			})
+			f.addGroup("b", func(http.ResponseWriter, *http.Request) {})
+			f.platform.set(func(p *platformStub) { p.dead["b-head"] = true })
+			f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{{Instance: "b-head", Incarnation: "1"}}})
+			f.applyConfig()
+			status, _, err := f.callAt(f.server, "POST", "/stream/", "r1", "k", "body", "666,1")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			f.eventually(func() bool {
+				strikes, _ := f.forwarder.Strikes()
+				f.forwarder.mu.Lock()
+				suspects := f.forwarder.parts.Suspects(clocker.Now(), []quarantiner.Part{666})
+				f.forwarder.mu.Unlock()
+				return len(strikes) > 0 == crashes && len(suspects) == 0 == !crashes
+			})
+		})
+	}
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -83,6 +83,10 @@
 // it is the event after the last one that was sent to the caller.
 func (x *exchange) receiveStream(a *attempt) (*Response, retrier.Event) {
 	event, err := a.readEvent()
+	if err == io.EOF && !isDelimited(a.response) {
+		// A server that crashes after the header ends the connection in the same way.
+		err = io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		a.complete = true
 		x.recordStreamEnd(a)
@@ -126,8 +130,8 @@
 
 // recordStreamEnd records that a stream is complete.
 func (x *exchange) recordStreamEnd(a *attempt) {
-	if !a.firstEventAt.IsZero() && isDelimited(a.response) {
-		x.clearParts(a, a.firstEventAt)
+	if !a.firstEventAt.IsZero() {
+		x.judgeEnd(a, a.firstEventAt)
 	}
 	x.step(retrier.Event{Kind: retrier.Finished})
 }
