Forwarder: a pause of this process is no wait for a server

A request clears the parts of its prompt once this process has waited a second for its server's events. A pause of the process counted as such a wait, so that the event of a server that had crashed since lifted the block of a part at all entry instances. At most half of the second counts for one event now. TestOnlyAwaitedEventsClearPart failed before for a wait of a minute.

--- a/internal/forwarder/parts.go
+++ b/internal/forwarder/parts.go
@@ -28,6 +28,9 @@
 // does not crash it: such a server crashes when it begins to write.
 const soundAfter = time.Second
 
+// maxCountedWait is how much of the wait for one event counts as waiting for the server.
+const maxCountedWait = soundAfter / 2
+
 // AddStrikes records strikes that a peer reported.
 func (f *Forwarder) AddStrikes(strikes []quarantiner.Strike) {
 	now := clocker.Now()
@@ -135,7 +138,8 @@
 // another one. Events that were received while the caller was slow to read don't count:
 // the server may have crashed since it sent them.
 func (x *exchange) recordWait(a *attempt, waited time.Duration) {
-	a.awaited += waited
+	// A process that was paused did not wait for the server.
+	a.awaited += min(waited, maxCountedWait)
 	if a.awaited >= soundAfter {
 		x.clearParts(a, a.firstEventAt)
 	}
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -331,7 +331,8 @@
 	f.applyConfig()
 	x := &exchange{f: f.forwarder, request: &Request{RequestMetadata: RequestMetadata{PromptParts: []quarantiner.Part{666}}}}
 	a := &attempt{firstEventAt: time.Now().Add(-time.Minute)}
-	x.recordWait(a, soundAfter/2)
+	// A pause of this process is no wait for the server.
+	x.recordWait(a, time.Minute)
 	assert.Assert(t, !a.sound)
 	x.recordWait(a, soundAfter/2)
 	assert.Assert(t, a.sound)
