Strikes: evidence against parts of prompts is fetched again and again

Every two seconds the evidence against parts is fetched from a random peer; what is known already is no news, so that no clearance is reported again for it. Strikes by content have no age and are not fetched in this way, since they would never expire. Strikes and clearances of a reply count at one moment.

--- a/internal/forwarder/parts.go
+++ b/internal/forwarder/parts.go
@@ -32,25 +32,43 @@
 const maxCountedWait = soundAfter / 2
 
 // AddStrikes records strikes that a peer reported.
-func (f *Forwarder) AddStrikes(strikes []quarantiner.Strike) {
+func (f *Forwarder) AddStrikes(strikes []quarantiner.Strike) { f.AddEvidence(strikes, nil) }
+
+// AddClearances records clearances that a peer reported.
+func (f *Forwarder) AddClearances(clearances []quarantiner.Clearance) {
+	f.AddPartEvidence(nil, clearances)
+}
+
+// AddEvidence records the strikes and clearances of a peer. Both count at the same moment,
+// since strikes alone would block parts that are known to be sound.
+func (f *Forwarder) AddEvidence(strikes []quarantiner.Strike, clearances []quarantiner.Clearance) {
 	now := clocker.Now()
 	f.metrics.peerStrikes.Inc(int64(len(strikes)))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range strikes {
 		f.quarantine.RecordStrike(now, s)
-		f.parts.RecordStrike(now, s)
 	}
+	f.addPartEvidence(now, strikes, clearances)
 }
 
-// AddClearances records clearances that a peer reported.
-func (f *Forwarder) AddClearances(clearances []quarantiner.Clearance) {
-	now := clocker.Now()
+// AddPartEvidence is like AddEvidence for what concerns parts of prompts, which may be
+// received again and again: it has an age, and the strikes by content do not, so that these
+// would never expire.
+func (f *Forwarder) AddPartEvidence(strikes []quarantiner.Strike, clearances []quarantiner.Clearance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.addPartEvidence(clocker.Now(), strikes, clearances)
+}
+
+// addPartEvidence records evidence on parts of prompts. The caller holds f.mu.
+func (f *Forwarder) addPartEvidence(now time.Time, strikes []quarantiner.Strike, clearances []quarantiner.Clearance) {
 	for _, c := range clearances {
 		f.parts.RecordClearance(now, c)
 	}
+	for _, s := range strikes {
+		f.parts.RecordStrike(now, s)
+	}
 }
 
 // Strikes returns all known strikes and clearances, for an entry instance that has just
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -304,6 +304,7 @@
 	n.forwarder.Start(background)
 	n.orchestrator.Start(background)
 	go n.peers.runStrikesFetch(background)
+	go n.peers.partsLoop(background)
 	go n.loads.loop(background)
 	go n.loads.remoteLoop(background)
 	go n.publishFreshnessLoop(background)
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/assigner"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
@@ -27,6 +28,10 @@
 	strikesFetchPeers    = 3
 	strikesFetchInterval = 500 * time.Millisecond
 	strikesFetchAttempts = 10
+	// partsFetchInterval is the time between two fetches of the evidence against parts of
+	// prompts from a random peer. Messages do not reach an instance that is paused or cut
+	// off from its peers for a while.
+	partsFetchInterval = 2 * time.Second
 	// permitTimeout limits one request to a permit owner.
 	permitTimeout = 100 * time.Millisecond
 	// permitOwners is the number of members that may issue the permits of a server:
@@ -75,7 +80,7 @@
 		recipients := p.node.discoverer.Peers()
 		rand.Shuffle(len(recipients), func(i, j int) { recipients[i], recipients[j] = recipients[j], recipients[i] })
 		for _, peer := range recipients {
-			if !responded[peer.ID] && p.fetchStrikes(ctx, peer) {
+			if !responded[peer.ID] && p.fetchStrikes(ctx, peer, p.node.forwarder.AddEvidence) {
 				responded[peer.ID] = true
 			}
 			if len(responded) >= strikesFetchPeers {
@@ -91,8 +96,18 @@
 	log.WithField("peers", len(responded)).Info("strikes fetched from few peers")
 }
 
-// fetchStrikes adds the strikes that a peer knows, and reports whether it responded.
-func (p *peers) fetchStrikes(ctx context.Context, peer gossiper.Member) bool {
+// partsLoop fetches the evidence against parts of prompts from a random peer now and then.
+func (p *peers) partsLoop(ctx context.Context) {
+	pacer.Repeat(ctx, partsFetchInterval, func(ctx context.Context) {
+		if all := p.node.discoverer.Peers(); len(all) > 0 {
+			p.fetchStrikes(ctx, all[rand.IntN(len(all))], p.node.forwarder.AddPartEvidence)
+		}
+	})
+}
+
+// fetchStrikes passes the strikes and clearances that a peer knows on, and reports whether
+// it responded.
+func (p *peers) fetchStrikes(ctx context.Context, peer gossiper.Member, add func([]quarantiner.Strike, []quarantiner.Clearance)) bool {
 	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
 	var reply messenger.StrikeMessage
@@ -100,8 +115,7 @@
 		log.WithField("peer", peer.ID).WithError(err).Debug("strikes not fetched")
 		return false
 	}
-	p.node.forwarder.AddStrikes(reply.Strikes)
-	p.node.forwarder.AddClearances(reply.Clearances)
+	add(reply.Strikes, reply.Clearances)
 	return true
 }
 
--- a/internal/hostedrunner/peers_test.go
+++ b/internal/hostedrunner/peers_test.go
@@ -44,8 +44,8 @@
 	running, started := testNode(), testNode()
 	running.forwarder.AddStrikes([]quarantiner.Strike{{Fingerprint: 1, Site: "a/1", Parts: []quarantiner.Part{7, 9}, Age: time.Second}})
 	running.forwarder.AddClearances([]quarantiner.Clearance{{Part: 7, Age: time.Second}})
-	assert.Assert(t, !started.peers.fetchStrikes(t.Context(), servePeer(t, olderPeer{})))
-	assert.Assert(t, started.peers.fetchStrikes(t.Context(), servePeer(t, &peerService{node: running})))
+	assert.Assert(t, !started.peers.fetchStrikes(t.Context(), servePeer(t, olderPeer{}), started.forwarder.AddEvidence))
+	assert.Assert(t, started.peers.fetchStrikes(t.Context(), servePeer(t, &peerService{node: running}), started.forwarder.AddEvidence))
 	strikes, clearances := started.forwarder.Strikes()
 	var parts []quarantiner.Part
 	for _, s := range strikes {
@@ -83,3 +83,16 @@
 	assert.NilError(t, gob.NewDecoder(&buffer).Decode(&received))
 	assert.DeepEqual(t, received, messenger.StrikeMessage{Strikes: []quarantiner.Strike{{Fingerprint: 1, Site: "a/1"}}, Rumor: "x/1"})
 }
+
+// TestMissedStrikesAreFetched guards against an entry instance that was paused or cut off, so
+// that messages did not reach it, sending on requests with a part that its peers know to
+// crash servers; and against strikes by content being kept alive by fetching them again.
+func TestMissedStrikesAreFetched(t *testing.T) {
+	running, cutOff := testNode(), testNode()
+	running.forwarder.AddStrikes([]quarantiner.Strike{{Fingerprint: 1, Site: "a/1", Parts: []quarantiner.Part{9}, Age: time.Second}, {Fingerprint: 2, Site: "b/1"}})
+	peer := servePeer(t, &peerService{node: running})
+	assert.Assert(t, cutOff.peers.fetchStrikes(t.Context(), peer, cutOff.forwarder.AddPartEvidence))
+	strikes, _ := cutOff.forwarder.Strikes()
+	assert.Equal(t, len(strikes), 1)
+	assert.DeepEqual(t, strikes[0].Parts, []quarantiner.Part{9})
+}
--- a/pkg/quarantiner/evidence.go
+++ b/pkg/quarantiner/evidence.go
@@ -21,13 +21,15 @@
 	position int
 }
 
-// add records the parts of a request that may have caused the crash.
-func (c *crash) add(limits PartLimits, request Fingerprint, parts []Part) {
+// add records the parts of a request that may have caused the crash, and returns those that
+// are news.
+func (c *crash) add(limits PartLimits, request Fingerprint, parts []Part) []Part {
+	var news []Part
 	for i, part := range parts[:min(len(parts), limits.PartsPerRequest)] {
 		s, found := c.suspects[part]
 		if !found {
 			if len(c.suspects) >= limits.PartsPerSite {
-				return
+				return news
 			}
 			s = &suspect{}
 			c.suspects[part] = s
@@ -35,8 +37,10 @@
 		s.position = max(s.position, i)
 		if len(s.requests) < limits.Requests && !slices.Contains(s.requests, request) {
 			s.requests = append(s.requests, request)
+			news = append(news, part)
 		}
 	}
+	return news
 }
 
 // strikes returns the strikes from which the crash can be recorded elsewhere.
--- a/pkg/quarantiner/parts.go
+++ b/pkg/quarantiner/parts.go
@@ -127,11 +127,11 @@
 	if at.Before(c.at) {
 		c.at = at
 	}
-	c.add(q.limits, s.Fingerprint, s.Parts)
-	for _, part := range s.Parts[:min(len(s.Parts), q.limits.PartsPerRequest)] {
+	// Strikes are received again and again.
+	for _, part := range c.add(q.limits, s.Fingerprint, s.Parts) {
 		q.record(part).struckAt = now
+		q.changed = true
 	}
-	q.changed = true
 }
 
 // Clear records that a server wrote an answer with these parts from a time on without
