Observer: the verdict on failed probes in a function of its own

A check of an instance probed, judged, recorded and logged in one function; the comment of the path check said what it did before. No behaviour changes; the package's tests pass.

--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -119,29 +119,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now := clocker.Now()
-	o.mu.Lock()
-	since := o.suspicions.Since(now, in.ID)
-	verdict := tracker.Lost
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		// A refused connection is a response of the machine: no process listens there.
-		verdict = o.suspicions.Judge(now, in.ID, in.Incarnation, evidence)
-	}
+	verdict, changed := o.judge(in, err, evidence)
 	if verdict == tracker.Undecided {
-		o.disturbedAt = now
-		o.mu.Unlock()
 		o.Scope.Counter("path_disturbances").Inc(1)
 		log.WithFields(log.Fields{logger.FieldInstance: in.ID, "references": evidence.References}).WithError(err).Info(logger.LinePathDisturbed)
 		return
 	}
-	var changed bool
-	if verdict == tracker.LostHere {
-		changed = o.tracker.MarkLostHere(now, since, in.ID, in.Incarnation)
-	} else {
-		changed = o.tracker.MarkLost(now, in.ID, in.Incarnation)
-	}
-	o.ownLosses[in.ID] = true
-	o.mu.Unlock()
 	if !changed {
 		o.signal()
 		return
@@ -157,6 +140,30 @@
 	}
 }
 
+// judge records what failed probes of an instance mean, and reports whether its loss is news.
+func (o *Observer) judge(in provider.Instance, err error, path tracker.PathEvidence) (verdict tracker.Verdict, changed bool) {
+	now := clocker.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since := o.suspicions.Since(now, in.ID)
+	verdict = tracker.Lost
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		// A refused connection is a response of the machine: no process listens there.
+		verdict = o.suspicions.Judge(now, in.ID, in.Incarnation, path)
+	}
+	switch verdict {
+	case tracker.Undecided:
+		o.disturbedAt = now
+		return verdict, false
+	case tracker.LostHere:
+		changed = o.tracker.MarkLostHere(now, since, in.ID, in.Incarnation)
+	default:
+		changed = o.tracker.MarkLost(now, in.ID, in.Incarnation)
+	}
+	o.ownLosses[in.ID] = true
+	return verdict, changed
+}
+
 // handleResponse records that an instance has responded to a probe that began at a time.
 func (o *Observer) handleResponse(in provider.Instance, began time.Time) {
 	o.mu.Lock()
--- a/internal/observer/path.go
+++ b/internal/observer/path.go
@@ -24,9 +24,9 @@
 	pathMemory = 2 * checkInterval
 )
 
-// pathCheck probes a few instances that are not under suspicion. If none of them
-// responds promptly, the fault is likely to be on this entry instance's own path, so that
-// a probe without a response says nothing about the instance that was probed.
+// pathCheck probes a few instances beside a suspect. If none of them responds promptly, the
+// fault is likely to be on this entry instance's own path, so that a probe without a
+// response says nothing about the suspect.
 type pathCheck struct {
 	done    chan struct{}
 	began   time.Time
