--- a/internal/forwarder/loss_test.go
+++ b/internal/forwarder/loss_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// TestStreamSurvivesOwnPathFailure guards against a whole answer being cut because the
+// probes of this entry instance time out on its own congested path while nothing comes
+// from its servers for a second.
+func TestStreamSurvivesOwnPathFailure(t *testing.T) {
+	f := newFixture(t)
+	var attempts atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		attempts.Add(1)
+		writeHeader(w, r, "text/event-stream")
+		if r.Header.Get("Last-Event-Id") == "" {
+			writeAndFlush(w, testEvent(1))
+		}
+		f.platform.set(func(p *platformStub) { p.unreachable = true })
+		time.Sleep(time.Second)
+		f.platform.set(func(p *platformStub) { p.unreachable = false })
+		writeAndFlush(w, testEvent(2))
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		f.addGroup(name, handler)
+	}
+	f.applyConfig()
+	status, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, testEvent(1)+testEvent(2))
+	assert.Equal(t, attempts.Load(), int32(1))
+}
+
 // TestManyStreamsSurviveOwnPathFailure guards against streams being cut when the own path is
 // congested while all backend servers have requests, so that none is above suspicion.
 func TestManyStreamsSurviveOwnPathFailure(t *testing.T) {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// lossTTL is how long evidence of a loss is kept unless the instance responds
-	// again: three intervals of the slowest heartbeat plus the list's lag.
-	lossTTL = 6 * time.Second
 	// maxListGap is the longest time between two lists after which an entry that
 	// is missing from the new list counts as removed. After a longer gap, entries
 	// may be missing only because they expired in the meantime.
@@ -113,15 +110,6 @@
 // serviceModel is a service and one of its models.
 type serviceModel struct{ service, model string }
 
-// loss is evidence that one incarnation of an instance is lost.
-type loss struct {
-	incarnation string
-	// since is the time of the first evidence, and at that of the last one.
-	since, at time.Time
-	// here reports whether the instance is only known not to be reachable from here.
-	here bool
-}
-
 // statedLeaving is an instance's own statement that it leaves. It is stronger than any
 // list, until the instance runs in another incarnation.
 type statedLeaving struct {
@@ -302,87 +290,6 @@
 	}
 }
 
-// pruneLosses removes evidence that has expired or concerns an earlier
-// incarnation.
-func (t *Tracker) pruneLosses(now time.Time) {
-	for id, l := range t.losses {
-		in, known := t.instances[id]
-		if now.Sub(l.at) > lossTTL || known && in.Incarnation != l.incarnation {
-			delete(t.losses, id)
-		}
-	}
-}
-
-// MarkLost records evidence that an incarnation of an instance is lost. It
-// reports whether the instance was not marked before. Evidence about another
-// incarnation than the listed one is ignored.
-func (t *Tracker) MarkLost(now time.Time, id, incarnation string) bool {
-	return t.mark(id, loss{incarnation: incarnation, since: now, at: now})
-}
-
-// MarkLostHere is like MarkLost for an instance that has not been reachable from here since
-// a time, though others may reach it.
-func (t *Tracker) MarkLostHere(now, since time.Time, id, incarnation string) bool {
-	return t.mark(id, loss{incarnation: incarnation, since: since, at: now, here: true})
-}
-
-func (t *Tracker) mark(id string, l loss) bool {
-	in, known := t.instances[id]
-	if known && in.Incarnation != l.incarnation {
-		return false
-	}
-	earlier, alreadyLost := t.losses[id]
-	if alreadyLost && earlier.incarnation == l.incarnation {
-		l.since = earlier.since
-		l.here = l.here && earlier.here
-	}
-	t.losses[id] = l
-	if !alreadyLost {
-		t.rebuild()
-	}
-	return !alreadyLost
-}
-
-// LostForAll reports whether there is evidence that an instance is lost for all entry
-// instances, and not only not reachable from here.
-func (t *Tracker) LostForAll(id string) bool {
-	l, lost := t.losses[id]
-	return lost && !l.here
-}
-
-// ClearLoss removes the evidence of a loss because the instance has responded.
-func (t *Tracker) ClearLoss(id string) {
-	if _, lost := t.losses[id]; lost {
-		delete(t.losses, id)
-		t.rebuild()
-	}
-}
-
-// IsLost reports whether there is evidence that an instance is lost.
-func (t *Tracker) IsLost(id string) bool {
-	_, lost := t.losses[id]
-	return lost
-}
-
-// LostSince returns the time of the first evidence that an instance is lost, and whether
-// there is any.
-func (t *Tracker) LostSince(id string) (time.Time, bool) {
-	l, lost := t.losses[id]
-	return l.since, lost
-}
-
-// LostInstances returns the known instances that are marked as lost, sorted by
-// ID.
-func (t *Tracker) LostInstances() []provider.Instance {
-	var found []provider.Instance
-	for _, id := range slices.Sorted(maps.Keys(t.losses)) {
-		if in, known := t.instances[id]; known {
-			found = append(found, in)
-		}
-	}
-	return found
-}
-
 // Instance returns the known instance with the ID.
 func (t *Tracker) Instance(id string) (provider.Instance, bool) {
 	in, found := t.instances[id]
