Forwarder: a failing test of entry instances that reach no backend server

Two entry instances, one of which is cut from all servers: its connections hang, are reset, or live on while new ones are refused.

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -212,8 +212,14 @@
 // newForwarder starts a forwarder with the fixture's backend servers, and its HTTP
 // server.
 func (f *fixture) newForwarder() (*Forwarder, *httptest.Server) {
+	return f.newForwarderOn(f.platform, f.platform)
+}
+
+// newForwarderOn is like newForwarder for an entry instance that sees the platform in its
+// own way.
+func (f *fixture) newForwarderOn(source observer.Source, prober observer.Prober) (*Forwarder, *httptest.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := observer.New(observer.Dependencies{Source: f.platform, Prober: f.platform, Announcer: f.platform, Scope: tally.NoopScope})
+	o := observer.New(observer.Dependencies{Source: source, Prober: prober, Announcer: f.platform, Scope: tally.NoopScope})
 	forwarder := New(Dependencies{
 		Settings: Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, MemoryBytes: testMemoryBytes},
 		Observer: o, Codec: testCodec{}, Peers: f.platform,
