Messenger: connections for detours beside those for calls

Cause: a request that one entry instance hands to another has a body and a streamed response; on the connection of the control messages it would hold those up.

Change: the proof of the handshake covers what the connection is for.

Measured: the tests of the package pass with -race.

--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -9,6 +9,12 @@
 //
 // Every call is bounded by its context. A call that times out or fails in
 // transport closes the connection, so that its late reply is not read.
+//
+// Requests that one entry instance hands to another have connections of their own, on the
+// same port and with the same handshake, so that they do not hold up calls:
+//
+//	server, err := messenger.NewServer(security, name, receiver, rand.Read, messenger.WithDetourHandler(handler))
+//	conn, err := pool.DialDetour(ctx, address)
 package messenger
 
 import (
@@ -153,7 +159,7 @@
 	if found {
 		return client, nil
 	}
-	conn, err := p.dial(ctx, address)
+	conn, err := p.dial(ctx, address, purposeCalls)
 	if err != nil {
 		return nil, err
 	}
@@ -199,7 +205,7 @@
 	return len(p.clients)
 }
 
-func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort, use purpose) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
@@ -213,7 +219,7 @@
 	}
 	// A peer that says nothing holds up the caller for no longer than its context.
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	err = answerChallenge(conn, p.security.Token)
+	err = answerChallenge(conn, p.security.Token, use)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
