Detourer: the wire of a hop between two entry instances

Cause: an entry instance that reaches no backend server of a request can't pass it on.

Not run is claimed only if the transport has not been given the last byte of the request.

--- /dev/null
+++ b/internal/detourer/handler.go
@@ -0,0 +1,166 @@
+package detourer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+// RunFunc sends a request to a backend server and writes the response, which it ends with
+// End or Refuse. Otherwise the client sees a broken response. The context ends when the
+// client goes away or the request's time is up.
+type RunFunc func(ctx context.Context, e *Envelope, w *ResponseWriter)
+
+// handler serves the requests of peers.
+type handler struct {
+	run          RunFunc
+	maxBodyBytes int
+	memory       *bounder.Budget
+}
+
+// HandlerOption changes a handler that is made.
+type HandlerOption func(*handler)
+
+// WithMaxBody bounds the body of a request that a handler takes.
+func WithMaxBody(bytes int) HandlerOption { return func(h *handler) { h.maxBodyBytes = bytes } }
+
+// WithMemory makes the handler take the memory for the bodies of requests from a budget.
+func WithMemory(budget *bounder.Budget) HandlerOption {
+	return func(h *handler) { h.memory = budget }
+}
+
+// NewHandler returns the handler of a server of detours.
+func NewHandler(run RunFunc, options ...HandlerOption) http.Handler {
+	h := &handler{run: run, maxBodyBytes: defaultMaxBodyBytes}
+	for _, option := range options {
+		option(h)
+	}
+	return h
+}
+
+// ServeHTTP implements [http.Handler].
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost || r.URL.Path != requestPath {
+		http.NotFound(w, r)
+		return
+	}
+	out, err := openResponse(w)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer out.close()
+	var share *bounder.Share
+	if h.memory != nil {
+		share = h.memory.Open()
+		defer share.Close()
+	}
+	e, err := h.receive(r.Body, out.control, share)
+	if err != nil {
+		refuseRequest(out, err)
+		// A connection that is closed with unread bytes could lose the refusal.
+		_, _ = io.Copy(io.Discard, r.Body)
+		return
+	}
+	if e.Remaining <= 0 {
+		out.refuseUnsent(RefusalExpired, "no time is left")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), e.Remaining)
+	defer cancel()
+	stop := context.AfterFunc(ctx, out.limitWrites)
+	h.run(ctx, e, out)
+	// A connection with a deadline for writing can't be used again.
+	if !stop() || !out.isEnded() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// receive reads a request to its end.
+func (h *handler) receive(body io.Reader, control *http.ResponseController, share *bounder.Share) (*Envelope, error) {
+	if err := control.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return nil, err
+	}
+	e, err := readEnvelope(body, h.maxBodyBytes, share)
+	if err != nil {
+		return nil, err
+	}
+	return e, control.SetReadDeadline(time.Time{})
+}
+
+// readEnvelope reads the two frames of a request and the end after them. Memory for the
+// body grows with what arrives.
+func readEnvelope(r io.Reader, maxBodyBytes int, share *bounder.Share) (*Envelope, error) {
+	const op = "read request"
+	length, err := readFrameOf(r, frameEnvelope, maxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	payload, err := readPayload(r, length)
+	if err != nil {
+		return nil, err
+	}
+	e, err := decodeEnvelope(payload)
+	if err != nil {
+		return nil, err
+	}
+	if length, err = readFrameOf(r, frameBody, maxBodyBytes); err != nil {
+		return nil, err
+	}
+	e.Body, err = bounder.ReadAll(io.LimitReader(r, int64(length)), int64(length), share)
+	if err != nil {
+		return nil, err
+	}
+	if len(e.Body) < length {
+		return nil, io.ErrUnexpectedEOF
+	}
+	switch n, err := r.Read(make([]byte, 1)); {
+	case n > 0:
+		return nil, faulter.Newf(op, KindMalformed, "bytes after the body")
+	case err != nil && err != io.EOF:
+		return nil, err
+	}
+	return e, nil
+}
+
+// readFrameOf reads the header of a frame that must be of the given type.
+func readFrameOf(r io.Reader, want frameType, maxBodyBytes int) (int, error) {
+	t, length, err := readFrameHeader(r, maxBodyBytes)
+	if err != nil {
+		return 0, unexpected(err)
+	}
+	if t != want {
+		return 0, faulter.Newf("read request", KindMalformed, "frame %s in place of %s", t, want)
+	}
+	return length, nil
+}
+
+// refuseRequest answers a request that could not be received. If it was the connection
+// that failed, there is nobody to answer.
+func refuseRequest(out *ResponseWriter, err error) {
+	kind, ours := faulter.KindOf[Kind](err)
+	switch {
+	case ours && kind == KindTooLarge:
+		out.refuseUnsent(RefusalTooLarge, err.Error())
+	case ours:
+		out.refuseUnsent(RefusalMalformed, err.Error())
+	case errors.HasType(err, (*bounder.Error)(nil)):
+		out.refuseUnsent(RefusalNoMemory, err.Error())
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuseUnsent refuses a request of which nothing was sent to a server.
+func (w *ResponseWriter) refuseUnsent(kind, text string) {
+	err := w.Refuse(Refusal{Kind: kind, Text: text, Outcome: retrier.NotRun, NothingSent: true})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/detourer/head.go
@@ -0,0 +1,57 @@
+package detourer
+
+import (
+	"net/http"
+)
+
+// Head begins a response of a backend server.
+type Head struct {
+	Status int
+	Header http.Header
+	// Delimited says that the end of the response can be told from the end of the server's
+	// connection.
+	Delimited bool
+	// Stream says that the response is a stream of events.
+	Stream bool
+	// Upstream and Instance name the server that responded.
+	Upstream string
+	Instance string
+}
+
+// Names of the fields of a head.
+const (
+	fieldStatus    = "status"
+	fieldDelimited = "delimited"
+	fieldStream    = "stream"
+	fieldUpstream  = "upstream"
+	fieldInstance  = "instance"
+)
+
+func (h *Head) encode() ([]byte, error) {
+	fields := metadata{}
+	fields.setInt(fieldStatus, h.Status)
+	fields.setBool(fieldDelimited, h.Delimited)
+	fields.setBool(fieldStream, h.Stream)
+	fields.setText(fieldUpstream, h.Upstream)
+	fields.setText(fieldInstance, h.Instance)
+	return fields.encode("encode response", h.Header)
+}
+
+func decodeHead(payload []byte) (Head, error) {
+	fields, header, err := decodeMetadata("decode response", payload)
+	if err != nil {
+		return Head{}, err
+	}
+	status, err := fields.integer(fieldStatus)
+	if err != nil {
+		return Head{}, err
+	}
+	return Head{
+		Status:    status,
+		Header:    header,
+		Delimited: fields.boolean(fieldDelimited),
+		Stream:    fields.boolean(fieldStream),
+		Upstream:  fields.text(fieldUpstream),
+		Instance:  fields.text(fieldInstance),
+	}, nil
+}
