--- a/internal/messenger/detour.go
+++ b/internal/messenger/detour.go
@@ -22,6 +22,9 @@
 	// detourIdleTimeout is above the time for which clients keep idle connections, so
 	// that a server does not close a connection on which a request is on its way.
 	detourIdleTimeout = 30 * time.Second
+	// detourBufferBytes is the size of the operating system's buffers of a detour connection.
+	// Without a bound, it keeps megabytes for each slow reader.
+	detourBufferBytes = 256 << 10
 	// maxDetourHeaderBytes bounds a request's HTTP header. The caller's header is not in it.
 	maxDetourHeaderBytes = 4 << 10
 )
@@ -46,6 +49,18 @@
 	return conn, nil
 }
 
+// boundBuffers sets the sizes of the operating system's buffers of a connection. A failure
+// leaves larger ones.
+func boundBuffers(conn net.Conn) {
+	if buffered, ok := conn.(interface {
+		SetReadBuffer(bytes int) error
+		SetWriteBuffer(bytes int) error
+	}); ok {
+		_ = buffered.SetReadBuffer(detourBufferBytes)
+		_ = buffered.SetWriteBuffer(detourBufferBytes)
+	}
+}
+
 // takeDetour reserves one of the detour connections.
 func (s *Server) takeDetour() error {
 	if s.detourHandler == nil {
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -211,6 +211,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if use == purposeDetour {
+		boundBuffers(conn)
+	}
 	conn = countBytes(conn, p.scope)
 	if p.security.Client != nil {
 		config := p.security.Client.Clone()
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -77,6 +77,7 @@
 
 // runConn authenticates the peer of one connection and serves what the connection is for.
 func (s *Server) runConn(conn net.Conn, detours *handoverListener) {
+	transport := conn
 	if s.security.Server != nil {
 		conn = tls.Server(conn, s.security.Server)
 	}
@@ -91,6 +92,7 @@
 			conn.Close()
 			return
 		}
+		boundBuffers(transport)
 		conn = &detourConn{Conn: conn, release: sync.OnceFunc(func() { <-s.detourSlots })}
 	}
 	if err := acceptPeer(conn); err != nil {
