--- a/internal/detourer/client.go
+++ b/internal/detourer/client.go
@@ -52,14 +52,13 @@
 				if err != nil {
 					return nil, err
 				}
-				ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-				defer cancel()
 				return dial(ctx, peer)
 			},
 			MaxIdleConns:           maxIdleConns,
 			MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
+			ExpectContinueTimeout:  confirmationTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		maxBodyBytes: defaultMaxBodyBytes,
@@ -87,10 +86,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	h := &hop{ctx: ctx, cancel: cancel, watch: newWatchdog(c.silence, cancel)}
 	h.request = newRequestBody(message, h.watch)
+	h.watch.arm()
 	response, err := c.transport.RoundTrip((&http.Request{
 		Method:        http.MethodPost,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
 		URL:           &url.URL{Scheme: "http", Host: peer.String(), Path: requestPath},
-		Header:        http.Header{"User-Agent": nil, "Content-Type": {contentType}},
+		Header:        http.Header{"User-Agent": nil, "Content-Type": {contentType}, "Expect": {"100-continue"}},
 		Body:          h.request,
 		ContentLength: int64(message.size()),
 	}).WithContext(ctx))
--- a/internal/detourer/detourer.go
+++ b/internal/detourer/detourer.go
@@ -23,9 +23,11 @@
 // [KindTooLarge] prove that the request has not run; after [KindRefused], the [Refusal]
 // says what is known.
 //
-// A hop is one HTTP request whose body and response are sequences of frames. A response is
-// complete only if it ends with an end frame. While it is open, a frame comes at least
-// every 200 ms; a client that receives nothing for 700 ms gives the hop up.
+// A hop is one HTTP request whose body and response are sequences of frames. The body is
+// sent only when the peer has asked for it, so that a peer that does not respond is known
+// not to have the request. A response is complete only if it ends with an end frame. While
+// it is open, a frame comes at least every 200 ms; a client that receives nothing for 700 ms
+// gives the hop up.
 package detourer
 
 import (
@@ -72,14 +74,18 @@
 	maxHeaderBytes = 64 << 10
 	// maxMetadataBytes bounds the fields of this package beside a header.
 	maxMetadataBytes = 16 << 10
+	// maxEnvelopeBytes bounds a request without its body.
+	maxEnvelopeBytes = maxHeaderBytes + maxMetadataBytes + 2*frameHeaderBytes
 	// maxDataBytes bounds the data of one frame of a response.
 	maxDataBytes = 64 << 10
 	// keepAliveInterval is the longest time between two frames of a response.
 	keepAliveInterval = 200 * time.Millisecond
-	// defaultSilence is the time without any byte after which a client gives up.
+	// defaultSilence is the time without any byte after which a client gives up. At first,
+	// the time to open a connection counts too.
 	defaultSilence = 700 * time.Millisecond
-	// dialTimeout bounds the time to open a connection, with its handshake.
-	dialTimeout = 700 * time.Millisecond
+	// confirmationTimeout only has to be above the time after which a hop counts as silent:
+	// the transport sends the body without confirmation when it is over.
+	confirmationTimeout = time.Hour
 	// requestTimeout bounds the time in which a request must arrive.
 	requestTimeout = 10 * time.Second
 	// lastWriteTimeout is the time left for writing once a request's context has ended.
--- a/internal/detourer/frame.go
+++ b/internal/detourer/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -29,6 +30,9 @@
 // frameHeaderBytes is the size of a frame's type and of the length of its payload.
 const frameHeaderBytes = 1 + 4
 
+// smallPayloadBytes is the size up to which a payload is read into a buffer of its length.
+const smallPayloadBytes = 4 << 10
+
 // limit returns the longest payload of a frame.
 func (t frameType) limit(maxBodyBytes int) (int, bool) {
 	switch t {
@@ -77,8 +81,16 @@
 	return t, int(length), nil
 }
 
-// readPayload reads the payload of a frame whose length has been checked.
+// readPayload reads the payload of a frame whose length has been checked. Memory for a long
+// one grows with what arrives.
 func readPayload(r io.Reader, length int) ([]byte, error) {
+	if length > smallPayloadBytes {
+		payload, err := bounder.ReadAll(io.LimitReader(r, int64(length)), int64(length), nil)
+		if err == nil && len(payload) < length {
+			err = io.ErrUnexpectedEOF
+		}
+		return payload, err
+	}
 	payload := make([]byte, length)
 	if _, err := io.ReadFull(r, payload); err != nil {
 		return nil, unexpected(err)
--- a/internal/detourer/handler.go
+++ b/internal/detourer/handler.go
@@ -51,24 +51,25 @@
 		http.NotFound(w, r)
 		return
 	}
-	out, err := openResponse(w)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer out.close()
 	var share *bounder.Share
 	if h.memory != nil {
 		share = h.memory.Open()
 		defer share.Close()
 	}
-	e, err := h.receive(r.Body, out.control, share)
-	if err != nil {
-		refuseRequest(out, err)
-		// A connection that is closed with unread bytes could lose the refusal.
-		_, _ = io.Copy(io.Discard, r.Body)
-		return
+	control := http.NewResponseController(w)
+	e, err := h.receive(r, control, share)
+	if err != nil && !isRefusable(err) {
+		panic(http.ErrAbortHandler)
 	}
-	if e.Remaining <= 0 {
+	out, openErr := openResponse(w, control)
+	defer out.close()
+	switch {
+	case openErr != nil:
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		out.refuseUnsent(refusalKind(err), err.Error())
+		return
+	case e.Remaining <= 0:
 		out.refuseUnsent(RefusalExpired, "no time is left")
 		return
 	}
@@ -82,12 +83,20 @@
 	}
 }
 
-// receive reads a request to its end.
-func (h *handler) receive(body io.Reader, control *http.ResponseController, share *bounder.Share) (*Envelope, error) {
+// receive reads a request to its end. The client sends it once the first byte is awaited.
+func (h *handler) receive(r *http.Request, control *http.ResponseController, share *bounder.Share) (*Envelope, error) {
+	if limit := int64(h.maxBodyBytes + maxEnvelopeBytes); r.ContentLength > limit {
+		return nil, faulter.Newf("read request", KindTooLarge, "%d bytes; %d are allowed", r.ContentLength, limit)
+	}
 	if err := control.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
 		return nil, err
 	}
-	e, err := readEnvelope(body, h.maxBodyBytes, share)
+	e, err := readEnvelope(r.Body, h.maxBodyBytes, share)
+	if err != nil && isRefusable(err) {
+		// The rest is read so that the connection need not be closed, which could lose the
+		// refusal. If it can't be read, neither can the refusal be written.
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -141,20 +150,22 @@
 	return length, nil
 }
 
-// refuseRequest answers a request that could not be received. If it was the connection
-// that failed, there is nobody to answer.
-func refuseRequest(out *ResponseWriter, err error) {
-	kind, ours := faulter.KindOf[Kind](err)
-	switch {
+// isRefusable reports whether it is the request that is wrong, or the memory that is used
+// up, and not the connection.
+func isRefusable(err error) bool {
+	_, ours := faulter.KindOf[Kind](err)
+	return ours || errors.HasType(err, (*bounder.Error)(nil))
+}
+
+// refusalKind returns the kind of the refusal of a request that could not be received.
+func refusalKind(err error) string {
+	switch kind, ours := faulter.KindOf[Kind](err); {
 	case ours && kind == KindTooLarge:
-		out.refuseUnsent(RefusalTooLarge, err.Error())
+		return RefusalTooLarge
 	case ours:
-		out.refuseUnsent(RefusalMalformed, err.Error())
-	case errors.HasType(err, (*bounder.Error)(nil)):
-		out.refuseUnsent(RefusalNoMemory, err.Error())
-	default:
-		panic(http.ErrAbortHandler)
+		return RefusalMalformed
 	}
+	return RefusalNoMemory
 }
 
 // refuseUnsent refuses a request of which nothing was sent to a server.
--- a/internal/detourer/writer.go
+++ b/internal/detourer/writer.go
@@ -23,15 +23,12 @@
 	closed    bool
 }
 
-// openResponse sends the HTTP header and a first keep-alive, before the request is read.
-func openResponse(w http.ResponseWriter) (*ResponseWriter, error) {
+// openResponse sends the HTTP header and a first keep-alive.
+func openResponse(w http.ResponseWriter, control *http.ResponseController) (*ResponseWriter, error) {
 	header := w.Header()
 	header.Set("Content-Type", contentType)
 	header["Date"] = nil
-	out := &ResponseWriter{http: w, control: http.NewResponseController(w)}
-	if err := out.control.EnableFullDuplex(); err != nil {
-		return nil, err
-	}
+	out := &ResponseWriter{http: w, control: control}
 	w.WriteHeader(http.StatusOK)
 	out.mu.Lock()
 	defer out.mu.Unlock()
