Log for how long a server was silent when an attempt ended

A caller's stream was cut after its server had been given up; the line did not tell for how long the server had sent nothing, to anyone and to this stream, nor whether the forwarder itself had ended the attempt. The reason (stall or loss) was there already, as the error.

--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -43,12 +43,27 @@
 	if !canceledHere {
 		x.f.Observer.Suspect(context.WithoutCancel(x.ctx), u.state().members)
 	}
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		logger.FieldRequest: x.request.ID, logger.FieldUpstream: u.name, logger.FieldInstance: u.head().ID, "delivered": x.deliveredEvents, "excused": event.RefundAttempt,
-	}).WithError(err).Info(logger.LineAttemptFailed)
+		"canceled_here": canceledHere,
+	}
+	x.f.addSilence(fields, x, u)
+	log.WithFields(fields).WithError(err).Info(logger.LineAttemptFailed)
 	return event
 }
 
+// addSilence adds for how long an upstream has sent nothing, to any request and to this
+// one's caller.
+func (f *Forwarder) addSilence(fields log.Fields, x *exchange, u *upstream) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fields["upstream_silent_ms"] = milliseconds(u.lastProgress, now)
+	if !x.lastEventAt.IsZero() {
+		fields["stream_silent_ms"] = milliseconds(x.lastEventAt, now)
+	}
+}
+
 // brokenAttempt is an attempt that broke, and the head that ran it.
 type brokenAttempt struct {
 	head provider.Instance
