Retrier: a state machine for attempts whose server is silent

An attempt whose server is silent was ended before another one was known to work. The Replacer decides which of two attempts side by side a request goes on with: the first one that brings the next part of the response, and the older one if the newer one fails. Nothing uses it yet.

--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -8,6 +8,9 @@
 //	action := machine.Step(now, retrier.Event{Kind: retrier.Started})
 //	for action.Kind == retrier.Attempt { ... }
 //
+// A [Replacer] decides whether an attempt whose backend server is silent is kept, or gives
+// way to another one that runs beside it.
+//
 // [NotRun] is reported only if no byte of the request was sent to a backend server,
 // or if each backend server that received any has confirmed that it did not start it.
 package retrier
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -8,13 +8,22 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestScripts runs the scripts in testdata against the state machine of one
-// request. Times are in milliseconds; QueueUntil is 1000 and the deadline 5000.
+// TestScripts runs the scripts in testdata against the state machines of one
+// request and of one attempt. Times are in milliseconds; QueueUntil is 1000 and the
+// deadline 5000.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Now()
 		var machine *Machine
+		var replacer Replacer
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "attempt" {
+				replacer = Replacer{}
+				return ""
+			}
+			if event, found := replacerEventNamed(d.Cmd); found {
+				return replacer.Step(event, !d.HasArg("last")).String() + "\n"
+			}
 			if d.Cmd == "request" {
 				reserve := 10
 				resume, attempts := 0, 0
@@ -55,6 +64,15 @@
 	panic("no event " + name)
 }
 
+func replacerEventNamed(name string) (ReplacerEvent, bool) {
+	for event := Suspected; event <= ReplacementFailed; event++ {
+		if event.String() == name {
+			return event, true
+		}
+	}
+	return 0, false
+}
+
 func show(a Action) string {
 	switch a.Kind {
 	case Attempt:
