Forwarder: a silent server is kept until another one responds

What callers saw: streams cut in the middle, and a 502 for a request whose server had completed it 0.2 s before or was about to.

Cause: an attempt whose server may still go on was ended on a suspicion (failed probes or a stall), before another server was known to work. If that one is silent too, does not run the request or breaks, no attempt is left, and the answer that arrives a moment later finds its connection closed.

Ruled out: keeping the last attempt alone, as before this change, saves the second server's answer but never the first one's.

Change: while the loss is not confirmed, a suspected attempt of a request that may run again goes on, and a replacement runs beside it on a copy of the exchange. The first one to bring the next event or the whole response wins (retrier.Replacer) and the other is canceled. A replacement counts as the next attempt did: as an attempt, and once in the retry budget. One that has not been written yet ends at once.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -58,6 +58,10 @@
 	complete bool
 	// memory is what the attempt's response takes of the budget of responses.
 	memory *bounder.Share
+	// replaceable says that another attempt may run beside this one, and phase whether it may
+	// start now. The forwarder's lock guards their changes.
+	replaceable bool
+	phase       attemptPhase
 }
 
 // startAttempt sends the request once. It returns the response, or the event
@@ -68,6 +72,7 @@
 	}
 	config := x.f.Observer.Config()
 	a := x.newAttempt()
+	x.watch(a)
 	chosen, found := x.f.pick(config, x.pool, a.active, x.failedUpstreams)
 	if !found {
 		a.active.cancel(context.Canceled)
@@ -119,7 +124,7 @@
 func (x *exchange) checkForCrash(a *attempt, err error) {
 	evidence := crashEvidence{upstream: a.active.upstream, firstEventAt: a.firstEventAt, brokeAt: clocker.Now(), sound: a.sound}
 	switch {
-	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled, errBlocked):
+	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled, errBlocked, errReplaced):
 	case x.f.Observer.AnyLostOrRestarted(evidence.upstream.state().members[:1]):
 		x.recordStrike(evidence)
 	default:
@@ -189,7 +194,9 @@
 
 // receiveFull reads a response to its end.
 func (x *exchange) receiveFull(a *attempt) (*Response, retrier.Event) {
+	x.beginWait(a)
 	body, err := bounder.ReadAll(a.reader, maxResponseBytes, a.memory)
+	x.endWait(a, bodyEnd(a.response.StatusCode, err))
 	if err != nil {
 		event := x.handleBreak(a, err)
 		x.endAttempt(true)
@@ -256,6 +263,7 @@
 				conn.expect(a.body)
 			}
 		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { x.recordSent(a) },
 	})
 	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
 	a.body = bodychecker.New(x.request.Body, isAllowed)
@@ -267,6 +275,7 @@
 		return err
 	}
 	a.response, err = f.transport.RoundTrip(request)
+	x.recordHeader(a)
 	return err
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -76,6 +76,14 @@
 	spread      bool
 
 	current *attempt
+	// replacer decides between the attempt and its replacement, which is nil if there is
+	// none. counted is the upstream of an attempt that is in brokenAttempts because it was
+	// replaced, or nil. The forwarder's lock guards them.
+	replacer    retrier.Replacer
+	replacement *replacement
+	counted     *upstream
+	// isReplacement says that this is the copy that a replacement runs on.
+	isReplacement bool
 	// headerSent says that the response header has been sent to the caller.
 	headerSent bool
 	// lastEventID is the ID of the last event that was sent to the caller.
@@ -254,6 +262,7 @@
 
 // close ends the current attempt and releases the exchange's resources.
 func (x *exchange) close() {
+	x.endReplacement()
 	x.endAttempt(false)
 	if x.fallback != nil {
 		x.fallback.memory.Close()
@@ -347,6 +356,9 @@
 			if response != nil {
 				return response, nil
 			}
+			if response = x.failOver(); response != nil {
+				return response, nil
+			}
 			event = next
 		}
 	}
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -36,7 +36,7 @@
 	}
 	x.failedUpstreams[u.name] = true
 	x.lastErr = err
-	canceledHere := errors.IsAny(err, errMemberLost, errStalled, errBlocked)
+	canceledHere := errors.IsAny(err, errMemberLost, errStalled, errBlocked, errReplaced)
 	// An attempt may have run before its first event arrived, so it counts
 	// against the maximum. Only an earlier attempt may be excused.
 	event.RefundAttempt = x.excuseEarlier(u)
@@ -71,11 +71,16 @@
 }
 
 // excuseEarlier records an attempt that broke at an upstream, and reports whether an
-// earlier one no longer counts against the maximum.
+// earlier one no longer counts against the maximum. An attempt that was replaced is
+// recorded already.
 func (x *exchange) excuseEarlier(u *upstream) bool {
 	now := clocker.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
+	if x.counted == u {
+		x.counted = nil
+		return false
+	}
 	i := x.excusableAttempt(now)
 	if i >= 0 {
 		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
--- a/internal/forwarder/replacement_test.go
+++ b/internal/forwarder/replacement_test.go
@@ -1,9 +1,12 @@
 package forwarder
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -196,3 +199,178 @@
 		})
 	}
 }
+
+// TestNonIdempotentRequestIsNotReplaced guards against a request that may run only once being
+// sent to a second server while its first one is silent.
+func TestNonIdempotentRequestIsNotReplaced(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int32
+	for _, id := range []string{"s", "t"} {
+		f.addServer(id, "plain", func(w http.ResponseWriter, r *http.Request) {
+			sent.Add(1)
+			f.platform.kill(id)
+			time.Sleep(3 * silence / 2)
+			writeHeader(w, r, "text/plain")
+			writeAndFlush(w, "done")
+		})
+	}
+	f.addServer("u", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	status, body, err := f.call("POST", "/once/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, sent.Load(), int32(1))
+}
+
+// endsWithin waits for the end of a request at a server, and returns how long it took.
+func endsWithin(r *http.Request, limit time.Duration) time.Duration {
+	began := time.Now()
+	select {
+	case <-r.Context().Done():
+	case <-time.After(limit):
+	}
+	return time.Since(began)
+}
+
+// TestLoserOfReplacementIsCanceled guards against a server that works on for nobody after the
+// other one of two has responded first.
+func TestLoserOfReplacementIsCanceled(t *testing.T) {
+	for name, firstWins := range map[string]bool{"first wins": true, "second wins": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var sent atomic.Int32
+			responded := make(chan struct{})
+			took := make(chan time.Duration, 1)
+			for _, group := range []string{"a", "b"} {
+				f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+					// A server notices that its caller has gone once it has read the body.
+					_, err := io.Copy(io.Discard, r.Body)
+					assert.Check(t, err)
+					isFirst := sent.Add(1) == 1
+					writeHeader(w, r, "text/event-stream")
+					if isFirst {
+						writeAndFlush(w, testEvent(1)+testEvent(2))
+						f.platform.kill(group + "-head")
+						time.Sleep(silence)
+					}
+					if isFirst != firstWins {
+						<-responded
+						took <- endsWithin(r, 2*silence)
+						return
+					}
+					if !isFirst {
+						http.NewResponseController(w).Flush()
+					}
+					close(responded)
+					for id := 3; id <= 5; id++ {
+						writeAndFlush(w, testEvent(id))
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			}
+			f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+			f.applyConfig()
+			_, body, err := f.call("POST", "/stream/", "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, testStream(5))
+			assert.Equal(t, sent.Load(), int32(2))
+			assert.Assert(t, <-took < 500*time.Millisecond)
+		})
+	}
+}
+
+// TestCallerEndsBothAttempts guards against servers that work on after the caller has left
+// while its stream was being replaced.
+func TestCallerEndsBothAttempts(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int32
+	both := make(chan struct{})
+	ended := make(chan time.Time, 2)
+	for _, group := range []string{"a", "b"} {
+		f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(io.Discard, r.Body)
+			assert.Check(t, err)
+			if sent.Add(1) == 1 {
+				writeHeader(w, r, "text/event-stream")
+				writeAndFlush(w, testEvent(1))
+				f.platform.kill(group + "-head")
+			} else {
+				close(both)
+			}
+			endsWithin(r, 2*silence)
+			ended <- time.Now()
+		})
+	}
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	ctx, leave := context.WithCancel(t.Context())
+	var left time.Time
+	go func() {
+		<-both
+		left = time.Now()
+		leave()
+	}()
+	_, _, err := f.callContext(ctx, "POST", "/stream/", "r1", "k")
+	assert.ErrorIs(t, err, context.Canceled)
+	for range 2 {
+		at := <-ended
+		assert.Assert(t, at.Sub(left) < 500*time.Millisecond, "a server worked on for %s", at.Sub(left))
+	}
+	f.eventually(func() bool { return f.forwarder.ActiveRequests() == 0 })
+}
+
+// TestReplacedStreamsAreWhole guards against events that are missing or come twice when both
+// servers respond at about the same moment, and against a third attempt.
+func TestReplacedStreamsAreWhole(t *testing.T) {
+	f := newFixture(t)
+	var mu sync.Mutex
+	sent := make(map[string]int)
+	// The loss is found after about 0.2 s; the second server responds 30 ms later.
+	const found = 190 * time.Millisecond
+	for _, group := range []string{"a", "b", "c", "d"} {
+		f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("Id")
+			mu.Lock()
+			sent[id]++
+			isFirst := sent[id] == 1
+			mu.Unlock()
+			writeHeader(w, r, "text/event-stream")
+			if isFirst {
+				writeAndFlush(w, testEvent(1)+testEvent(2))
+				f.platform.kill(group + "-head")
+				n, err := strconv.Atoi(strings.TrimPrefix(id, "r"))
+				assert.Check(t, err)
+				time.Sleep(found + time.Duration(n)*8*time.Millisecond)
+				f.platform.set(func(p *platformStub) { delete(p.dead, group+"-head") })
+			} else {
+				time.Sleep(30 * time.Millisecond)
+			}
+			for id := max(nextID(r), map[bool]int{true: 3}[isFirst]); id <= 20; id++ {
+				if r.Context().Err() != nil {
+					return
+				}
+				writeAndFlush(w, testEvent(id))
+				time.Sleep(time.Duration(id%3) * time.Millisecond)
+			}
+		})
+	}
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	for i := range 12 {
+		id := "r" + strconv.Itoa(i)
+		_, body, err := f.call("POST", "/stream/", id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, testStream(20))
+		f.eventually(func() bool { return f.forwarder.ActiveRequests() == 0 })
+		time.Sleep(200 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	replaced := 0
+	for id, n := range sent {
+		assert.Assert(t, n <= 2, "request %s was sent to %d servers", id, n)
+		replaced += n - 1
+	}
+	assert.Assert(t, replaced > 0)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -82,11 +82,13 @@
 // receiveStream waits for the first event of a response. On a resumed stream,
 // it is the event after the last one that was sent to the caller.
 func (x *exchange) receiveStream(a *attempt) (*Response, retrier.Event) {
+	x.beginWait(a)
 	event, err := a.readEvent()
 	if err == io.EOF && !isDelimited(a.response) {
 		// A server that crashes after the header ends the connection in the same way.
 		err = io.ErrUnexpectedEOF
 	}
+	err = x.endWait(a, err)
 	if err == io.EOF {
 		a.complete = true
 		x.recordStreamEnd(a)
@@ -96,7 +98,6 @@
 		return nil, x.endBrokenStream(err)
 	}
 	a.firstEventAt = clocker.Now()
-	x.f.recordProgress(a.active)
 	x.recordEvent(event)
 	return &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: event, stream: x}, retrier.Event{}
 }
@@ -152,9 +153,10 @@
 		return nil, io.EOF
 	}
 	waitingSince := clocker.Now()
+	x.beginWait(a)
 	event, err := a.readEvent()
+	err = x.endWait(a, err)
 	if err == nil {
-		x.f.recordProgress(a.active)
 		x.recordEvent(event)
 		x.recordWait(a, clocker.Now().Sub(waitingSince))
 		return event, nil
@@ -164,9 +166,12 @@
 		x.recordStreamEnd(a)
 		return nil, io.EOF
 	}
-	response, err := x.run(x.endBrokenStream(err))
-	if err != nil {
-		return nil, err
+	next := x.endBrokenStream(err)
+	response := x.failOver()
+	if response == nil {
+		if response, err = x.run(next); err != nil {
+			return nil, err
+		}
 	}
 	if response.stream == nil {
 		return nil, errors.Newf("stream could not be resumed: status %d", response.Status)
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -55,6 +55,9 @@
 	// canRetry reports whether the request would get another attempt if this one
 	// broke now. It is called with the forwarder's lock held.
 	canRetry func(now time.Time) bool
+	// replace starts another attempt beside this one because its server is suspected; nil
+	// if that is not possible. It is called with the forwarder's lock held.
+	replace func(now time.Time, cause error)
 	// streaming says that events have been received.
 	streaming bool
 	// promptTokens is the length of the prompt, which the group prefills before
@@ -125,15 +128,6 @@
 	f.wakeQueues()
 }
 
-// recordProgress records that an upstream has sent an event.
-func (f *Forwarder) recordProgress(a *activeAttempt) {
-	now := clocker.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	a.upstream.lastProgress = now
-	a.streaming = true
-}
-
 // eject keeps new requests off an upstream for the duration d.
 func (f *Forwarder) eject(u *upstream, d time.Duration) {
 	f.mu.Lock()
@@ -218,23 +212,23 @@
 	return false
 }
 
-// cancelStalled cancels the attempts on a stalled upstream whose requests can go on
-// elsewhere. The others wait, because the upstream may still go on with them.
+// cancelStalled replaces the attempts on a stalled upstream whose requests can go on
+// elsewhere. All of them wait on, because the upstream may still go on with them.
 func (f *Forwarder) cancelStalled(u *upstream) {
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for a := range u.active {
 		if a.canRetry(now) {
-			a.cancel(errStalled)
+			a.suspected(now, errStalled)
 		}
 	}
 }
 
 // cancelLost cancels the attempts on an upstream with a lost member, unless it makes
-// progress all the same: then the report of the loss is wrong. An attempt whose request
-// can't go on elsewhere waits until the loss has lasted for confirmedLossAge, because the
-// server may still respond.
+// progress all the same: then the report of the loss is wrong. Until the loss has lasted for
+// confirmedLossAge the server may still respond, so the attempts wait, and those whose
+// requests can go on elsewhere are replaced meanwhile.
 func (f *Forwarder) cancelLost(u *upstream) {
 	now := clocker.Now()
 	confirmed := f.Observer.LostBefore(now.Add(-confirmedLossAge), u.state().members)
@@ -244,8 +238,11 @@
 		return
 	}
 	for a := range u.active {
-		if confirmed || a.canRetry(now) {
+		switch {
+		case confirmed:
 			a.cancel(errMemberLost)
+		case a.canRetry(now):
+			a.suspected(now, errMemberLost)
 		}
 	}
 }
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -7,6 +7,7 @@
 	LineQueued            = "request queued"
 	LineSent              = "request sent"
 	LineAttemptFailed     = "try broke"
+	LineAttemptSuspected  = "try suspected"
 	LineRefused           = "request refused"
 	LineEnded             = "request ended"
 	LineServerCrashed     = "server crashed under a request"
