--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -36,19 +36,34 @@
 	}
 	x.failedUpstreams[u.name] = true
 	x.lastErr = err
-	canceledHere := errors.IsAny(err, errMemberLost, errStalled, errBlocked)
+	canceledHere := errors.IsAny(err, errMemberLost, errStalled, errBlocked, errReplaced)
 	// An attempt may have run before its first event arrived, so it counts
 	// against the maximum. Only an earlier attempt may be excused.
 	event.RefundAttempt = x.excuseEarlier(u)
 	if !canceledHere {
 		x.f.Observer.Suspect(context.WithoutCancel(x.ctx), u.state().members)
 	}
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		logger.FieldRequest: x.request.ID, logger.FieldUpstream: u.name, logger.FieldInstance: u.head().ID, "delivered": x.deliveredEvents, "excused": event.RefundAttempt,
-	}).WithError(err).Info(logger.LineAttemptFailed)
+		"canceled_here": canceledHere,
+	}
+	x.f.addSilence(fields, x, u)
+	log.WithFields(fields).WithError(err).Info(logger.LineAttemptFailed)
 	return event
 }
 
+// addSilence adds for how long an upstream has sent nothing, to any request and to this
+// one's caller.
+func (f *Forwarder) addSilence(fields log.Fields, x *exchange, u *upstream) {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fields["upstream_silent_ms"] = milliseconds(u.lastProgress, now)
+	if !x.lastEventAt.IsZero() {
+		fields["stream_silent_ms"] = milliseconds(x.lastEventAt, now)
+	}
+}
+
 // brokenAttempt is an attempt that broke, and the head that ran it.
 type brokenAttempt struct {
 	head provider.Instance
@@ -56,11 +71,16 @@
 }
 
 // excuseEarlier records an attempt that broke at an upstream, and reports whether an
-// earlier one no longer counts against the maximum.
+// earlier one no longer counts against the maximum. An attempt that was replaced is
+// recorded already.
 func (x *exchange) excuseEarlier(u *upstream) bool {
 	now := clocker.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
+	if x.counted == u {
+		x.counted = nil
+		return false
+	}
 	i := x.excusableAttempt(now)
 	if i >= 0 {
 		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
