--- a/internal/detourer/transport_bench_test.go
+++ b/internal/detourer/transport_bench_test.go
@@ -9,11 +9,14 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
@@ -186,6 +189,9 @@
 	return nil
 }
 
+// Ping responds at once.
+func (c *Calls) Ping(_ *messenger.Empty, _ *messenger.Empty) error { return nil }
+
 // calls is the wire of RPC calls.
 type calls struct {
 	pool *messenger.Pool
@@ -231,8 +237,8 @@
 	return r.pool.Call(r.ctx, r.peer, "Calls.Cancel", r.stream, &messenger.Empty{})
 }
 
-// newWires starts a peer that offers both ways.
-func newWires(b testing.TB, run source) (map[string]wire, *countedBytes) {
+// newWires starts a peer that offers both ways, over a path with a latency in each direction.
+func newWires(b testing.TB, run source, latency time.Duration) (map[string]wire, *countedBytes) {
 	b.Helper()
 	handler := NewHandler(func(_ context.Context, _ *Envelope, w *ResponseWriter) {
 		w.WriteHead(Head{Status: http.StatusOK, Delimited: true, Stream: true})
@@ -254,12 +260,30 @@
 	pool := messenger.NewPool(messenger.Security{Token: testToken})
 	b.Cleanup(pool.Close)
 	peer := addressOf(listener)
+	if latency > 0 {
+		peer = delayed(b, peer, latency)
+	}
 	return map[string]wire{
 		"frames": &frames{client: newTestClient(b), peer: peer},
 		"calls":  &calls{pool: pool, peer: peer},
 	}, counted
 }
 
+// delayed returns the address of a path to a peer that takes some time in each direction.
+func delayed(b testing.TB, peer netip.AddrPort, latency time.Duration) netip.AddrPort {
+	b.Helper()
+	control := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(control, "peer", "127.0.0.1:0", peer.String())
+	assert.NilError(b, proxy.Start())
+	b.Cleanup(proxy.Stop)
+	for _, stream := range []string{"upstream", "downstream"} {
+		toxic := fmt.Sprintf(`{"type":"latency","stream":%q,"attributes":{"latency":%d}}`, stream, latency.Milliseconds())
+		_, err := proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
+		assert.NilError(b, err)
+	}
+	return netip.MustParseAddrPort(proxy.Listen)
+}
+
 // paced writes a stream of events at even intervals.
 func paced(write func([]byte) error) {
 	event := []byte(fmt.Sprintf("data: %*s\n\n", benchEventBytes-len("data: \n\n"), "x"))
@@ -283,35 +307,80 @@
 // BenchmarkFirstEvent measures the time from the request to the first event of one stream
 // at a time.
 func BenchmarkFirstEvent(b *testing.B) {
-	wires, _ := newWires(b, func(write func([]byte) error) {
-		write(make([]byte, benchEventBytes))
-	})
+	for _, latency := range []time.Duration{0, 5 * time.Millisecond} {
+		wires, _ := newWires(b, func(write func([]byte) error) { write(make([]byte, benchEventBytes)) }, latency)
+		for _, name := range []string{"frames", "calls"} {
+			b.Run(fmt.Sprintf("%s/%s", name, latency), func(b *testing.B) { measureFirstEvent(b, wires[name]) })
+		}
+	}
+}
+
+func measureFirstEvent(b *testing.B, w wire) {
+	var times []time.Duration
+	event := make([]byte, benchEventBytes)
+	for b.Loop() {
+		began := time.Now()
+		body, err := w.open(b.Context(), envelope())
+		assert.NilError(b, err)
+		_, err = io.ReadFull(body, event)
+		assert.NilError(b, err)
+		times = append(times, time.Since(began))
+		_, err = io.Copy(io.Discard, body)
+		assert.NilError(b, err)
+		assert.NilError(b, body.Close())
+	}
+	reportTimes(b, times)
+}
+
+func reportTimes(b *testing.B, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "median-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+}
+
+// BenchmarkCallBesideBodies measures a control message to a peer that is sent requests with
+// large bodies at the same time, two at once.
+func BenchmarkCallBesideBodies(b *testing.B) {
+	wires, _ := newWires(b, func(write func([]byte) error) { write(make([]byte, benchEventBytes)) }, 0)
+	control := wires["calls"].(*calls)
 	for _, name := range []string{"frames", "calls"} {
 		b.Run(name, func(b *testing.B) {
+			ctx, cancel := context.WithCancel(b.Context())
+			var group sync.WaitGroup
+			for range 2 {
+				group.Go(func() {
+					e := envelope()
+					e.Body = make([]byte, defaultMaxBodyBytes/2)
+					for ctx.Err() == nil {
+						body, err := wires[name].open(b.Context(), e)
+						if !assert.Check(b, err) {
+							return
+						}
+						_, err = io.Copy(io.Discard, body)
+						assert.Check(b, err)
+						body.Close()
+					}
+				})
+			}
 			var times []time.Duration
-			event := make([]byte, benchEventBytes)
 			for b.Loop() {
 				began := time.Now()
-				body, err := wires[name].open(b.Context(), envelope())
-				assert.NilError(b, err)
-				_, err = io.ReadFull(body, event)
-				assert.NilError(b, err)
+				err := control.pool.Call(b.Context(), control.peer, "Calls.Ping", &messenger.Empty{}, &messenger.Empty{})
 				times = append(times, time.Since(began))
-				_, err = io.Copy(io.Discard, body)
 				assert.NilError(b, err)
-				assert.NilError(b, body.Close())
+				time.Sleep(time.Millisecond)
 			}
-			slices.Sort(times)
-			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "median-µs")
-			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+			cancel()
+			group.Wait()
+			reportTimes(b, times)
 		})
 	}
 }
 
-// BenchmarkStreams measures streams side by side: bytes on the wire and processor time of
-// both ends, and what the events' pace loses.
+// BenchmarkStreams measures streams side by side: bytes on the wire, and the processor time
+// of both ends.
 func BenchmarkStreams(b *testing.B) {
-	wires, counted := newWires(b, paced)
+	wires, counted := newWires(b, paced, 0)
 	for _, name := range []string{"frames", "calls"} {
 		b.Run(name, func(b *testing.B) {
 			before, bytesBefore, streams := processorTime(b), counted.Load(), 0
@@ -337,8 +406,7 @@
 	}
 }
 
-// BenchmarkSlowReader measures how much a peer gets rid of while nobody reads, and how long
-// a call to the same peer takes beside it.
+// BenchmarkSlowReader measures how much a peer gets rid of while nobody reads.
 func BenchmarkSlowReader(b *testing.B) {
 	var written atomic.Int64
 	wires, _ := newWires(b, func(write func([]byte) error) {
@@ -346,7 +414,7 @@
 		for write(part) == nil {
 			written.Add(int64(len(part)))
 		}
-	})
+	}, 0)
 	for _, name := range []string{"frames", "calls"} {
 		b.Run(name, func(b *testing.B) {
 			var held int64
