Detourer: a silent hop does not look like a caller that has left

Cause: the client ends a silent hop by cancelling its own context, and the error wrapped that cancellation. A response of another status than 200 counted as proof that nothing has run.

Change: the error says how long nothing arrived; another status is judged like any failure, by what of the request has been read. Tests of both, and of the watchdog of a stopped process.

--- a/internal/detourer/client.go
+++ b/internal/detourer/client.go
@@ -84,7 +84,7 @@
 		return nil, Head{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	h := &hop{ctx: ctx, cancel: cancel, watch: newWatchdog(c.silence, cancel)}
+	h := &hop{cancel: cancel, watch: newWatchdog(c.silence, cancel)}
 	h.request = newRequestBody(message, h.watch)
 	h.watch.arm()
 	response, err := c.transport.RoundTrip((&http.Request{
@@ -102,9 +102,7 @@
 	}
 	h.body = response.Body
 	if response.StatusCode != http.StatusOK {
-		// The handler sends no other status, so it has not been reached.
-		h.Close()
-		return nil, Head{}, faulter.Newf("hand over request", KindUnreachable, "peer responds with status %d", response.StatusCode)
+		return nil, Head{}, h.abandon(errors.Newf("peer responds with status %d", response.StatusCode))
 	}
 	h.reader = bufio.NewReaderSize(&watchedReader{Reader: response.Body, watch: h.watch}, readBufferBytes)
 	head, err := h.readHead()
@@ -143,12 +141,18 @@
 func (h *hop) classify(err error) error {
 	const op = "hand over request"
 	var ours *Error
-	switch {
-	case errors.As(err, &ours) && ours.Kind == KindRefused:
+	if errors.As(err, &ours) && ours.Kind == KindRefused {
 		return ours
+	}
+	silent := h.watch.hasFired()
+	if silent {
+		// The transport's error would look like that of a caller who has left.
+		err = errors.Newf("nothing arrived for %s", h.watch.silence())
+	}
+	switch {
 	case h.request.seal():
 		return faulter.New(op, KindUnreachable, err)
-	case h.watch.hasFired():
+	case silent:
 		return faulter.New(op, KindSilent, err)
 	}
 	return faulter.New(op, KindBroken, err)
--- a/internal/detourer/failure_test.go
+++ b/internal/detourer/failure_test.go
@@ -253,6 +253,7 @@
 			began := time.Now()
 			_, err := exchange(t, newTestClient(t), peer)
 			assert.Equal(t, kindOf(t, err), KindSilent)
+			assert.Assert(t, !errors.Is(err, context.Canceled), "looks like a caller that has left: %v", err)
 			took := time.Since(began)
 			assert.Assert(t, took >= defaultSilence && took < 2*defaultSilence, "took %s", took)
 		})
@@ -329,6 +330,7 @@
 	began := time.Now()
 	_, err = exchange(t, c, peer)
 	assert.Equal(t, kindOf(t, err), KindUnreachable)
+	assert.Assert(t, !errors.Is(err, context.Canceled), "looks like a caller that has left: %v", err)
 	assert.Assert(t, time.Since(began) < 2*defaultSilence)
 	assert.Equal(t, runs.Load(), int32(1))
 }
--- a/internal/detourer/hop.go
+++ b/internal/detourer/hop.go
@@ -14,7 +14,6 @@
 // hop is one request at a peer. It is the body of the response. Read is not safe for
 // concurrent use; Close may be called during it.
 type hop struct {
-	ctx     context.Context
 	cancel  context.CancelFunc
 	watch   *watchdog
 	request *requestBody
--- a/internal/detourer/watchdog.go
+++ b/internal/detourer/watchdog.go
@@ -29,6 +29,9 @@
 	return &watchdog{stage: silence / silenceStages, cancel: cancel}
 }
 
+// silence returns the time without any event after which the watchdog fires.
+func (w *watchdog) silence() time.Duration { return w.stage * silenceStages }
+
 // arm begins to count silence, from now on.
 func (w *watchdog) arm() {
 	w.mu.Lock()
--- a/internal/detourer/writer.go
+++ b/internal/detourer/writer.go
@@ -36,7 +36,8 @@
 	return out, out.writeFrame(frameKeepAlive, nil)
 }
 
-// WriteHead begins the response of a backend server.
+// WriteHead begins the response of a backend server. A head that cannot be sent unchanged,
+// or is too large, is an error of [KindMalformed] or [KindTooLarge] and sends nothing.
 func (w *ResponseWriter) WriteHead(head Head) error {
 	payload, err := head.encode()
 	if err != nil {
