Observer: what does not respond here is a fact about the pair until peers agree

Callers of entry instances that had lost the path to the servers were refused or waited, and those of the others too: an instance took its own missing responses and refused connections for losses, and told all.

A check of a server that fails now asks three peers (Peer.Probe), chosen for the server by rendezvous hashing and of different data centres, beside its second probe. One that reaches the server makes the loss one of this instance alone; a credible silence makes it one for all; without any testimony it stays one of this instance alone, and other peers are asked. A witness is credible only if most of its references respond promptly and peers have not contradicted it. If servers of two places are contradicted, or one while no reference responds, the path is cut (pkg/tracker/path.go): only what has responded since can be sent requests, and a survey of the heads and plain servers finds it, and finds the end of the cut. A group needs its head to be reachable from here, not the other members.

Probes alone count as responses: they use new connections, while traffic may go on over old ones where new ones are refused.

Ruled out: a switch for the whole instance, since a few servers often stay reachable; a longer wait before a loss is told, which delays all crashes.

--- a/internal/explainer/request.go
+++ b/internal/explainer/request.go
@@ -55,6 +55,8 @@
 		return slices.Contains(r.instances, l.text(logger.FieldInstance)) || slices.Contains(r.upstreams, l.text(logger.FieldGroup))
 	case logger.LineGroups:
 		return r.model != "" && l.text(logger.FieldModel) == r.model && l.At >= r.from && l.At <= r.to
+	case logger.LinePathCut, logger.LinePathRestored:
+		return l.process() == r.process
 	case logger.LineConfigInForce, logger.LineStoreRegained, logger.LineStoreLost, logger.LineEntryStopping, logger.LineEntryStopped, logger.LineDropped, logger.LineReloaded:
 		return l.process() == r.process && l.At >= r.from
 	}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // testCodec reads and writes metadata in headers with short names.
@@ -122,6 +123,11 @@
 
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
 
+// AskWitnesses asks no peer.
+func (p *platformStub) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
+	return nil
+}
+
 // peerDelay is the time that a message takes from one entry instance to another.
 const peerDelay = 50 * time.Millisecond
 
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -16,6 +16,8 @@
 	LineInstanceLost      = "instance held for lost"
 	LineInstanceRecovered = "instance answers again"
 	LinePathDisturbed     = "own path disturbed"
+	LinePathCut           = "own path cut"
+	LinePathRestored      = "own path restored"
 	LineInstanceLeaving   = "instance says that it leaves"
 	LineServerDeferral    = "server wants nothing until"
 	LineServerLimit       = "server limit changed"
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/reconciler"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // PeerService is the name of the RPC service that offers the methods below.
@@ -32,6 +33,7 @@
 	MethodLosses   = PeerService + ".Losses"
 	MethodNews     = PeerService + ".News"
 	MethodPermit   = PeerService + ".Permit"
+	MethodProbe    = PeerService + ".Probe"
 )
 
 // Empty is the argument or reply of a method that needs none.
@@ -130,6 +132,12 @@
 	Incarnation string
 }
 
+// ProbeReply says whether an instance that does not respond to the caller responds to the
+// peer.
+type ProbeReply struct {
+	Testimony tracker.Testimony
+}
+
 // LossesMessage reports lost instances, instances that were reported lost but have
 // answered (Found), and instances that have said that they leave.
 type LossesMessage struct {
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -18,7 +18,8 @@
 )
 
 // HandleLosses applies a peer's findings on lost instances. A loss that this
-// instance's own probes found is cleared only by its own probes.
+// instance's own probes found is cleared only by its own probes; what a peer reaches is
+// then lost only here.
 func (o *Observer) HandleLosses(message messenger.LossesMessage) {
 	now := clocker.Now()
 	o.mu.Lock()
@@ -31,7 +32,11 @@
 		}
 	}
 	for _, l := range message.Found {
-		if o.tracker.IsLost(l.Instance) && !o.ownLosses[l.Instance] {
+		switch {
+		case !o.tracker.IsLost(l.Instance):
+		case o.ownLosses[l.Instance]:
+			changed = o.tracker.LocalizeLoss(l.Instance) || changed
+		default:
 			changed = true
 			o.clearLoss(l.Instance, "peer")
 		}
@@ -90,7 +95,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, in := range members {
-		if o.ownLosses[in.ID] || now.Sub(o.checkedAt[in.ID]) < checkInterval {
+		if o.ownLosses[in.ID] || o.tracker.PathFailed(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval {
 			continue
 		}
 		o.checkedAt[in.ID] = now
@@ -98,8 +103,8 @@
 	}
 }
 
-// runCheck probes one instance. If it does not respond while others do, it marks the
-// instance lost and announces the loss to the peers.
+// runCheck probes one instance. If it does not respond, it asks peers and probes references
+// beside the second probe, records what that means, and announces a loss for all to the peers.
 func (o *Observer) runCheck(ctx context.Context, in provider.Instance) {
 	began := clocker.Now()
 	err := o.Prober.Probe(ctx, in, probeTimeout)
@@ -108,6 +113,8 @@
 		return
 	}
 	path := o.checkPath(ctx, in)
+	peers := o.inquire(ctx, in, 0)
+	defer func() { o.closeInquiry(peers) }()
 	for range probeAttempts - 1 {
 		began = clocker.Now()
 		if err = o.Prober.Probe(ctx, in, probeTimeout); err == nil {
@@ -115,60 +122,95 @@
 			return
 		}
 	}
-	evidence := path.result()
+	evidence := tracker.Evidence{Refused: errors.Is(err, syscall.ECONNREFUSED), Peers: peers.result(), Path: path.result()}
+	if !evidence.Peers.Credible() && evidence.Peers.Asked > 0 && evidence.Path.Sound() {
+		o.closeInquiry(peers)
+		peers = o.inquire(ctx, in, 1)
+		evidence.Peers = peers.result()
+	}
 	if ctx.Err() != nil {
 		return
 	}
-	verdict, changed := o.judge(in, err, evidence)
-	if verdict == tracker.Undecided {
+	o.act(ctx, in, err, evidence, o.judge(in, evidence))
+}
+
+// finding is what failed probes of an instance mean.
+type finding struct {
+	verdict tracker.Verdict
+	// news reports whether it was not known before, and cutFound whether the path is found
+	// cut by it.
+	news, cutFound bool
+}
+
+// act logs what failed probes of an instance mean, and announces a loss.
+func (o *Observer) act(ctx context.Context, in provider.Instance, err error, e tracker.Evidence, f finding) {
+	if f.cutFound {
+		o.logPathCut(in)
+	}
+	switch {
+	case f.verdict == tracker.Undecided:
 		o.Scope.Counter("path_disturbances").Inc(1)
-		log.WithFields(log.Fields{logger.FieldInstance: in.ID, "references": evidence.References}).WithError(err).Info(logger.LinePathDisturbed)
+		log.WithFields(log.Fields{logger.FieldInstance: in.ID, "references": e.Path.References}).WithError(err).Info(logger.LinePathDisturbed)
 		return
-	}
-	if !changed {
+	case !f.news:
 		o.signal()
 		return
 	}
 	o.Scope.Tagged(map[string]string{"source": "probe"}).Counter("losses").Inc(1)
 	log.WithFields(log.Fields{
 		logger.FieldInstance: in.ID, "incarnation": in.Incarnation, logger.FieldGroup: in.Membership.Group, "source": "probe",
-		"verdict": verdict.String(), "references": evidence.References, "references_prompt": evidence.Prompt,
+		"verdict": f.verdict.String(), "references": e.Path.References, "references_prompt": e.Path.Prompt,
+		"witnesses_reached": e.Peers.Reached, "witnesses_silent": e.Peers.Silent,
 	}).WithError(err).Warn(logger.LineInstanceLost)
 	o.signal()
-	if verdict == tracker.Lost {
+	if f.verdict == tracker.Lost {
 		o.Announcer.Announce(ctx, messenger.LossesMessage{Losses: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
 	}
 }
 
-// judge records what failed probes of an instance mean, and reports whether its loss is news.
-func (o *Observer) judge(in provider.Instance, err error, path tracker.PathEvidence) (verdict tracker.Verdict, changed bool) {
+// judge records what failed probes of an instance mean.
+func (o *Observer) judge(in provider.Instance, e tracker.Evidence) finding {
 	now := clocker.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	var f finding
 	since := o.suspicions.Since(now, in.ID)
-	verdict = tracker.Lost
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		// A refused connection is a response of the machine: no process listens there.
-		verdict = o.suspicions.Judge(now, in.ID, in.Incarnation, path)
+	if e.Peers.Reached > 0 {
+		f.cutFound = o.tracker.ContradictPath(now, in, e.Path)
 	}
-	switch verdict {
+	_, cut := o.tracker.PathCut()
+	if cut && e.Peers.Silent == 0 {
+		// Over a path that is cut, silence says nothing of the instance.
+		f.verdict, f.news = tracker.LostHere, !o.tracker.PathFailed(in.ID)
+		o.suspicions.Clear(in.ID)
+		o.tracker.NoteFailure(now, in.ID)
+		return f
+	}
+	f.verdict = o.suspicions.Judge(now, in.ID, in.Incarnation, e)
+	switch f.verdict {
 	case tracker.Undecided:
 		o.disturbedAt = now
-		return verdict, false
+		return f
 	case tracker.LostHere:
-		changed = o.tracker.MarkLostHere(now, since, in.ID, in.Incarnation)
+		f.news = o.tracker.MarkLostHere(now, since, in.ID, in.Incarnation)
+		if e.Peers.Reached > 0 {
+			o.tracker.LocalizeLoss(in.ID)
+		}
 	default:
-		changed = o.tracker.MarkLost(now, in.ID, in.Incarnation)
+		f.news = o.tracker.MarkLost(now, in.ID, in.Incarnation)
 	}
 	o.ownLosses[in.ID] = true
-	return verdict, changed
+	return f
 }
 
-// handleResponse records that an instance has responded to a probe that began at a time.
-func (o *Observer) handleResponse(in provider.Instance, began time.Time) {
+// handleResponse records that an instance has responded to a probe that began at a time. It
+// reports whether peers may hold the instance for lost.
+func (o *Observer) handleResponse(in provider.Instance, began time.Time) (shared bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	shared = o.tracker.LossShared(in.ID)
 	o.suspicions.Clear(in.ID)
+	o.tracker.NoteResponse(in.ID)
 	if o.tracker.IsLost(in.ID) {
 		o.clearLoss(in.ID, "probe")
 		o.signal()
@@ -176,6 +218,7 @@
 	if clocker.Since(began) <= promptResponse {
 		o.disturbedAt = time.Time{}
 	}
+	return shared
 }
 
 // PathDisturbed reports whether the last probes from here were answered by no instance, so
@@ -189,17 +232,35 @@
 // recheckLoop probes lost instances and clears the losses of those that answer.
 func (o *Observer) recheckLoop(ctx context.Context) {
 	for sleep(ctx, recheckInterval) {
-		for _, in := range o.recheckTargets() {
-			if o.Prober.Probe(ctx, in, probeTimeout) != nil {
-				continue
+		o.probeAll(ctx, o.recheckTargets(), func(in provider.Instance, began time.Time, err error) {
+			if err != nil {
+				o.handleSilence(ctx, in)
+				return
 			}
-			o.mu.Lock()
-			o.clearLoss(in.ID, "probe")
-			o.mu.Unlock()
-			o.signal()
-			o.Announcer.Announce(ctx, messenger.LossesMessage{Found: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
-		}
+			if o.handleResponse(in, began) {
+				o.Announcer.Announce(ctx, messenger.LossesMessage{Found: []messenger.Loss{{Instance: in.ID, Incarnation: in.Incarnation}}})
+			}
+		})
+	}
+}
+
+// handleSilence records that a lost instance still does not respond. One that could not be
+// reached from here may be lost for all by now, which nobody else may find.
+func (o *Observer) handleSilence(ctx context.Context, in provider.Instance) {
+	now := clocker.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tracker.RenewLossHere(now, in.ID)
+	_, cut := o.tracker.PathCut()
+	interval := checkInterval
+	if o.tracker.ReachedByPeer(in.ID) {
+		interval = reviewInterval
+	}
+	if cut || !o.ownLosses[in.ID] || o.tracker.LostForAll(in.ID) || now.Sub(o.checkedAt[in.ID]) < interval {
+		return
 	}
+	o.checkedAt[in.ID] = now
+	go o.runCheck(ctx, in)
 }
 
 // recheckTargets returns the lost instances to probe now: those whose loss this
@@ -208,7 +269,9 @@
 	share := float64(recheckersPerLoss) / float64(max(1, o.Announcer.Count()))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.DeleteFunc(o.tracker.LostInstances(), func(in provider.Instance) bool {
+	targets := slices.DeleteFunc(o.tracker.LostInstances(), func(in provider.Instance) bool {
 		return !o.ownLosses[in.ID] && rand.Float64() >= share
 	})
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(len(targets), surveySize)]
 }
--- a/internal/observer/network_test.go
+++ b/internal/observer/network_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/assigner"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -40,9 +41,10 @@
 	mu sync.Mutex
 	// failures holds the error of a probe, or nil for none, of pairs that are cut.
 	failures map[pair]error
-	crashed  map[string]bool
+	// crashed holds the error of a probe of a server that has crashed.
+	crashed map[string]error
 
-	probes, announcements atomic.Int64
+	probes, announcements, inquiries atomic.Int64
 }
 
 // pair is an entry instance and a backend server.
@@ -60,7 +62,7 @@
 
 func newNetwork(t *testing.T, size networkSize) *network {
 	t.Helper()
-	n := &network{failures: make(map[pair]error), crashed: make(map[string]bool)}
+	n := &network{failures: make(map[pair]error), crashed: make(map[string]error)}
 	for g := range size.groups {
 		for rank := range groupMembers {
 			state := provider.MemberReady
@@ -130,12 +132,43 @@
 	}
 }
 
+// AskWitnesses asks the entry instances to which the server is assigned.
+func (e *entry) AskWitnesses(ctx context.Context, in provider.Instance, round int) []tracker.Testimony {
+	var ids []string
+	for i := range e.network.observers {
+		if i != e.index {
+			ids = append(ids, strconv.Itoa(i))
+		}
+	}
+	var witnesses []int
+	for _, id := range assigner.Round(assigner.Assign(in.ID, ids, len(ids)), 3, round) {
+		i, _ := strconv.Atoi(id)
+		witnesses = append(witnesses, i)
+	}
+	answers := make(chan tracker.Testimony, len(witnesses))
+	for _, w := range witnesses {
+		e.network.inquiries.Add(1)
+		go func() {
+			sleep(ctx, messageDelay)
+			answers <- e.network.observers[w].Testify(ctx, messenger.Loss{Instance: in.ID, Incarnation: in.Incarnation})
+		}()
+	}
+	received := make([]tracker.Testimony, len(witnesses))
+	for i := range received {
+		if received[i] = <-answers; received[i] == tracker.Reached {
+			break
+		}
+	}
+	sleep(ctx, messageDelay)
+	return received
+}
+
 // failure returns the error of a probe of a server by an entry instance.
 func (n *network) failure(entry int, server string) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.crashed[server] {
-		return errNoResponse
+	if err, crashed := n.crashed[server]; crashed {
+		return err
 	}
 	return n.failures[pair{entry, server}]
 }
@@ -157,11 +190,12 @@
 	clear(n.failures)
 }
 
-func (n *network) crash(servers []provider.Instance) {
+// crash makes servers fail for all, with that error.
+func (n *network) crash(servers []provider.Instance, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, in := range servers {
-		n.crashed[in.ID] = true
+		n.crashed[in.ID] = err
 	}
 }
 
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -66,6 +66,10 @@
 type Announcer interface {
 	// Announce sends losses and retracted losses to the peers.
 	Announce(ctx context.Context, message messenger.LossesMessage)
+	// AskWitnesses asks some peers, others in each round, whether they reach an instance. It
+	// returns an answer for each peer that was asked, as soon as one of them reaches the
+	// instance or all have replied.
+	AskWitnesses(ctx context.Context, in provider.Instance, round int) []tracker.Testimony
 	// Count returns the number of entry instances.
 	Count() int
 }
@@ -91,6 +95,9 @@
 	// recheckersPerLoss is the average number of entry instances that probe a
 	// lost instance in each recheckInterval, besides those that found the loss.
 	recheckersPerLoss = 6
+	// reviewInterval is the time after which an instance that a peer reached is checked
+	// anew, and peers are asked again.
+	reviewInterval = time.Second
 )
 
 // Dependencies are the collaborators of an Observer.
@@ -127,7 +134,13 @@
 	// ownLosses holds the IDs of the instances whose loss this instance's own
 	// probes found.
 	ownLosses map[string]bool
-	interval  time.Duration
+	// inquiries holds a value for each inquiry in progress, and testimonies what this
+	// instance has found for its peers, by ID of the backend server.
+	inquiries   chan struct{}
+	testimonies map[string]*testimony
+	// pathCut receives a value when the path is found cut.
+	pathCut  chan struct{}
+	interval time.Duration
 	// readStore selects reads of the store instead of requests to a peer.
 	readStore bool
 	// storeReachable reports whether the last read succeeded.
@@ -151,6 +164,9 @@
 		suspicions:   tracker.NewSuspicions(),
 		checkedAt:    make(map[string]time.Time),
 		ownLosses:    make(map[string]bool),
+		inquiries:    make(chan struct{}, maxInquiries),
+		testimonies:  make(map[string]*testimony),
+		pathCut:      make(chan struct{}, 1),
 		interval:     PollInterval,
 		changed:      make(chan struct{}, 1),
 		refresh:      make(chan struct{}, 1),
@@ -158,10 +174,11 @@
 	}
 }
 
-// Start runs the poll and recheck loops in the background until ctx ends.
+// Start runs the poll, recheck and survey loops in the background until ctx ends.
 func (o *Observer) Start(ctx context.Context) {
 	go o.pollLoop(ctx)
 	go o.recheckLoop(ctx)
+	go o.surveyLoop(ctx)
 }
 
 // Config returns the configuration in force, or nil if none has been read yet.
@@ -226,69 +243,77 @@
 	do(o.tracker)
 }
 
-// Groups returns the groups of a service and model that are available for
-// requests.
+// Groups returns the groups of a service and model that can be sent requests from here. The
+// caller must not change them.
 func (o *Observer) Groups(service, model string) []tracker.Group {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.tracker.Groups(service, model)
 }
 
-// Servers returns the instances of a plain service that are available for
-// requests.
+// Servers returns the instances of a plain service that can be sent requests from here. The
+// caller must not change them.
 func (o *Observer) Servers(service string) []provider.Instance {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var servers []provider.Instance
-	for _, in := range o.tracker.Servers(service) {
-		if !o.tracker.IsLost(in.ID) {
-			servers = append(servers, in)
-		}
-	}
-	return servers
+	return o.tracker.Servers(service)
 }
 
-// GroupAvailable reports whether a group is still available for requests.
+// GroupAvailable reports whether a group can still be sent requests from here.
 func (o *Observer) GroupAvailable(g tracker.Group) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.tracker.GroupAvailable(g)
 }
 
-// InstanceAvailable reports whether an instance of a plain service is still
-// available for requests.
+// InstanceAvailable reports whether an instance of a plain service can still be sent
+// requests from here.
 func (o *Observer) InstanceAvailable(in provider.Instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.tracker.InstanceAvailable(in)
 }
 
-// AnyLostOrRestarted reports whether any of these instances is lost or has
-// restarted.
+// AnyLostOrRestarted reports whether any of these instances is lost for all or has
+// restarted, or the first one, which receives the requests, can't be reached from here.
 func (o *Observer) AnyLostOrRestarted(members []provider.Instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, in := range members {
-		if o.tracker.IsLost(in.ID) || o.restarted(in) {
+	for rank, in := range members {
+		if o.tracker.LostForAll(in.ID) || rank == 0 && o.unreachable(in) || o.restarted(in) {
 			return true
 		}
 	}
 	return false
 }
 
-// FoundLostOrRestarted reports whether any of these instances has restarted, or was found
-// lost by probes from here, and not only by a peer's.
+// FoundLostOrRestarted is like AnyLostOrRestarted, but a loss counts only if probes from
+// here have found it, and not only a peer's.
 func (o *Observer) FoundLostOrRestarted(members []provider.Instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, in := range members {
-		if o.ownLosses[in.ID] || o.restarted(in) {
+	for rank, in := range members {
+		lost := o.ownLosses[in.ID] && o.tracker.LostForAll(in.ID)
+		if lost || rank == 0 && (o.ownLosses[in.ID] || o.tracker.PathFailed(in.ID)) || o.restarted(in) {
 			return true
 		}
 	}
 	return false
 }
 
+// LostForAllOrRestarted reports whether an instance is lost for all entry instances or has
+// restarted.
+func (o *Observer) LostForAllOrRestarted(in provider.Instance) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tracker.LostForAll(in.ID) || o.restarted(in)
+}
+
+// unreachable reports whether an instance has not responded here. The caller holds o.mu.
+func (o *Observer) unreachable(in provider.Instance) bool {
+	return o.tracker.IsLost(in.ID) || o.tracker.PathFailed(in.ID)
+}
+
 // restarted reports whether an instance runs in another incarnation than this one. The
 // caller holds o.mu.
 func (o *Observer) restarted(in provider.Instance) bool {
@@ -296,13 +321,14 @@
 	return listed && now.Incarnation != in.Incarnation
 }
 
-// LostBefore reports whether any of these instances has restarted, or was found lost
-// before a time and has not responded since.
+// LostBefore is like AnyLostOrRestarted, but a loss counts only if it was found before a
+// time.
 func (o *Observer) LostBefore(at time.Time, members []provider.Instance) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, in := range members {
-		if since, lost := o.tracker.LostSince(in.ID); lost && since.Before(at) || o.restarted(in) {
+	for rank, in := range members {
+		since, lost := o.tracker.LostSince(in.ID)
+		if lost && since.Before(at) && (rank == 0 || o.tracker.LostForAll(in.ID)) || o.restarted(in) {
 			return true
 		}
 	}
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // stub implements the platform and the peers of one observer.
@@ -21,6 +22,8 @@
 	peers       int
 	unreachable atomic.Bool
 	announced   chan messenger.LossesMessage
+	// testimonies are the answers of peers that are asked.
+	testimonies []tracker.Testimony
 }
 
 var errNoResponse = errors.New("no response")
@@ -41,6 +44,10 @@
 func (s *stub) Announce(_ context.Context, message messenger.LossesMessage) { s.announced <- message }
 func (s *stub) Count() int                                                  { return s.peers }
 
+func (s *stub) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
+	return s.testimonies
+}
+
 func newStubObserver(peers int) (*stub, *Observer) {
 	s := &stub{peers: peers, announced: make(chan messenger.LossesMessage, 8)}
 	o := New(Dependencies{Source: s, Prober: s, Announcer: s, Scope: tally.NoopScope})
--- a/internal/observer/path.go
+++ b/internal/observer/path.go
@@ -58,17 +58,17 @@
 func (o *Observer) references(now time.Time, suspect provider.Instance) []provider.Instance {
 	all := o.tracker.Instances()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	taken := map[place]bool{placeOf(suspect): true}
+	taken := map[tracker.Place]bool{tracker.PlaceOf(suspect): true}
 	var apart, suspected, rest []provider.Instance
 	for _, in := range all {
 		switch {
 		case in.ID == suspect.ID || in.Leaving || o.tracker.LostForAll(in.ID):
-		case taken[placeOf(in)]:
+		case taken[tracker.PlaceOf(in)]:
 			rest = append(rest, in)
 		case o.tracker.IsLost(in.ID) || now.Sub(o.checkedAt[in.ID]) < checkInterval:
 			suspected = append(suspected, in)
 		default:
-			taken[placeOf(in)] = true
+			taken[tracker.PlaceOf(in)] = true
 			apart = append(apart, in)
 		}
 	}
@@ -76,17 +76,6 @@
 	return chosen[:min(len(chosen), pathReferences)]
 }
 
-// place is a set of instances that are likely to fail together.
-type place struct{ dataCentre, domain string }
-
-func placeOf(in provider.Instance) place {
-	if in.FabricDomain == "" {
-		// A plain server fails by itself.
-		return place{in.DataCentre, in.ID}
-	}
-	return place{in.DataCentre, in.FabricDomain}
-}
-
 func (o *Observer) runPathCheck(ctx context.Context, c *pathCheck) {
 	defer close(c.done)
 	var probes sync.WaitGroup
--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // source is a peer that knows the store's state of a time ago until it is cut off from the
@@ -106,6 +107,10 @@
 func (noPeers) Announce(context.Context, messenger.LossesMessage)             {}
 func (noPeers) Count() int                                                    { return 1 }
 
+func (noPeers) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
+	return nil
+}
+
 // TestListAgeIsBounded guards against a list of backend servers that an instance acts upon
 // for longer than a server may be sent requests after the store knows that it leaves:
 // each step of a fetch kept its own limit, and nobody added them up. The store is sound;
--- a/pkg/assigner/assign.go
+++ b/pkg/assigner/assign.go
@@ -13,6 +13,7 @@
 package assigner
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,3 +46,31 @@
 func IsAssigned(key, entry string, entries []string, count int) bool {
 	return slices.Contains(Assign(key, entries, count), entry)
 }
+
+// RankSpread returns all entry instances in an order for the key in which each place has its
+// turn, the first place first: what can't be reached from one place may be from others.
+func RankSpread(key string, placeOf map[string]string, first string) []string {
+	ranked := Assign(key, slices.Collect(maps.Keys(placeOf)), len(placeOf))
+	turns := make(map[string]int)
+	order := make(map[string]int, len(ranked))
+	for i, entry := range ranked {
+		place := placeOf[entry]
+		order[entry] = 2*len(ranked)*turns[place] + i
+		if place == first {
+			order[entry] -= len(ranked)
+		}
+		turns[place]++
+	}
+	slices.SortFunc(ranked, func(a, b string) int { return order[a] - order[b] })
+	return ranked
+}
+
+// Round returns the count entries after those of the earlier rounds, beginning again at the
+// end.
+func Round(ranked []string, count, round int) []string {
+	if len(ranked) <= count {
+		return ranked
+	}
+	first := round * count % len(ranked)
+	return slices.Concat(ranked[first:], ranked[:first])[:count]
+}
--- a/pkg/tracker/losses.go
+++ b/pkg/tracker/losses.go
@@ -17,8 +17,11 @@
 	incarnation string
 	// since is the time of the first evidence, and at that of the last one.
 	since, at time.Time
-	// here reports whether the instance is only known not to be reachable from here.
-	here bool
+	// here reports whether the instance is only known not to be reachable from here, and
+	// contradicted whether a peer reached it then.
+	here, contradicted bool
+	// shared reports whether it has ever been evidence for all entry instances.
+	shared bool
 }
 
 // pruneLosses removes evidence that has expired or concerns an earlier
@@ -32,11 +35,11 @@
 	}
 }
 
-// MarkLost records evidence that an incarnation of an instance is lost. It
-// reports whether the instance was not marked before. Evidence about another
-// incarnation than the listed one is ignored.
+// MarkLost records evidence that an incarnation of an instance is lost for all. It
+// reports whether it was not marked so before. Evidence about another incarnation than
+// the listed one is ignored.
 func (t *Tracker) MarkLost(now time.Time, id, incarnation string) bool {
-	return t.mark(id, loss{incarnation: incarnation, since: now, at: now})
+	return t.mark(id, loss{incarnation: incarnation, since: now, at: now, shared: true})
 }
 
 // MarkLostHere is like MarkLost for an instance that has not been reachable from here since
@@ -54,12 +57,36 @@
 	if alreadyLost && earlier.incarnation == l.incarnation {
 		l.since = earlier.since
 		l.here = l.here && earlier.here
+		l.shared = l.shared || earlier.shared
+		l.contradicted = l.here && earlier.contradicted
 	}
 	t.losses[id] = l
-	if !alreadyLost {
+	changed := !alreadyLost || earlier.here != l.here
+	if changed {
 		t.rebuild()
 	}
-	return !alreadyLost
+	return changed
+}
+
+// RenewLossHere records that an instance that was not reachable from here still is not.
+func (t *Tracker) RenewLossHere(now time.Time, id string) {
+	if l, lost := t.losses[id]; lost && l.here {
+		l.at = now
+		t.losses[id] = l
+	}
+}
+
+// LocalizeLoss records that a peer reached an instance that is lost: it is then only not
+// reachable from here. It reports whether that is news.
+func (t *Tracker) LocalizeLoss(id string) bool {
+	l, lost := t.losses[id]
+	if !lost || l.here && l.contradicted {
+		return false
+	}
+	l.here, l.contradicted = true, true
+	t.losses[id] = l
+	t.rebuild()
+	return true
 }
 
 // LostForAll reports whether there is evidence that an instance is lost for all entry
@@ -69,6 +96,10 @@
 	return lost && !l.here
 }
 
+// LossShared reports whether there is evidence of a loss that has ever been evidence for
+// all entry instances.
+func (t *Tracker) LossShared(id string) bool { return t.losses[id].shared }
+
 // ClearLoss removes the evidence of a loss because the instance has responded.
 func (t *Tracker) ClearLoss(id string) {
 	if _, lost := t.losses[id]; lost {
@@ -83,13 +114,28 @@
 	return lost
 }
 
-// LostSince returns the time of the first evidence that an instance is lost, and whether
-// there is any.
+// LostSince returns the time of the first evidence that an instance is lost, or that it
+// can't be reached from here, and whether there is any.
 func (t *Tracker) LostSince(id string) (time.Time, bool) {
-	l, lost := t.losses[id]
-	return l.since, lost
+	if l, lost := t.losses[id]; lost {
+		return l.since, true
+	}
+	return t.path.FailedSince(id)
 }
 
+// ReachedByPeer reports whether an instance can't be reached from here though a peer has
+// reached it.
+func (t *Tracker) ReachedByPeer(id string) bool {
+	if l, lost := t.losses[id]; lost {
+		return l.contradicted
+	}
+	_, failed := t.path.FailedSince(id)
+	return failed
+}
+
+// Reachable reports whether an instance is neither lost nor unreachable from here.
+func (t *Tracker) Reachable(id string) bool { return !t.IsLost(id) && t.path.Reachable(id) }
+
 // LostInstances returns the known instances that are marked as lost, sorted by
 // ID.
 func (t *Tracker) LostInstances() []provider.Instance {
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -112,10 +112,14 @@
 		return fmt.Sprintf("suspected: %d\n", len(suspicions.byID))
 	}
 	id, incarnation := "", ""
-	var path PathEvidence
+	var e Evidence
 	d.ScanArgs(t, "instance", &id)
 	d.ScanArgs(t, "incarnation", &incarnation)
-	d.ScanArgs(t, "references", &path.References)
-	d.ScanArgs(t, "prompt", &path.Prompt)
-	return suspicions.Judge(at(d), id, incarnation, path).String() + "\n"
+	d.ScanArgs(t, "references", &e.Path.References)
+	d.ScanArgs(t, "prompt", &e.Path.Prompt)
+	d.MaybeScanArgs(t, "asked", &e.Peers.Asked)
+	d.MaybeScanArgs(t, "reached", &e.Peers.Reached)
+	d.MaybeScanArgs(t, "silent", &e.Peers.Silent)
+	e.Refused = d.HasArg("refused")
+	return suspicions.Judge(at(d), id, incarnation, e).String() + "\n"
 }
--- a/pkg/tracker/suspicion.go
+++ b/pkg/tracker/suspicion.go
@@ -38,9 +38,22 @@
 // Disturbed reports whether the path from here is likely to be at fault.
 func (e PathEvidence) Disturbed() bool { return e.References > 0 && e.Prompt == 0 }
 
-// Suspicions decides which instances that respond to no probe are lost. An entry instance
-// whose own path is congested gets no response from any instance, so a missing response
-// counts only if others respond. It does no I/O and is not safe for concurrent use.
+// Sound reports whether most of the references responded promptly, so that silence says
+// something about an instance to others too.
+func (e PathEvidence) Sound() bool { return 2*e.Prompt > e.References || e.References == 0 }
+
+// Evidence is what is known of an instance that did not respond.
+type Evidence struct {
+	// Refused reports whether its machine refused the connection.
+	Refused bool
+	Path    PathEvidence
+	Peers   Testimonies
+}
+
+// Suspicions decides which instances that respond to no probe are lost. A missing response,
+// and a refused connection, say something about this entry instance and the instance only,
+// until a peer that should reach it does not either. It does no I/O and is not safe for
+// concurrent use.
 type Suspicions struct {
 	byID map[string]suspicion
 }
@@ -55,9 +68,19 @@
 func NewSuspicions() *Suspicions { return &Suspicions{byID: make(map[string]suspicion)} }
 
 // Judge returns the verdict on an incarnation of an instance that did not respond.
-func (s *Suspicions) Judge(now time.Time, id, incarnation string, path PathEvidence) Verdict {
-	if !path.Disturbed() {
+func (s *Suspicions) Judge(now time.Time, id, incarnation string, e Evidence) Verdict {
+	switch {
+	case e.Peers.Reached > 0:
+		delete(s.byID, id)
+		return LostHere
+	case e.Peers.Silent > 0:
+		delete(s.byID, id)
+		return Lost
+	case e.Refused || !e.Path.Disturbed():
 		delete(s.byID, id)
+		if e.Peers.Asked > 0 {
+			return LostHere
+		}
 		return Lost
 	}
 	current, found := s.byID[id]
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -12,7 +12,9 @@
 //
 // A group is available when all of its members report that they belong to it in
 // the same epoch and its head reports that it is serving. The loss of one member
-// makes it unavailable.
+// makes it unavailable. Requests go to the head alone, so that a group can't be sent any
+// from here while its head can't be reached; another member that only this entry instance
+// does not reach makes no difference.
 package tracker
 
 import (
@@ -101,10 +103,13 @@
 	// groupSizes holds the number of members per group, by model.
 	groupSizes map[string]int
 	groups     map[string]Group
-	// groupsByModel holds the groups of each service and model, sorted by name.
-	groupsByModel map[serviceModel][]Group
-	// servers holds the instances that are neither lost nor leaving, by service.
-	servers map[string][]provider.Instance
+	// groupsByModel holds the groups of each service and model whose head can be reached
+	// from here, sorted by name, and remoteGroups those whose head can't.
+	groupsByModel, remoteGroups map[serviceModel][]Group
+	// individuals holds the instances that are neither lost for all nor leaving, by
+	// service, and servers those of them that can be reached from here.
+	individuals, servers map[string][]provider.Instance
+	path                 *Path
 }
 
 // serviceModel is a service and one of its models.
@@ -130,6 +135,7 @@
 		losses:     make(map[string]loss),
 		leaving:    make(map[string]statedLeaving),
 		departures: make(map[string]departure),
+		path:       NewPath(),
 	}
 }
 
@@ -305,28 +311,52 @@
 	return all
 }
 
-// Servers returns the instances of a service that can take requests
-// individually rather than as a group.
+// Servers returns the instances of a service that can take requests individually rather
+// than as a group, and can be reached from here. The caller must not change them.
 func (t *Tracker) Servers(service string) []provider.Instance { return t.servers[service] }
 
-// Groups returns the available groups of a service and model, sorted by name. The
-// caller must not change them.
+// Groups returns the available groups of a service and model that can be reached from here,
+// sorted by name. The caller must not change them.
 func (t *Tracker) Groups(service, model string) []Group {
 	return t.groupsByModel[serviceModel{service, model}]
 }
 
-// GroupAvailable reports whether a group can still take requests, in the same
+// ReachableByPeers reports whether a service and model have a group that is available but
+// for its head, which can't be reached from here. Without a model it considers the
+// instances that take requests individually.
+func (t *Tracker) ReachableByPeers(service, model string) bool {
+	if model != "" {
+		return len(t.remoteGroups[serviceModel{service, model}]) > 0
+	}
+	return len(t.individuals[service]) > len(t.servers[service])
+}
+
+// Heads returns the heads of all groups that are available, whether or not they can be
+// reached from here.
+func (t *Tracker) Heads() []provider.Instance {
+	var heads []provider.Instance
+	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
+		heads = append(heads, t.groups[name].Head())
+	}
+	return heads
+}
+
+// Individuals returns the instances of a service that can take requests individually,
+// whether or not they can be reached from here. The caller must not change them.
+func (t *Tracker) Individuals(service string) []provider.Instance { return t.individuals[service] }
+
+// GroupAvailable reports whether a group can still take requests from here, in the same
 // epoch and with the same member incarnations.
 func (t *Tracker) GroupAvailable(g Group) bool {
 	current, found := t.groups[g.Name]
-	return found && current.Epoch == g.Epoch && slices.EqualFunc(current.Members, g.Members, sameIncarnation)
+	return found && current.Epoch == g.Epoch && slices.EqualFunc(current.Members, g.Members, sameIncarnation) && t.Reachable(current.Head().ID)
 }
 
 // InstanceAvailable reports whether an individual instance can still take
-// requests, in the same incarnation.
+// requests from here, in the same incarnation.
 func (t *Tracker) InstanceAvailable(in provider.Instance) bool {
 	current, found := t.instances[in.ID]
-	return found && sameIncarnation(current, in) && !current.Leaving && !t.IsLost(in.ID)
+	return found && sameIncarnation(current, in) && !current.Leaving && t.Reachable(in.ID)
 }
 
 // sameIncarnation reports whether a and b are the same run of one instance.
@@ -337,14 +367,14 @@
 // rebuild recomputes the available groups and servers from the instances.
 func (t *Tracker) rebuild() {
 	t.groups = make(map[string]Group)
-	t.servers = make(map[string][]provider.Instance)
+	t.individuals = make(map[string][]provider.Instance)
 	members := make(map[string][]provider.Instance)
 	for _, in := range t.Instances() {
-		if t.IsLost(in.ID) {
+		if t.LostForAll(in.ID) {
 			continue
 		}
 		if !in.Leaving {
-			t.servers[in.Service] = append(t.servers[in.Service], in)
+			t.individuals[in.Service] = append(t.individuals[in.Service], in)
 		}
 		if m := in.Membership; m.Group != "" && m.State != provider.Unattached {
 			members[m.Group] = append(members[m.Group], in)
@@ -355,12 +385,88 @@
 			t.groups[name] = g
 		}
 	}
+	t.selectReachable()
+}
+
+// selectReachable divides the available groups and servers by whether they can be reached
+// from here.
+func (t *Tracker) selectReachable() {
 	t.groupsByModel = make(map[serviceModel][]Group)
+	t.remoteGroups = make(map[serviceModel][]Group)
 	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
 		g := t.groups[name]
 		key := serviceModel{g.Service, g.Model}
-		t.groupsByModel[key] = append(t.groupsByModel[key], g)
+		if t.Reachable(g.Head().ID) {
+			t.groupsByModel[key] = append(t.groupsByModel[key], g)
+		} else {
+			t.remoteGroups[key] = append(t.remoteGroups[key], g)
+		}
+	}
+	t.servers = make(map[string][]provider.Instance)
+	for service, all := range t.individuals {
+		for _, in := range all {
+			if t.Reachable(in.ID) {
+				t.servers[service] = append(t.servers[service], in)
+			}
+		}
+	}
+}
+
+// PathCut reports whether the path from here to the servers is cut, and since when.
+func (t *Tracker) PathCut() (time.Time, bool) { return t.path.Since(), t.path.Cut() }
+
+// PathContradicted reports whether peers have recently reached another instance than this
+// one that did not respond here.
+func (t *Tracker) PathContradicted(now time.Time, id string) bool {
+	return t.path.Contradicted(now, id)
+}
+
+// PathFailed reports whether an instance has not been reachable over a path that is cut.
+func (t *Tracker) PathFailed(id string) bool {
+	_, failed := t.path.FailedSince(id)
+	return failed
+}
+
+// ContradictPath records that an instance did not respond here while a peer reached it. It
+// reports whether the path is found cut by it.
+func (t *Tracker) ContradictPath(now time.Time, in provider.Instance, evidence PathEvidence) bool {
+	found := t.path.Contradict(now, in.ID, PlaceOf(in), evidence)
+	if found {
+		t.selectReachable()
+	}
+	return found
+}
+
+// NoteFailure records that an instance did not respond while the path is cut.
+func (t *Tracker) NoteFailure(now time.Time, id string) {
+	before := t.path.Reachable(id)
+	t.path.Fail(now, id)
+	if t.path.Reachable(id) != before {
+		t.selectReachable()
+	}
+}
+
+// NoteResponse records that an instance responded.
+func (t *Tracker) NoteResponse(id string) {
+	before := t.path.Reachable(id)
+	t.path.Respond(id)
+	if t.path.Reachable(id) != before {
+		t.selectReachable()
+	}
+}
+
+// RestorePath ends the cut of the path if none of the given instances is unreachable from
+// here any more, or none has failed for some time. It reports whether it did.
+func (t *Tracker) RestorePath(now time.Time, instances []provider.Instance) bool {
+	var ids []string
+	for _, in := range instances {
+		ids = append(ids, in.ID)
+	}
+	restored := t.path.Restore(now, ids)
+	if restored {
+		t.selectReachable()
 	}
+	return restored
 }
 
 // buildGroup returns the group of the given members and true, or false if a rank
