Tracker: scripts of testimonies, of the path and of what is unreachable here

They cover verdicts with and without peers' testimonies, the path's way from whole to cut and back, and groups whose head or other member can't be reached from here.

--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -59,11 +59,16 @@
 				era := uint64(0)
 				d.MaybeScanArgs(t, "era", &era)
 				tracker.Update(at(d), era, listed)
-			case "mark_lost":
+			case "mark_lost", "mark_lost_here":
 				id, incarnation := "", ""
 				d.ScanArgs(t, "instance", &id)
 				d.ScanArgs(t, "incarnation", &incarnation)
+				if d.Cmd == "mark_lost_here" {
+					return fmt.Sprintf("new: %t\n", tracker.MarkLostHere(at(d), at(d), id, incarnation))
+				}
 				return fmt.Sprintf("new: %t\n", tracker.MarkLost(at(d), id, incarnation))
+			case "contradict", "path_respond", "path_fail", "restore", "remote_groups", "localize", "renew_loss", "instance_lost":
+				return runPathCommand(t, tracker, at, d)
 			case "judge", "respond", "prune":
 				return runSuspicionCommand(t, suspicions, at, d)
 			case "clear_loss":
@@ -123,3 +128,38 @@
 	e.Refused = d.HasArg("refused")
 	return suspicions.Judge(at(d), id, incarnation, e).String() + "\n"
 }
+
+// runPathCommand runs a command on what is reachable from here.
+func runPathCommand(t *testing.T, tracker *Tracker, at func(*datadriven.TestData) time.Time, d *datadriven.TestData) string {
+	t.Helper()
+	id := ""
+	d.MaybeScanArgs(t, "instance", &id)
+	switch d.Cmd {
+	case "contradict":
+		var e PathEvidence
+		d.ScanArgs(t, "references", &e.References)
+		d.ScanArgs(t, "prompt", &e.Prompt)
+		// Each instance is a place of its own.
+		return fmt.Sprintf("cut: %t\n", tracker.ContradictPath(at(d), provider.Instance{ID: id}, e))
+	case "path_respond":
+		tracker.NoteResponse(id)
+	case "path_fail":
+		tracker.NoteFailure(at(d), id)
+	case "restore":
+		var servers []provider.Instance
+		for _, server := range strings.Fields(d.Input) {
+			servers = append(servers, provider.Instance{ID: server})
+		}
+		return fmt.Sprintf("restored: %t\n", tracker.RestorePath(at(d), servers))
+	case "remote_groups":
+		return fmt.Sprintf("%t\n", tracker.ReachableByPeers("s", "m"))
+	case "localize":
+		tracker.LocalizeLoss(d.CmdArgs[0].Key)
+	case "renew_loss":
+		tracker.RenewLossHere(at(d), id)
+	case "instance_lost":
+		id = d.CmdArgs[0].Key
+		return fmt.Sprintf("lost: %t for all: %t\n", tracker.IsLost(id), tracker.LostForAll(id))
+	}
+	return ""
+}
