Scheduler: members don't wait for one that can't be reached from here

A broken group was kept until each member that still reports it has left. One that the holder of the lease can't reach, though others do, never gets the order, and the members that had left counted as the group's again after leaveReportDelay and joined no other. The order is still sent to it.

The script leave_undelivered fails without the change (no join at 5 s).

--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -311,7 +311,9 @@
 		if !present || s.recentlyLeft(now, member.ID, g.name) || !s.inGroup(in, g) {
 			continue
 		}
-		waiting = true
+		// One that can't be reached from here may be ordered in vain for long. The others
+		// don't wait for it.
+		waiting = waiting || !v.Tracker.IsLost(in.ID)
 		orders = append(orders, s.throttle(now, s.newOrder(Leave, in, g))...)
 	}
 	if !waiting {
