Forwarder: a server that only this instance can't reach has not crashed

A connection that the path resets counted as a crash of the server as soon as its probes failed here, and the request and the parts of its prompt as its cause; and an attempt at a server that lived was excused. Both rest now on a loss for all, or a restart.

TestUnreachableServerHasNotCrashed failed before (a strike for a server that a peer reaches) and passes; it also checks that a crash still counts.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -120,7 +120,7 @@
 	evidence := crashEvidence{upstream: a.active.upstream, firstEventAt: a.firstEventAt, brokeAt: clocker.Now(), sound: a.sound}
 	switch {
 	case x.ctx.Err() != nil || errors.IsAny(err, errMemberLost, errStalled, errBlocked):
-	case x.f.Observer.AnyLostOrRestarted(evidence.upstream.state().members[:1]):
+	case x.f.Observer.LostForAllOrRestarted(evidence.upstream.head()):
 		x.recordStrike(evidence)
 	default:
 		go x.runCrashCheck(evidence)
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -75,7 +75,7 @@
 // again. The caller holds f.mu.
 func (x *exchange) excusableAttempt(now time.Time) int {
 	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
-		return now.Sub(b.at) >= excuseDelay && x.f.Observer.AnyLostOrRestarted([]provider.Instance{b.head})
+		return now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
 	})
 }
 
@@ -108,7 +108,7 @@
 func (x *exchange) runCrashCheck(e crashEvidence) bool {
 	for range maxCrashChecks {
 		time.Sleep(crashCheckInterval)
-		if x.f.Observer.AnyLostOrRestarted(e.upstream.state().members[:1]) {
+		if x.f.Observer.LostForAllOrRestarted(e.upstream.head()) {
 			x.recordStrike(e)
 			return true
 		}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -76,6 +76,8 @@
 	dead      map[string]bool
 	// unreachable makes the probes of all instances fail.
 	unreachable bool
+	// testimonies are the answers of peers that are asked whether they reach an instance.
+	testimonies []tracker.Testimony
 	// peers is the number of other entry instances.
 	peers int
 	// held holds readings of the store until it is closed, unless it is nil.
@@ -123,9 +125,10 @@
 
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
 
-// AskWitnesses asks no peer.
 func (p *platformStub) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
-	return nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.testimonies
 }
 
 // peerDelay is the time that a message takes from one entry instance to another.
--- a/internal/forwarder/loss_test.go
+++ b/internal/forwarder/loss_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // TestProgressOutweighsReportedLoss guards against an answer that arrives being cut because
@@ -164,3 +166,28 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "done")
 }
+
+// TestUnreachableServerHasNotCrashed guards against a request counting as one that crashes
+// servers because its connection is reset by the path from here, while peers reach the server.
+func TestUnreachableServerHasNotCrashed(t *testing.T) {
+	for name, testimony := range map[string]tracker.Testimony{"reached": tracker.Reached, "silent": tracker.Silent} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.platform.set(func(p *platformStub) { p.testimonies = []tracker.Testimony{testimony} })
+			f.addServer("s", "plain", func(w http.ResponseWriter, _ *http.Request) {
+				f.platform.kill("s")
+				resetConnection(w)
+			})
+			f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+			f.applyConfig()
+			_, _, err := f.call("POST", "/once/", "r1")
+			assert.NilError(t, err)
+			f.eventually(func() bool {
+				return f.forwarder.Observer.AnyLostOrRestarted([]provider.Instance{{ID: "s", Incarnation: "1"}})
+			})
+			time.Sleep(2 * crashCheckInterval)
+			strikes, _ := f.forwarder.Strikes()
+			assert.Equal(t, len(strikes) > 0, testimony == tracker.Silent)
+		})
+	}
+}
