Observer, hosted runner: what is known of a loss is not passed on again

Where there are hundreds of entry instances, the same crash is found by 15 of them before the first announcement arrives, and each of their announcements was passed on by all others. One that brings no news is not, unless it takes a loss back.

TestPeerTestifies and TestRankSpread cover the call and the choice of peers.

--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -213,8 +213,9 @@
 	if !s.node.peers.rumors.note(arguments.Rumor) {
 		return nil
 	}
-	s.node.observer.HandleLosses(arguments)
-	s.node.peers.passOn(arguments.Rumor, messenger.MethodLosses, &arguments)
+	if s.node.observer.HandleLosses(arguments) {
+		s.node.peers.passOn(arguments.Rumor, messenger.MethodLosses, &arguments)
+	}
 	return nil
 }
 
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -19,8 +19,9 @@
 
 // HandleLosses applies a peer's findings on lost instances. A loss that this
 // instance's own probes found is cleared only by its own probes; what a peer reaches is
-// then lost only here.
-func (o *Observer) HandleLosses(message messenger.LossesMessage) {
+// then lost only here. It reports whether the message must be passed on: losses that are
+// known here have been passed on before.
+func (o *Observer) HandleLosses(message messenger.LossesMessage) (passOn bool) {
 	now := clocker.Now()
 	o.mu.Lock()
 	changed := false
@@ -51,6 +52,7 @@
 	if changed {
 		o.signal()
 	}
+	return changed || len(message.Found) > 0
 }
 
 // HandleLeaving records that an instance has said in a response that it leaves: it gets
--- a/internal/observer/network_test.go
+++ b/internal/observer/network_test.go
@@ -34,6 +34,8 @@
 // network is a platform with several entry instances, each of which may be cut off from any
 // of the backend servers.
 type network struct {
+	size      networkSize
+	entries   []*entry
 	observers []*Observer
 	instances []provider.Instance
 	config    *mapper.RouteTable
@@ -44,7 +46,7 @@
 	// crashed holds the error of a probe of a server that has crashed.
 	crashed map[string]error
 
-	probes, announcements, inquiries atomic.Int64
+	probes, announcements, inquiries, rumors atomic.Int64
 }
 
 // pair is an entry instance and a backend server.
@@ -54,7 +56,12 @@
 }
 
 // networkSize is the size of a network.
-type networkSize struct{ entries, groups, plain, domains int }
+type networkSize struct {
+	entries, groups, plain, domains int
+	// degree is the number of peers to which an announcement is sent, which pass it on, or
+	// zero for all.
+	degree int
+}
 
 const groupMembers = 4
 
@@ -62,7 +69,7 @@
 
 func newNetwork(t *testing.T, size networkSize) *network {
 	t.Helper()
-	n := &network{failures: make(map[pair]error), crashed: make(map[string]error)}
+	n := &network{size: size, failures: make(map[pair]error), crashed: make(map[string]error)}
 	for g := range size.groups {
 		for rank := range groupMembers {
 			state := provider.MemberReady
@@ -83,6 +90,7 @@
 	}})
 	for i := range size.entries {
 		e := &entry{network: n, index: i}
+		n.entries = append(n.entries, e)
 		n.observers = append(n.observers, New(Dependencies{Source: e, Prober: e, Announcer: e, Scope: tally.NoopScope}))
 	}
 	for _, o := range n.observers {
@@ -99,6 +107,8 @@
 type entry struct {
 	network *network
 	index   int
+	// seen holds the announcements that it has sent or received.
+	seen sync.Map
 }
 
 func (*entry) Interval() time.Duration { return 0 }
@@ -124,11 +134,30 @@
 func (e *entry) Count() int { return len(e.network.observers) }
 
 func (e *entry) Announce(_ context.Context, message messenger.LossesMessage) {
-	for i, o := range e.network.observers {
-		if i != e.index {
-			e.network.announcements.Add(1)
-			time.AfterFunc(messageDelay, func() { o.HandleLosses(message) })
-		}
+	message.Rumor = strconv.FormatInt(e.network.rumors.Add(1), 10)
+	e.seen.Store(message.Rumor, true)
+	e.spread(message)
+}
+
+func (e *entry) spread(message messenger.LossesMessage) {
+	n := e.network
+	recipients := slices.Delete(upTo(len(n.entries)), e.index, e.index+1)
+	if n.size.degree > 0 {
+		rand.Shuffle(len(recipients), func(i, j int) { recipients[i], recipients[j] = recipients[j], recipients[i] })
+		recipients = recipients[:n.size.degree]
+	}
+	for _, i := range recipients {
+		n.announcements.Add(1)
+		time.AfterFunc(messageDelay, func() { n.entries[i].receive(message) })
+	}
+}
+
+func (e *entry) receive(message messenger.LossesMessage) {
+	if _, known := e.seen.LoadOrStore(message.Rumor, true); known {
+		return
+	}
+	if e.network.observers[e.index].HandleLosses(message) && e.network.size.degree > 0 {
+		e.spread(message)
 	}
 }
 
