--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // testCodec reads and writes metadata in headers with short names.
@@ -75,6 +76,8 @@
 	dead      map[string]bool
 	// unreachable makes the probes of all instances fail.
 	unreachable bool
+	// testimonies are the answers of peers that are asked whether they reach an instance.
+	testimonies []tracker.Testimony
 	// peers is the number of other entry instances.
 	peers int
 	// held holds readings of the store until it is closed, unless it is nil.
@@ -122,6 +125,12 @@
 
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
 
+func (p *platformStub) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.testimonies
+}
+
 // peerDelay is the time that a message takes from one entry instance to another.
 const peerDelay = 50 * time.Millisecond
 
