Forwarder: requests go by a peer where no server can be reached from here

A request left an entry instance only by its own path, so that 'no server can be reached from here' was taken for 'no server can be sent it'. Excluded by the record: losses that spread to the others, lack of processor time.

Now the instance that took the request hands it to a peer that reaches a server with room. It keeps the caller's connection, the deadline, the attempts, the retry budget and the place from which a stream resumes; the peer makes one attempt under its own queue, keys, permits and quarantines. An instance that is cut tells so in its membership record and is left out of the directory while half of the instances remain.

--- a/internal/detourer/head.go
+++ b/internal/detourer/head.go
@@ -14,9 +14,6 @@
 	Delimited bool
 	// Stream says that the response is a stream of events.
 	Stream bool
-	// Upstream and Instance name the server that responded.
-	Upstream string
-	Instance string
 	// Took is the time from the arrival of the request at the peer to the head.
 	Took time.Duration
 }
@@ -26,8 +23,6 @@
 	fieldStatus    = "status"
 	fieldDelimited = "delimited"
 	fieldStream    = "stream"
-	fieldUpstream  = "upstream"
-	fieldInstance  = "instance"
 	fieldTook      = "took"
 )
 
@@ -36,8 +31,6 @@
 	fields.setInt(fieldStatus, h.Status)
 	fields.setBool(fieldDelimited, h.Delimited)
 	fields.setBool(fieldStream, h.Stream)
-	fields.setText(fieldUpstream, h.Upstream)
-	fields.setText(fieldInstance, h.Instance)
 	fields.setDuration(fieldTook, h.Took)
 	return fields.encode("encode response", h.Header)
 }
@@ -60,8 +53,6 @@
 		Header:    header,
 		Delimited: fields.boolean(fieldDelimited),
 		Stream:    fields.boolean(fieldStream),
-		Upstream:  fields.text(fieldUpstream),
-		Instance:  fields.text(fieldInstance),
 		Took:      took,
 	}, nil
 }
--- a/internal/detourer/refusal.go
+++ b/internal/detourer/refusal.go
@@ -36,6 +36,8 @@
 	NothingSent bool
 	// RetryAfter is the delay after which the request may be sent again, or zero.
 	RetryAfter time.Duration
+	// Upstreams names the upstreams to which the peer has sent the request.
+	Upstreams []string
 }
 
 // Error returns "kind (outcome): text".
@@ -55,6 +57,7 @@
 	fieldOutcome     = "outcome"
 	fieldNothingSent = "nothing_sent"
 	fieldRetryAfter  = "retry_after"
+	fieldUpstreams   = "upstreams"
 )
 
 // maxRefusalTextBytes bounds the text of a refusal; the rest is cut off.
@@ -67,6 +70,9 @@
 	fields.setText(fieldOutcome, r.Outcome.String())
 	fields.setBool(fieldNothingSent, r.NothingSent)
 	fields.setDuration(fieldRetryAfter, r.RetryAfter)
+	if len(r.Upstreams) > 0 {
+		fields[fieldUpstreams] = r.Upstreams
+	}
 	return fields.encode("encode refusal", nil)
 }
 
@@ -88,6 +94,7 @@
 		Text:        fields.text(fieldText),
 		Outcome:     outcomes[known],
 		NothingSent: fields.boolean(fieldNothingSent),
+		Upstreams:   fields.texts(fieldUpstreams),
 	}
 	r.RetryAfter, err = fields.duration(fieldRetryAfter)
 	return r, err
--- a/internal/explainer/request.go
+++ b/internal/explainer/request.go
@@ -17,11 +17,16 @@
 	// upstreams and instances are the distinct destinations of its attempts.
 	upstreams []string
 	instances []string
+	// peers are the entry instances to which the request was handed.
+	peers []string
 }
 
 func newRequestInfo(lines []Line) requestInfo {
-	info := requestInfo{process: lines[0].process(), from: lines[0].At, to: lines[len(lines)-1].At}
+	info := requestInfo{process: callerProcess(lines), from: lines[0].At, to: lines[len(lines)-1].At}
 	for _, l := range lines {
+		if peer := l.text(logger.FieldPeer); l.Message == logger.LineHopBegun && !slices.Contains(info.peers, peer) {
+			info.peers = append(info.peers, peer)
+		}
 		if model := l.text(logger.FieldModel); model != "" {
 			info.model = model
 		}
@@ -39,6 +44,23 @@
 	return info
 }
 
+// callerProcess returns the process that took the request from its caller. Others took it
+// from a peer.
+func callerProcess(lines []Line) process {
+	takers := make(map[process]bool)
+	for _, l := range lines {
+		if l.Message == logger.LineHopTaken {
+			takers[l.process()] = true
+		}
+	}
+	for _, l := range lines {
+		if !takers[l.process()] {
+			return l.process()
+		}
+	}
+	return lines[0].process()
+}
+
 // isRelevant reports whether a line that does not name the request helps to explain
 // it.
 func (r requestInfo) isRelevant(l Line) bool {
@@ -73,6 +95,9 @@
 		}
 	}
 	where := fmt.Sprintf("at %s", r.process.entry)
+	if len(r.peers) > 0 {
+		where += fmt.Sprintf(" by way of %s", strings.Join(r.peers, ", "))
+	}
 	switch lastLine.Message {
 	case logger.LineRefused:
 		return r.describeRefusal(where, lastLine, requestLines, lines)
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -51,19 +52,17 @@
 			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
 		}
 	}
+	if f.path(x.config, x.request, x.pool, free, nil) == pathfinder.ByPeer {
+		return nil
+	}
+	if x.request.Detour != nil && len(f.destinations(x.config, x.pool)) == 0 {
+		// Its sender can ask another peer.
+		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
+	}
 	f.mu.Lock()
 	p := f.poolFor(x.pool)
 	p.workload.ObserveRequest(x.request.PromptTokens, x.route.Objective, x.route.GapObjective)
-	f.lastTicketID++
-	ticket := limiter.Ticket{
-		ID:                f.lastTicketID,
-		Organisation:      x.organisation.Name,
-		Priority:          x.organisation.Priority*priorityRanks + x.route.Priority,
-		Deadline:          x.deadline,
-		StartBy:           x.queueUntil,
-		ObjectiveStartBy:  x.objectiveStartBy,
-		PreviouslyRefused: f.previouslyRefused(now, x.fingerprint),
-	}
+	ticket := x.newTicket(now)
 	decision := p.queue.Offer(now, ticket, free)
 	if decision.Evicted != nil {
 		p.notify(decision.Evicted.ID, overloaded(decision.RetryAfter))
@@ -102,6 +101,20 @@
 	return &Refusal{Op: "admit", Kind: KindDeadlineExceeded, Outcome: retrier.NotRun, Err: ctx.Err()}
 }
 
+// newTicket returns the request's place in a queue. The caller holds f.mu.
+func (x *exchange) newTicket(now time.Time) limiter.Ticket {
+	x.f.lastTicketID++
+	return limiter.Ticket{
+		ID:                x.f.lastTicketID,
+		Organisation:      x.organisation.Name,
+		Priority:          x.organisation.Priority*priorityRanks + x.route.Priority,
+		Deadline:          x.deadline,
+		StartBy:           x.queueUntil,
+		ObjectiveStartBy:  x.objectiveStartBy,
+		PreviouslyRefused: x.f.previouslyRefused(now, x.fingerprint),
+	}
+}
+
 // previouslyRefused reports whether a request with this content was refused
 // within returnWindow.
 func (f *Forwarder) previouslyRefused(now time.Time, content quarantiner.Fingerprint) bool {
@@ -150,10 +163,14 @@
 func (f *Forwarder) startQueued(config *mapper.RouteTable, key poolKey) {
 	now := clocker.Now()
 	free := f.freeSlots(config, key)
+	byPeers := f.path(config, nil, key, free, nil) == pathfinder.ByPeer
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	free = f.ownShare(free)
 	p := f.poolFor(key)
+	if byPeers {
+		free = p.queue.Len()
+	}
 	for _, t := range p.queue.Expire(now) {
 		p.notify(t.ID, overloaded(p.queue.RetryAfter()))
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -37,7 +38,9 @@
 
 // attempt is one sending of a request to one upstream.
 type attempt struct {
-	active   *activeAttempt
+	active *activeAttempt
+	// hop is set if a peer sends the request.
+	hop      *hop
 	response *http.Response
 	reader   *bufio.Reader
 	body     *bodychecker.Body
@@ -71,11 +74,17 @@
 		return nil, retrier.Event{Kind: retrier.Blocked}
 	}
 	config := x.f.Observer.Config()
+	if x.f.attemptPath(x, config) == pathfinder.ByPeer {
+		return x.startDetour()
+	}
 	a := x.newAttempt()
 	x.watch(a)
 	chosen, found := x.f.pick(config, x.pool, a.active, x.failedUpstreams)
 	if !found {
 		a.active.cancel(context.Canceled)
+		if x.request.Detour != nil {
+			return nil, retrier.Event{Kind: retrier.Declined}
+		}
 		// Zero if no server says when it takes requests again.
 		availableAt, _ := x.f.deferredUntil(config, x.pool)
 		return nil, retrier.Event{Kind: retrier.NoBackend, AvailableAt: availableAt}
@@ -113,6 +122,11 @@
 // been sent. It reads the cause once, because checkUpstreams may cancel the
 // attempt at any time.
 func (x *exchange) handleBreak(a *attempt, err error) retrier.Event {
+	if a.hop != nil {
+		event, outcome, retryAfter := x.classifyHopError(a, err)
+		x.f.endHop(a, outcome, retryAfter)
+		return event
+	}
 	cause := a.cause(err)
 	event := x.excludeUpstream(a.active.upstream, cause)
 	x.checkForCrash(a, cause)
@@ -136,9 +150,8 @@
 // event before anything is sent to the caller.
 func (x *exchange) receive(a *attempt) (*Response, retrier.Event) {
 	metadata := x.f.Codec.ParseResponse(a.response.StatusCode, a.response.Header)
-	x.f.noteStatements(a.active.upstream.head(), metadata)
-	if !metadata.Misdirected && (metadata.Verified || metadata.NotRun) {
-		x.f.permits.observe(a.active.upstream.head(), a.sentAt, metadata)
+	if a.hop == nil {
+		x.f.noteMetadata(a, metadata)
 	}
 	if event, bad := x.checkResponse(a, metadata); bad {
 		x.f.finishAttempt(a, !metadata.NotRun)
@@ -152,6 +165,14 @@
 	return x.receiveFull(a)
 }
 
+// noteMetadata records what a server says of itself in the header of a response.
+func (f *Forwarder) noteMetadata(a *attempt, metadata ResponseMetadata) {
+	f.noteStatements(a.active.upstream.head(), metadata)
+	if !metadata.Misdirected && (metadata.Verified || metadata.NotRun) {
+		f.permits.observe(a.active.upstream.head(), a.sentAt, metadata)
+	}
+}
+
 // checkResponse rejects responses that belong to another request, that were not
 // produced by a backend server, or that say that the request was not run. It
 // reports whether the response is rejected, and the event for the retry
@@ -321,6 +342,7 @@
 
 // finishAttempt unregisters an attempt and closes its response body.
 func (f *Forwarder) finishAttempt(a *attempt, failed bool) {
+	f.endHop(a, pathfinder.Answered, 0)
 	f.unregisterAttempt(a.active, failed)
 	if a.response != nil {
 		if a.complete {
--- /dev/null
+++ b/internal/forwarder/detour.go
@@ -0,0 +1,224 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/detourer"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/retrier"
+)
+
+// Detours hands requests to peers that reach backend servers.
+type Detours interface {
+	// Do hands a request to the peer at an address, and returns once the head of the
+	// server's response has arrived. Its errors are those of [detourer.Client].
+	Do(ctx context.Context, peer netip.AddrPort, e *detourer.Envelope) (*http.Response, detourer.Head, error)
+}
+
+// DetourPeer is a peer to which requests may be handed.
+type DetourPeer struct {
+	pathfinder.Peer
+	Address netip.AddrPort
+}
+
+const (
+	// maxAskedPeers is the number of peers that may decline a request before its caller is
+	// told to come back.
+	maxAskedPeers = 3
+	// hopMargin is how much sooner a peer gives a request up, so that its word of it
+	// arrives in time.
+	hopMargin = 50 * time.Millisecond
+	// peerUpstreamPrefix precedes the ID of a peer in the names of the upstreams of a
+	// request.
+	peerUpstreamPrefix = "peer/"
+)
+
+// hop is the part of an attempt that goes by a peer.
+type hop struct {
+	peer    DetourPeer
+	beganAt time.Time
+	ended   bool
+}
+
+// path returns the way that the next attempt at a request of a pool takes; free is the
+// number of requests that the pool can run at once from here, and failed names the
+// upstreams that have failed the request.
+func (f *Forwarder) path(config *mapper.RouteTable, r *Request, key poolKey, free int, failed map[string]bool) pathfinder.Path {
+	if f.Detours == nil || r != nil && r.Detour != nil || !f.reachableByPeers(config, key) {
+		return pathfinder.Straight
+	}
+	here := false
+	for _, d := range f.destinations(config, key) {
+		here = here || !failed[d.name]
+	}
+	return pathfinder.Decide(pathfinder.Situation{Here: here, Room: free > 0, Cut: f.Observer.PathCut(), ByPeers: true})
+}
+
+// reachableByPeers reports whether a pool has servers that can't be reached from here,
+// though peers are believed to reach them.
+func (f *Forwarder) reachableByPeers(config *mapper.RouteTable, key poolKey) bool {
+	service, found := config.Service(key.service)
+	if !found {
+		return false
+	}
+	model := key.model
+	if service.Engine == nil {
+		model = ""
+	}
+	return f.Observer.ReachableByPeers(key.service, model)
+}
+
+// attemptPath returns the way that the next attempt at a request takes.
+func (f *Forwarder) attemptPath(x *exchange, config *mapper.RouteTable) pathfinder.Path {
+	if f.Detours == nil || x.request.Detour != nil || !f.reachableByPeers(config, x.pool) {
+		return pathfinder.Straight
+	}
+	return f.path(config, x.request, x.pool, f.freeSlots(config, x.pool), x.failedUpstreams)
+}
+
+// startDetour has a peer send the request once. It returns the response, or the event for
+// the retry machine.
+func (x *exchange) startDetour() (*Response, retrier.Event) {
+	peer, found := x.choosePeer()
+	if !found {
+		return nil, retrier.Event{Kind: retrier.Declined}
+	}
+	a := x.newAttempt()
+	a.hop = &hop{peer: peer, beganAt: clocker.Now()}
+	x.f.mu.Lock()
+	x.f.detourPeers.Begin(peer.ID)
+	x.f.registerAttempt(a.hop.beganAt, newPeerUpstream(peer), a.active)
+	x.f.mu.Unlock()
+	x.triedUpstreams = append(x.triedUpstreams, a.active.upstream.name)
+	x.logDetour(peer)
+	if err := x.f.handOver(x, a); err != nil {
+		event, outcome, retryAfter := x.classifyHopError(a, err)
+		x.f.endHop(a, outcome, retryAfter)
+		x.f.finishAttempt(a, true)
+		return nil, event
+	}
+	return x.receive(a)
+}
+
+// choosePeer returns the peer that is asked next. If there is none for the moment, peers
+// that have declined the request may be asked again later.
+func (x *exchange) choosePeer() (DetourPeer, bool) {
+	all := x.f.Peers.DetourPeers()
+	byID := make(map[string]DetourPeer, len(all))
+	peers := make([]pathfinder.Peer, len(all))
+	for i, p := range all {
+		byID[p.ID], peers[i] = p, p.Peer
+	}
+	x.f.mu.Lock()
+	chosen, found := x.f.detourPeers.Choose(clocker.Now(), x.f.settings.Load().DataCentre, peers, x.askedPeers)
+	x.f.mu.Unlock()
+	if !found || len(x.askedPeers) >= maxAskedPeers {
+		clear(x.askedPeers)
+		return DetourPeer{}, false
+	}
+	x.askedPeers[chosen.ID] = true
+	return byID[chosen.ID], true
+}
+
+// newPeerUpstream returns the upstream that stands for a peer in one attempt. It is not
+// among the upstreams that are checked for silence; the hop has its own keep-alives.
+func newPeerUpstream(peer DetourPeer) *upstream {
+	u := &upstream{name: peerUpstreamPrefix + peer.ID, active: make(map[*activeAttempt]struct{})}
+	u.current.Store(&upstreamState{members: []provider.Instance{{ID: peer.ID, DataCentre: peer.DataCentre, Address: peer.Address}}})
+	return u
+}
+
+// handOver hands the request to the attempt's peer and waits for the head of the response.
+func (f *Forwarder) handOver(x *exchange, a *attempt) error {
+	a.ctx, a.span = f.Tracer.Start(a.ctx, "hop", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("request", x.request.ID), attribute.String("peer", a.hop.peer.ID)))
+	now := clocker.Now()
+	excluded := make([]string, 0, len(x.failedUpstreams))
+	for name := range x.failedUpstreams {
+		excluded = append(excluded, name)
+	}
+	response, head, err := f.Detours.Do(a.ctx, a.hop.peer.Address, &detourer.Envelope{
+		ID: x.request.ID, Sender: f.Entry, Host: x.request.Host, Method: x.request.Method,
+		Target: x.request.Target, Path: x.request.Path, Header: x.request.Header, Body: x.request.Body,
+		Remaining: x.deadline.Sub(now) - hopMargin, Elapsed: now.Sub(x.request.Arrived),
+		LastEventID: x.lastEventID, Excluded: excluded,
+	})
+	if err != nil {
+		return err
+	}
+	a.response = response
+	f.metrics.hopTime.RecordDuration(max(0, clocker.Since(a.hop.beganAt)-head.Took))
+	return nil
+}
+
+// classifyHopError returns what a hop without a response, or without the rest of one, means
+// for the request and for its peer.
+func (x *exchange) classifyHopError(a *attempt, err error) (event retrier.Event, outcome pathfinder.Outcome, retryAfter time.Duration) {
+	cause := a.cause(err)
+	x.lastErr = cause
+	refusal, refused := detourer.RefusalOf(err)
+	if refused {
+		for _, name := range refusal.Upstreams {
+			x.failedUpstreams[name] = true
+		}
+	}
+	var hopErr *detourer.Error
+	unreachable := errors.As(err, &hopErr) && (hopErr.Kind == detourer.KindUnreachable || hopErr.Kind == detourer.KindTooLarge)
+	switch {
+	case refused && refusal.Outcome == retrier.NotRun && refusal.Kind == KindQuarantined.String():
+		return retrier.Event{Kind: retrier.Blocked}, pathfinder.Answered, 0
+	case refused && refusal.Outcome == retrier.NotRun:
+		x.declined = refusal
+		return retrier.Event{Kind: retrier.NotSent, NothingSent: refusal.NothingSent}, pathfinder.Declined, refusal.RetryAfter
+	case refused:
+		x.logHopBroken(a, cause)
+		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
+	case unreachable:
+		return retrier.Event{Kind: retrier.NotSent, NothingSent: true}, pathfinder.Failed, 0
+	case x.ctx.Err() != nil:
+		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
+	}
+	x.logHopBroken(a, cause)
+	return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Failed, 0
+}
+
+// endHop records what became of an attempt at its peer.
+func (f *Forwarder) endHop(a *attempt, outcome pathfinder.Outcome, retryAfter time.Duration) {
+	if a.hop == nil || a.hop.ended {
+		return
+	}
+	a.hop.ended = true
+	f.metrics.recordHop(outcome)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.detourPeers.End(clocker.Now(), a.hop.peer.ID, outcome, retryAfter)
+}
+
+func (x *exchange) logDetour(peer DetourPeer) {
+	x.f.metrics.attempts.Inc(1)
+	if len(x.triedUpstreams) > 1 {
+		x.f.metrics.retries.Inc(1)
+	}
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldPeer: peer.ID, "try": len(x.triedUpstreams), "delivered": x.deliveredEvents,
+		"config_version": x.config.Version,
+	}).Info(logger.LineHopBegun)
+}
+
+func (x *exchange) logHopBroken(a *attempt, err error) {
+	log.WithFields(log.Fields{
+		logger.FieldRequest: x.request.ID, logger.FieldUpstream: a.active.upstream.name, logger.FieldPeer: a.hop.peer.ID, "delivered": x.deliveredEvents,
+	}).WithError(err).Info(logger.LineAttemptFailed)
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/detourer"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
@@ -97,6 +98,10 @@
 	brokenAttempts []brokenAttempt
 	// revoked is set once the configuration no longer allows the request.
 	revoked *Refusal
+	// askedPeers holds the IDs of the peers that were asked to send the request, and declined
+	// is the last refusal of one of them.
+	askedPeers map[string]bool
+	declined   *detourer.Refusal
 	// fallback is the error response of a server. It is sent to the caller if
 	// no later attempt has a better one.
 	fallback *Response
@@ -151,7 +156,7 @@
 	if config == nil {
 		return nil, &Refusal{Op: "begin", Kind: KindNoConfiguration, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
 	}
-	x := &exchange{f: f, request: r, failedUpstreams: make(map[string]bool)}
+	x := &exchange{f: f, request: r, failedUpstreams: make(map[string]bool), askedPeers: make(map[string]bool)}
 	if refusal := x.authorise(config); refusal != nil {
 		return nil, refusal
 	}
@@ -163,6 +168,7 @@
 		timeout = r.Timeout
 	}
 	x.deadline = r.Arrived.Add(timeout - responseMargin)
+	x.applyDetour()
 	x.queueUntil = r.Arrived.Add(min(x.route.CallerTimeout()-startMargin, time.Duration(float64(timeout)*maxWaitFraction)))
 	x.objectiveStartBy = r.Arrived.Add(x.route.Objective - f.typicalFirstEvent(x))
 	x.fingerprint = r.fingerprint(x.organisation)
@@ -177,15 +183,40 @@
 	if err := f.blockedPart(r.PromptParts); err != nil {
 		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun, Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Err: err}
 	}
-	x.retryMachine = retrier.New(retrier.RequestInfo{
+	x.retryMachine = retrier.New(x.retryInfo(), f.budget)
+	x.ctx, x.cancel = context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
+	return x, nil
+}
+
+// retryInfo returns what the retry machine needs to know. The sender of a request that came
+// by a peer counts its attempts and its part of the retry budget.
+func (x *exchange) retryInfo() retrier.RequestInfo {
+	info := retrier.RequestInfo{
 		Idempotent:  x.route.Retryable(),
 		Deadline:    x.deadline,
 		QueueUntil:  x.queueUntil,
 		ResumeWait:  resumeWait,
 		MaxAttempts: max(1, x.route.MaxAttempts),
-	}, f.budget)
-	x.ctx, x.cancel = context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
-	return x, nil
+	}
+	if x.request.Detour != nil {
+		info.MaxAttempts, info.CountedElsewhere = 1, true
+	}
+	return info
+}
+
+// applyDetour sets what the sender of a request that came by a peer has told of it.
+func (x *exchange) applyDetour() {
+	d := x.request.Detour
+	if d == nil {
+		return
+	}
+	if until := clocker.Now().Add(d.Remaining); until.Before(x.deadline) {
+		x.deadline = until
+	}
+	x.lastEventID = d.LastEventID
+	for _, name := range d.Excluded {
+		x.failedUpstreams[name] = true
+	}
 }
 
 // typicalFirstEvent returns how long the first event usually takes at a group
@@ -287,6 +318,11 @@
 		fields["predicted_ms"] = x.predictedFirstEvent.Milliseconds()
 		fields["gap_objective_ms"], fields["max_gap_ms"], fields["spread"] = x.route.GapObjective.Milliseconds(), x.maxGap.Milliseconds(), x.spread
 	}
+	if d := x.request.Detour; d != nil {
+		// The sender counts the request.
+		log.WithFields(fields).WithField(logger.FieldPeer, d.Sender).Info(logger.LineHopEnded)
+		return
+	}
 	log.WithFields(fields).Info(logger.LineEnded)
 	x.f.metrics.recordResponse(x, status, complete, now)
 }
@@ -375,7 +411,10 @@
 
 // refusal returns the error for a request without a response.
 func (x *exchange) refusal(action retrier.Action) *Refusal {
-	refusal := &Refusal{Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(defaultRetryAfter), Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Upstreams: x.triedUpstreams, Err: x.lastErr}
+	refusal := &Refusal{
+		Op: "forward", Kind: KindFailed, Outcome: action.Outcome, RetryAfter: jitter(defaultRetryAfter), Sent: x.retryMachine.Attempts() > 0,
+		Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Upstreams: x.triedUpstreams, Err: x.lastErr,
+	}
 	switch {
 	case x.revoked != nil:
 		refusal.Kind, refusal.RetryAfter = x.revoked.Kind, x.revoked.RetryAfter
@@ -385,6 +424,9 @@
 		refusal.Kind = KindDeadlineExceeded
 	case x.retryMachine.Attempts() == 0:
 		refusal.Kind = KindNoServer
+		if x.declined != nil && x.declined.Kind == KindOverloaded.String() {
+			refusal.Kind, refusal.RetryAfter = KindOverloaded, x.declined.RetryAfter
+		}
 	}
 	if until, all := x.f.deferredUntil(x.config, x.pool); all && action.Outcome == retrier.NotRun && !action.Final {
 		refusal.RetryAfter = max(refusal.RetryAfter, until.Sub(clocker.Now()))
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -40,7 +40,7 @@
 	// An attempt may have run before its first event arrived, so it counts
 	// against the maximum. Only an earlier attempt may be excused.
 	event.RefundAttempt = x.excuseEarlier(u)
-	if !canceledHere {
+	if !canceledHere && !u.isPeer() {
 		x.f.Observer.Suspect(context.WithoutCancel(x.ctx), u.state().members)
 	}
 	fields := log.Fields{
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
@@ -54,6 +55,8 @@
 	BroadcastClearances(ctx context.Context, clearances []quarantiner.Clearance)
 	// RequestPermit sends a request for a permit to the server's permit owner.
 	RequestPermit(ctx context.Context, request permitter.Request) (permitter.Reply, error)
+	// DetourPeers returns the peers to which requests may be handed.
+	DetourPeers() []DetourPeer
 }
 
 const (
@@ -117,11 +120,15 @@
 // Dependencies are the collaborators of a Forwarder.
 type Dependencies struct {
 	Settings
+	// Entry names this entry instance.
+	Entry    string
 	Observer *observer.Observer
 	Codec    Codec
 	Peers    Peers
-	Tracer   trace.Tracer
-	Scope    tally.Scope
+	// Detours hands requests to peers. It may be nil; then no request goes by a peer.
+	Detours Detours
+	Tracer  trace.Tracer
+	Scope   tally.Scope
 }
 
 // Forwarder sends the requests that reach one entry instance to backend
@@ -147,6 +154,7 @@
 	quarantine   *quarantiner.Quarantine
 	parts        *quarantiner.PartQuarantine
 	budget       *retrier.Budget
+	detourPeers  *pathfinder.Peers
 	// recentRefusals holds the time at which a request with the same content
 	// was last refused.
 	recentRefusals     *simplelru.LRU[quarantiner.Fingerprint, time.Time]
@@ -164,6 +172,7 @@
 		// The only possible error is a capacity that is not positive.
 		panic(err)
 	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f := &Forwarder{
 		Dependencies: d,
 		transport: &http.Transport{
@@ -178,7 +187,8 @@
 		permits:        newPermits(d.Scope),
 		responses:      bounder.NewBudget(responseMemory(d.MemoryBytes)),
 		screener:       screener.New(),
-		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random:         random,
+		detourPeers:    pathfinder.NewPeers(random),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
 		peerLoads:      estimator.NewWorkTable(),
@@ -236,6 +246,20 @@
 	return f.activeRequests
 }
 
+// AwaitIdle waits until no request is in progress, or ctx ends.
+func (f *Forwarder) AwaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for f.ActiveRequests() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // wakeQueues makes loop start queued requests and send requests for permits.
 func (f *Forwarder) wakeQueues() {
 	select {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -5,12 +5,18 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 )
 
 // latencyBuckets range from the response time of a plain server to the longest
 // timeout.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 11)
 
+// hopTimeBuckets range from the time of a hop on an idle machine to the silence after which
+// a hop is given up.
+var hopTimeBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 11)
+
 // metrics holds the request metrics.
 type metrics struct {
 	scope    tally.Scope
@@ -28,6 +34,8 @@
 	blockedParts tally.Gauge
 	partRefusals tally.Counter
 	queueTime    tally.Histogram
+	// hopTime is the time to the head of a response that a hop by a peer adds.
+	hopTime tally.Histogram
 	// firstEventTime and requestTime run from a request's arrival to its first
 	// event and to its end.
 	firstEventTime tally.Histogram
@@ -45,6 +53,7 @@
 		blockedParts:   scope.Gauge("blocked_parts"),
 		partRefusals:   scope.Counter("part_refusals"),
 		queueTime:      scope.Histogram("queue_time", latencyBuckets),
+		hopTime:        scope.Histogram("hop_time", hopTimeBuckets),
 		firstEventTime: scope.Histogram("first_event_time", latencyBuckets),
 		requestTime:    scope.Histogram("request_time", latencyBuckets),
 	}
@@ -65,3 +74,13 @@
 func (m *metrics) recordRefusal(r *Refusal) {
 	m.scope.Tagged(map[string]string{"kind": r.Kind.String(), "outcome": r.Outcome.String()}).Counter("refusals").Inc(1)
 }
+
+// recordHop counts a request that was handed to a peer.
+func (m *metrics) recordHop(outcome pathfinder.Outcome) {
+	m.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("hops").Inc(1)
+}
+
+// recordHopTaken counts a request that a peer has handed over.
+func (m *metrics) recordHopTaken(served bool) {
+	m.scope.Tagged(map[string]string{"served": strconv.FormatBool(served)}).Counter("hops_taken").Inc(1)
+}
--- a/internal/forwarder/parts.go
+++ b/internal/forwarder/parts.go
@@ -166,7 +166,7 @@
 // clearParts records that the attempt's server has written since a time, and didn't crash
 // on the request.
 func (x *exchange) clearParts(a *attempt, began time.Time) {
-	if a.sound || len(x.request.PromptParts) == 0 {
+	if a.hop != nil || a.sound || len(x.request.PromptParts) == 0 {
 		return
 	}
 	a.sound = true
@@ -180,6 +180,8 @@
 // response, it may as well be a crash, so that the server is watched for a while first.
 func (x *exchange) judgeEnd(a *attempt, began time.Time) {
 	switch {
+	case a.hop != nil:
+		// The peer judges it.
 	case isDelimited(a.response):
 		x.clearParts(a, began)
 	case !a.sound && len(x.request.PromptParts) > 0:
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -53,6 +53,8 @@
 	// RetryAfter is the delay after which the caller may retry, or zero if
 	// there is none to give.
 	RetryAfter time.Duration
+	// Sent says that a server has received the request, which it may have refused.
+	Sent bool
 	// Route, Service, Model and Upstreams say how the request was routed, for
 	// the log.
 	Route     string
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -46,7 +46,7 @@
 // watch makes an attempt of a request that may run again replaceable: while it waits for a
 // silent server, another attempt is made beside it. Attempts of a replacement are not.
 func (x *exchange) watch(a *attempt) {
-	if !x.route.Retryable() || x.isReplacement {
+	if !x.route.Retryable() || x.isReplacement || a.hop != nil {
 		return
 	}
 	a.replaceable = true
@@ -91,6 +91,7 @@
 	y.ctx, y.cancel = context.WithCancel(x.ctx)
 	y.triedUpstreams = slices.Clone(x.triedUpstreams)
 	y.failedUpstreams = maps.Clone(x.failedUpstreams)
+	y.askedPeers = maps.Clone(x.askedPeers)
 	y.brokenAttempts = slices.Clone(x.brokenAttempts)
 	return &y
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -97,6 +97,8 @@
 	Body   []byte
 	// Arrived is when the request had been read.
 	Arrived time.Time
+	// Detour is set if the request came from a peer.
+	Detour *Detour
 }
 
 // fingerprint identifies the content of a request: its organisation, method,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -186,18 +186,34 @@
 // completed, it aborts the connection, so that the caller sees that the
 // response is incomplete.
 func (r *Response) relay(w http.ResponseWriter) error {
+	control := http.NewResponseController(w)
+	var writeErr error
+	err := r.forEachEvent(func(event []byte) error {
+		if _, writeErr = w.Write(event); writeErr == nil {
+			writeErr = control.Flush()
+		}
+		return writeErr
+	})
+	if err != nil && writeErr == nil {
+		if r.stream.ctx.Err() == nil {
+			log.WithField(logger.FieldRequest, r.stream.request.ID).WithError(err).Warn("stream aborted; it could not be completed")
+		}
+		panic(http.ErrAbortHandler)
+	}
+	return writeErr
+}
+
+// forEachEvent passes the events of a stream to write until the stream ends or an error
+// occurs, and closes the exchange.
+func (r *Response) forEachEvent(write func(event []byte) error) error {
 	x := r.stream
 	defer x.close()
 	complete := false
 	defer func() { x.logResponse(r.Status, complete) }()
 	x.headerSent = true
-	control := http.NewResponseController(w)
 	event := r.Body
 	for len(event) > 0 {
-		if _, err := w.Write(event); err != nil {
-			return err
-		}
-		if err := control.Flush(); err != nil {
+		if err := write(event); err != nil {
 			return err
 		}
 		var err error
@@ -207,10 +223,7 @@
 			return nil
 		}
 		if err != nil {
-			if x.ctx.Err() == nil {
-				log.WithField(logger.FieldRequest, x.request.ID).WithError(err).Warn("stream aborted; it could not be completed")
-			}
-			panic(http.ErrAbortHandler)
+			return err
 		}
 	}
 	return nil
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,9 @@
 // head returns the instance that receives the upstream's requests.
 func (u *upstream) head() provider.Instance { return u.state().members[0] }
 
+// isPeer reports whether the upstream stands for a peer.
+func (u *upstream) isPeer() bool { return strings.HasPrefix(u.name, peerUpstreamPrefix) }
+
 // activeAttempt is an attempt in progress.
 type activeAttempt struct {
 	upstream *upstream
--- a/internal/hostedrunner/directory.go
+++ b/internal/hostedrunner/directory.go
@@ -23,16 +23,31 @@
 // Addresses implements [Directory]. It leaves out instances that are shutting
 // down, that do not respond to peers, or that have no current configuration.
 func (n *Node) Addresses(_ string, limit int) ([]netip.AddrPort, time.Duration) {
-	var addresses []netip.AddrPort
-	for _, m := range n.discoverer.Live() {
-		if !m.Leaving && m.ConfigVersion > 0 {
-			addresses = append(addresses, m.Caller)
-		}
-	}
+	addresses := advertised(n.discoverer.Live())
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(limit, len(addresses))], min(maxAddressTTL, n.settings.AddressTTL)
 }
 
+// advertised returns the caller addresses of the members that callers should use. Members
+// whose path to servers is cut are left out, unless fewer than half would remain: these
+// would have to take all callers, while the others can hand requests to them.
+func advertised(members []gossiper.Member) []netip.AddrPort {
+	var all, connected []netip.AddrPort
+	for _, m := range members {
+		if m.Leaving || m.ConfigVersion == 0 {
+			continue
+		}
+		all = append(all, m.Caller)
+		if !m.PathCut {
+			connected = append(connected, m.Caller)
+		}
+	}
+	if 2*len(connected) < len(all) {
+		return all
+	}
+	return connected
+}
+
 // ready reports whether this instance can serve requests.
 func (n *Node) ready() bool { return n.configFresh() && !n.discoverer.Self().Leaving }
 
@@ -43,14 +58,16 @@
 	return n.observer.Config() != nil && n.observer.ConfigAge() < age
 }
 
-// publishFreshnessLoop publishes whether this instance can serve. A member whose
+// publishFreshnessLoop publishes whether this instance can serve, and whether its path to
+// backend servers is cut. A member whose
 // configuration version is zero is not offered to callers. The record keeps the first
 // version after that: if it followed each one, every change of the configuration would
 // change the records of all members. Exchanges carry the current version.
 func (n *Node) publishFreshnessLoop(ctx context.Context) {
 	pacer.Repeat(ctx, heartbeatInterval, func(context.Context) {
-		fresh := n.configFresh()
+		fresh, cut := n.configFresh(), n.observer.PathCut()
 		n.discoverer.Update(func(m *gossiper.Member) {
+			m.PathCut = cut
 			switch {
 			case !fresh:
 				m.ConfigVersion = 0
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -30,6 +30,7 @@
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
+	"github.com/waxwingmount/waxwingmount/internal/detourer"
 	"github.com/waxwingmount/waxwingmount/internal/discoverer"
 	"github.com/waxwingmount/waxwingmount/internal/forwarder"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
@@ -195,9 +196,11 @@
 	}
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
+		Entry:    s.ID,
 		Observer: n.observer,
 		Codec:    p.Codec,
 		Peers:    n.peers,
+		Detours:  detourer.NewClient(n.pool.DialDetour),
 		Tracer:   n.traces.Tracer("waxwingmount"),
 		Scope:    scope,
 	})
@@ -278,7 +281,8 @@
 	if err != nil {
 		return err
 	}
-	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read)
+	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read,
+		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour)))
 	if err != nil {
 		return err
 	}
@@ -331,6 +335,9 @@
 	drain, cancelDrain := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-time.Since(started))
 	defer cancelDrain()
 	err := callerServer.Shutdown(drain)
+	if idleErr := n.forwarder.AwaitIdle(drain); err == nil {
+		err = idleErr
+	}
 	n.pool.Close()
 	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "live": n.forwarder.ActiveRequests()}).Info(logger.LineEntryStopped)
 	return err
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -11,10 +11,12 @@
 
 	"github.com/apex/log"
 
+	"github.com/waxwingmount/waxwingmount/internal/forwarder"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/assigner"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
+	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
@@ -62,6 +64,17 @@
 // Count implements [forwarder.Peers].
 func (p *peers) Count() int { return p.node.discoverer.Count() }
 
+// DetourPeers implements [forwarder.Peers].
+func (p *peers) DetourPeers() []forwarder.DetourPeer {
+	var found []forwarder.DetourPeer
+	for _, m := range p.node.discoverer.Peers() {
+		if !m.Leaving {
+			found = append(found, forwarder.DetourPeer{Peer: pathfinder.Peer{ID: m.ID, DataCentre: m.DataCentre, Cut: m.PathCut}, Address: m.Peer})
+		}
+	}
+	return found
+}
+
 // BroadcastStrikes implements [forwarder.Peers].
 func (p *peers) BroadcastStrikes(ctx context.Context, strikes []quarantiner.Strike) {
 	go p.runSpread(ctx, messenger.MethodStrike, &messenger.StrikeMessage{Strikes: strikes, Rumor: p.rumors.begin()})
--- a/pkg/gossiper/member.go
+++ b/pkg/gossiper/member.go
@@ -21,6 +21,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// ConfigVersion is the version of the configuration that is in force there.
 	ConfigVersion uint64 `json:"config_version"`
+	// PathCut is set while the instance's path to backend servers is cut that its peers
+	// reach.
+	PathCut bool `json:"path_cut,omitempty"`
 }
 
 // Version orders the records of one member and carries its heartbeat.
