Forwarder: a replacement that was never sent costs no attempt

A stream whose server fell silent and went on was cut when its connection broke later: a replacement that had found no server had used up an attempt and a retry of the budget, though nothing had been sent. Both are taken back now (Machine.RevertRetry). Without it, TestUnsentReplacementCostsNoAttempt fails with an unexpected end of the stream.

--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -41,6 +41,9 @@
 	done chan struct{}
 	// response is nil if the replacement has failed.
 	response *Response
+	// attempts is the count of attempts before the replacement, and tried the number of
+	// upstreams that the request was sent to.
+	attempts, tried int
 }
 
 // watch makes an attempt of a request that may run again replaceable: while it waits for a
@@ -77,7 +80,10 @@
 	if x.replacer.Step(retrier.Suspected, x.canRetry(now)) != retrier.Replace {
 		return
 	}
-	r := &replacement{exchange: x.copyForReplacement(), done: make(chan struct{})}
+	r := &replacement{
+		exchange: x.copyForReplacement(), done: make(chan struct{}),
+		attempts: x.retryMachine.Attempts(), tried: len(x.triedUpstreams),
+	}
 	x.replacement, x.counted = r, a.active.upstream
 	go r.run(x, a, cause)
 }
@@ -112,6 +118,9 @@
 	usable := err == nil && response != y.fallback && (!y.headerSent || response.stream != nil)
 	y.f.mu.Lock()
 	defer y.f.mu.Unlock()
+	if len(y.triedUpstreams) == r.tried {
+		y.retryMachine.RevertRetry(r.attempts)
+	}
 	switch {
 	case !usable:
 		x.replacer.Step(retrier.ReplacementFailed, false)
--- a/internal/forwarder/replacement_test.go
+++ b/internal/forwarder/replacement_test.go
@@ -374,3 +374,30 @@
 	}
 	assert.Assert(t, replaced > 0)
 }
+
+// TestUnsentReplacementCostsNoAttempt guards against a stream that can't be resumed after its
+// connection broke, because a replacement that was never sent anywhere had used up its
+// attempts.
+func TestUnsentReplacementCostsNoAttempt(t *testing.T) {
+	f := newFixture(t)
+	f.addGroup("a", func(w http.ResponseWriter, r *http.Request) {
+		writeHeader(w, r, "text/event-stream")
+		writeAndFlush(w, testEvent(1))
+		f.platform.kill("a-head")
+		time.Sleep(silence)
+		writeAndFlush(w, testEvent(2))
+		f.addGroup("b", func(w http.ResponseWriter, r *http.Request) {
+			writeHeader(w, r, "text/event-stream")
+			for id := nextID(r); id <= 5; id++ {
+				writeAndFlush(w, testEvent(id))
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+		resetConnection(w)
+	})
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	_, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testStream(5))
+}
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -29,6 +29,9 @@
 // Available reports whether a retry is left.
 func (b *Budget) Available() bool { return b.balance >= 1 }
 
+// Refund returns a retry that was withdrawn and not made.
+func (b *Budget) Refund() { b.balance = min(b.balance+1, b.reserve) }
+
 // Withdraw takes one retry from the budget. It returns false if none is left.
 func (b *Budget) Withdraw() bool {
 	if !b.Available() {
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -133,7 +133,9 @@
 	unreached int
 	// mayHaveRun reports whether a backend server may have started the request.
 	mayHaveRun bool
-	done       bool
+	// charged reports whether the last attempt was charged to the budget.
+	charged bool
+	done    bool
 }
 
 // New returns the state machine of a request whose retries are charged to budget.
@@ -183,6 +185,16 @@
 	return m.request.Idempotent && now.Before(m.request.Deadline) && attempts < m.request.MaxAttempts && m.budget.Available()
 }
 
+// RevertRetry takes back a retry that ended before anything was sent to a backend server,
+// while the attempt before it, with that count of attempts, goes on.
+func (m *Machine) RevertRetry(attempts int) {
+	m.attempts = attempts
+	if m.charged {
+		m.budget.Refund()
+		m.charged = false
+	}
+}
+
 // expired ends the request because of its deadline.
 func (m *Machine) expired() Action {
 	action := m.respond(m.failure())
@@ -281,8 +293,10 @@
 	if event.RefundAttempt {
 		m.attempts = max(0, m.attempts-1)
 	}
+	m.charged = false
 	if m.attempts >= m.request.MaxAttempts || !m.budget.Withdraw() {
 		return m.respond(m.failure())
 	}
+	m.charged = true
 	return m.attempt(event.Delivered)
 }
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -40,6 +40,12 @@
 				}, NewBudget(0, float64(reserve)))
 				return ""
 			}
+			if d.Cmd == "revert" {
+				attempts := 0
+				d.ScanArgs(t, "attempts", &attempts)
+				machine.RevertRetry(attempts)
+				return ""
+			}
 			event := Event{Kind: eventNamed(d.Cmd)}
 			ms := 0
 			event.NothingSent, event.RefundAttempt = d.HasArg("nothing_sent"), d.HasArg("refund_attempt")
