--- a/pkg/tracker/losses.go
+++ b/pkg/tracker/losses.go
@@ -123,19 +123,6 @@
 	return t.path.FailedSince(id)
 }
 
-// ReachedByPeer reports whether an instance can't be reached from here though a peer has
-// reached it.
-func (t *Tracker) ReachedByPeer(id string) bool {
-	if l, lost := t.losses[id]; lost {
-		return l.contradicted
-	}
-	_, failed := t.path.FailedSince(id)
-	return failed
-}
-
-// Reachable reports whether an instance is neither lost nor unreachable from here.
-func (t *Tracker) Reachable(id string) bool { return !t.IsLost(id) && t.path.Reachable(id) }
-
 // LostInstances returns the known instances that are marked as lost, sorted by
 // ID.
 func (t *Tracker) LostInstances() []provider.Instance {
