Soak: the proxies of servers tell entry instances apart

Cause: each server has one proxied address, so that a fault of its link hit all entry instances at once, and no test could cut some of them from the servers.

Change: a proxy can hold a fault for the connections of one entry instance, on top of that of the link.

The proxy finds which process opened a connection by the inode of its socket (sock_diag) among the open files of the daemons. Ruled out: addresses of their own for each entry instance, translated by the emulated store, since entry instances pass the rows of the servers on to each other; and a source address, since the daemon binds none and has no setting for it. The lookup needs no change of the product or the emulator. A connection that no process holds any more is reset.

Limit: a new connection is accepted by the kernel before the proxy holds or resets it, so that callers of connect see it succeed. One that was begun during a cut and given up before its end never reaches the server.

--- a/internal/soaker/fixture_test.go
+++ b/internal/soaker/fixture_test.go
@@ -167,7 +167,7 @@
 			settings.PeerAddresses[f.serverID(other)] = f.address(blockServerProxy, other, portOther)
 		}
 	}
-	proxy, err := newProxy(proxied, direct)
+	proxy, err := newOwnedProxy(proxied, direct, f.entryOf)
 	assert.NilError(f.t, err)
 	f.serverProxies = append(f.serverProxies, proxy)
 	f.servers = append(f.servers, f.newEmulatedProcess(settings.ID, roleServer, serverSettings{Address: direct, Worker: settings}))
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -194,6 +194,16 @@
 	p.running.Process.Signal(s)
 }
 
+// pid returns the identifier of the running process, or zero.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		return 0
+	}
+	return p.running.Process.Pid
+}
+
 // writeLine writes a line to the standard input of the process.
 func (p *process) writeLine(line string) {
 	p.mu.Lock()
