--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -21,6 +21,7 @@
 	first    = flag.Uint64("first", 0, "seed of the first new scenario; 0 uses the default seed")
 	keepLogs = flag.String("keep-logs", "", "directory for the logs of the entry instances; empty discards them")
 	configs  = flag.Int("configs", 0, "number of scenarios of the configuration; with -configs or -seeds the usual ones are not run")
+	cuts     = flag.Bool("cuts", false, "run a cut of each kind and size instead of two")
 	beside   = flag.String("beside", "", "absolute path of a daemon of another build that every second start of an entry instance uses; empty uses the built one only")
 )
 
@@ -59,9 +60,7 @@
 // TestSoak runs the real daemon through seeded fault scenarios: by default those
 // of testdata, which failed before, and one new scenario.
 func TestSoak(t *testing.T) {
-	daemon := filepath.Join(t.TempDir(), "waxwingd")
-	build, err := exec.Command("go", "build", "-o", daemon, "../../cmd/waxwingd").CombinedOutput()
-	assert.NilError(t, err, "%s", build)
+	daemon := buildDaemon(t)
 	scenarios := append(regressions(t, "testdata/seeds.txt", false), regressions(t, "testdata/seeds_with_returns.txt", true)...)
 	if *seeds > 0 || *first > 0 || *configs > 0 {
 		scenarios = nil
@@ -86,6 +85,14 @@
 	}
 }
 
+// buildDaemon builds the daemon and returns its path.
+func buildDaemon(t *testing.T) string {
+	daemon := filepath.Join(t.TempDir(), "waxwingd")
+	build, err := exec.Command("go", "build", "-o", daemon, "../../cmd/waxwingd").CombinedOutput()
+	assert.NilError(t, err, "%s", build)
+	return daemon
+}
+
 // regressions reads the seeds of scenarios that failed before.
 func regressions(t *testing.T, path string, returns bool) []scenario {
 	file, err := os.Open(path)
