Forwarder: streams that are running when the path is cut resume by a peer

Traced: the first attempt and the next one were reset within 6 ms, before the cut was found, and the route's two attempts were used up; a peer then refused a resumed stream because new requests filled its queue. Now a stream of which its caller has received a part waits up to 1.5 s for the word that an attempt does not count, an attempt at a server that is cut off from here is excused at once, a broken stream resumes 30 ms later, when a reset path is known, and a resumed stream does not queue a second time at a peer, as it does not at its own entry instance.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -55,9 +55,12 @@
 	if f.path(x.config, x.request, x.pool, free, nil) == pathfinder.ByPeer {
 		return nil
 	}
-	if x.request.Detour != nil && len(f.destinations(x.config, x.pool)) == 0 {
+	if d := x.request.Detour; d != nil && len(f.destinations(x.config, x.pool)) == 0 {
 		// Its sender can ask another peer.
 		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
+	} else if d != nil && d.LastEventID != "" {
+		// A stream that resumes does not wait in a queue again, here as at its sender.
+		return nil
 	}
 	f.mu.Lock()
 	p := f.poolFor(x.pool)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -196,10 +196,11 @@
 		Deadline:    x.deadline,
 		QueueUntil:  x.queueUntil,
 		ResumeWait:  resumeWait,
+		VerdictWait: resumeWait,
 		MaxAttempts: max(1, x.route.MaxAttempts),
 	}
 	if x.request.Detour != nil {
-		info.MaxAttempts, info.CountedElsewhere = 1, true
+		info.MaxAttempts, info.CountedElsewhere, info.VerdictWait = 1, true, 0
 	}
 	return info
 }
@@ -386,7 +387,7 @@
 			return nil, x.refusal(action)
 		case retrier.Wait:
 			x.wait(action.Delay)
-			event = retrier.Event{Kind: retrier.WaitElapsed}
+			event = retrier.Event{Kind: retrier.WaitElapsed, RefundAttempt: action.AwaitsVerdict && x.excuseAttempt()}
 		case retrier.Attempt:
 			response, next := x.startAttempt()
 			if response != nil {
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -81,20 +81,39 @@
 		x.counted = nil
 		return false
 	}
+	excused := x.takeExcusable(now)
+	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
+	return excused
+}
+
+// excuseAttempt reports whether one of the broken attempts no longer counts against the
+// maximum.
+func (x *exchange) excuseAttempt() bool {
+	now := clocker.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	return x.takeExcusable(now)
+}
+
+// takeExcusable forgets a broken attempt that need not count, and reports whether there is
+// one. The caller holds f.mu.
+func (x *exchange) takeExcusable(now time.Time) bool {
 	i := x.excusableAttempt(now)
 	if i >= 0 {
 		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
 	}
-	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
 	return i >= 0
 }
 
 // excusableAttempt returns the index of a broken attempt that need not count against
-// the maximum, because it broke at least excuseDelay ago and its server is lost or
-// has restarted, or -1. A server that was marked lost only just now may respond
-// again. The caller holds f.mu.
+// the maximum, because its server is cut off from here, or because it broke at least
+// excuseDelay ago and its server is lost or has restarted, or -1. A server that was marked
+// lost only just now may respond again. The caller holds f.mu.
 func (x *exchange) excusableAttempt(now time.Time) int {
 	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
+		if x.f.Observer.PathCut() && x.f.Observer.ReachedByPeer(b.head) {
+			return true
+		}
 		return now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
 	})
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -21,6 +21,10 @@
 	// freeEventBytes is the size up to which an event counts as part of its connection's
 	// buffers, and not against the memory for responses.
 	freeEventBytes = 4096
+	// pathCheckTime is how long it takes to find that the path to the servers is cut, and
+	// not the server lost, if connections are reset or refused. A stream that resumes before
+	// is sent into the cut again.
+	pathCheckTime = 30 * time.Millisecond
 )
 
 var idFieldPrefix = []byte("id:")
@@ -142,6 +146,9 @@
 	a := x.current
 	event := x.handleBreak(a, err)
 	x.endAttempt(true)
+	if x.deliveredEvents > 0 && x.ctx.Err() == nil {
+		x.wait(pathCheckTime)
+	}
 	return event
 }
 
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -47,6 +47,9 @@
 	// MaxAttempts is the maximum number of attempts; 0 or less means
 	// [DefaultMaxAttempts].
 	MaxAttempts int
+	// VerdictWait is how long a request whose attempts are used up, and of which the caller
+	// has received a part, waits for the word that one of them does not count.
+	VerdictWait time.Duration
 	// CountedElsewhere reports whether the request was deposited in the retry budget of
 	// another entry instance, from which it came.
 	CountedElsewhere bool
@@ -119,6 +122,9 @@
 	ResumeFrom int
 	// Delay is the duration of a Wait.
 	Delay time.Duration
+	// AwaitsVerdict reports whether the Wait is for the word that a failed attempt does not
+	// count. The WaitElapsed event then says so by RefundAttempt.
+	AwaitsVerdict bool
 	// Outcome is the outcome that a Respond reports.
 	Outcome Outcome
 	// Final reports whether the caller should not retry the request.
@@ -137,6 +143,8 @@
 	// unreached is the number of consecutive attempts that reached no backend
 	// server.
 	unreached int
+	// verdictBy is the end of a wait for a verdict, or zero.
+	verdictBy time.Time
 	// mayHaveRun reports whether a backend server may have started the request.
 	mayHaveRun bool
 	// charged reports whether the last attempt was charged to the budget.
@@ -170,6 +178,9 @@
 	case Declined:
 		return m.declined(now, event)
 	case WaitElapsed:
+		if !m.verdictBy.IsZero() {
+			return m.retry(now, event)
+		}
 		return m.attempt(event.Delivered)
 	case NotSent:
 		return m.notSent(now, event)
@@ -304,6 +315,21 @@
 	return m.respond(MayHaveRun)
 }
 
+// verdictInterval is the time between two looks for the word that an attempt does not count.
+const verdictInterval = 50 * time.Millisecond
+
+// awaitVerdict waits until one of the attempts is known not to count. A request of which the
+// caller has received nothing ends at once, because the caller can send it again.
+func (m *Machine) awaitVerdict(now time.Time, event Event) Action {
+	if m.verdictBy.IsZero() {
+		m.verdictBy = now.Add(m.request.VerdictWait)
+	}
+	if event.Delivered == 0 || !now.Before(m.verdictBy) {
+		return m.respond(m.failure())
+	}
+	return Action{Kind: Wait, Delay: min(verdictInterval, m.verdictBy.Sub(now)), AwaitsVerdict: true}
+}
+
 // retry makes another attempt if the deadline, the attempts and the retry budget
 // allow it.
 func (m *Machine) retry(now time.Time, event Event) Action {
@@ -314,7 +340,11 @@
 		m.attempts = max(0, m.attempts-1)
 	}
 	m.charged = false
-	if m.attempts >= m.request.MaxAttempts || !m.budget.Withdraw() {
+	if m.attempts >= m.request.MaxAttempts {
+		return m.awaitVerdict(now, event)
+	}
+	m.verdictBy = time.Time{}
+	if !m.budget.Withdraw() {
 		return m.respond(m.failure())
 	}
 	m.charged = true
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -26,7 +26,8 @@
 			}
 			if d.Cmd == "request" {
 				reserve := 10
-				resume, attempts := 0, 0
+				resume, attempts, verdict := 0, 0, 0
+				d.MaybeScanArgs(t, "verdict", &verdict)
 				d.MaybeScanArgs(t, "reserve", &reserve)
 				d.MaybeScanArgs(t, "resume", &resume)
 				d.MaybeScanArgs(t, "attempts", &attempts)
@@ -36,6 +37,7 @@
 					QueueUntil:  start.Add(time.Second),
 					Deadline:    start.Add(5 * time.Second),
 					ResumeWait:  time.Duration(resume) * time.Millisecond,
+					VerdictWait: time.Duration(verdict) * time.Millisecond,
 					MaxAttempts: attempts,
 				}, NewBudget(0, float64(reserve)))
 				return ""
