--- a/internal/hostedrunner/directory.go
+++ b/internal/hostedrunner/directory.go
@@ -65,7 +65,7 @@
 // change the records of all members. Exchanges carry the current version.
 func (n *Node) publishFreshnessLoop(ctx context.Context) {
 	pacer.Repeat(ctx, heartbeatInterval, func(context.Context) {
-		fresh, cut := n.configFresh(), n.observer.PathCut()
+		fresh, cut := n.configFresh(), n.observer.MostlyCut()
 		n.discoverer.Update(func(m *gossiper.Member) {
 			m.PathCut = cut
 			switch {
--- a/internal/observer/survey.go
+++ b/internal/observer/survey.go
@@ -51,6 +51,23 @@
 	return cut
 }
 
+// MostlyCut reports whether the path is cut to at least half of the instances that requests
+// are sent to.
+func (o *Observer) MostlyCut() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, cut := o.tracker.PathCut(); !cut {
+		return false
+	}
+	all, reachable := o.destinations(), 0
+	for _, in := range all {
+		if o.tracker.Reachable(in.ID) {
+			reachable++
+		}
+	}
+	return 2*reachable <= len(all)
+}
+
 // surveyLoop probes the instances that could be sent requests while the path is cut.
 func (o *Observer) surveyLoop(ctx context.Context) {
 	for {
--- a/pkg/gossiper/member.go
+++ b/pkg/gossiper/member.go
@@ -21,8 +21,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// ConfigVersion is the version of the configuration that is in force there.
 	ConfigVersion uint64 `json:"config_version"`
-	// PathCut is set while the instance's path to backend servers is cut that its peers
-	// reach.
+	// PathCut is set while the instance's path is cut to most of the backend servers that
+	// its peers reach.
 	PathCut bool `json:"path_cut,omitempty"`
 }
 
