--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -52,7 +52,7 @@
 			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
 		}
 	}
-	if f.path(x.config, x.request, x.pool, free, nil) == pathfinder.ByPeer {
+	if x.nextPath(x.config, func() int { return free }) == pathfinder.ByPeer {
 		return nil
 	}
 	if d := x.request.Detour; d != nil && len(f.destinations(x.config, x.pool)) == 0 {
@@ -166,7 +166,7 @@
 func (f *Forwarder) startQueued(config *mapper.RouteTable, key poolKey) {
 	now := clocker.Now()
 	free := f.freeSlots(config, key)
-	byPeers := f.path(config, nil, key, free, nil) == pathfinder.ByPeer
+	byPeers := f.path(config, key, false, func() int { return free }, nil) == pathfinder.ByPeer
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	free = f.ownShare(free)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -74,7 +74,7 @@
 		return nil, retrier.Event{Kind: retrier.Blocked}
 	}
 	config := x.f.Observer.Config()
-	if x.f.attemptPath(x, config) == pathfinder.ByPeer {
+	if x.nextPath(config, func() int { return x.f.freeSlots(config, x.pool) }) == pathfinder.ByPeer {
 		return x.startDetour()
 	}
 	a := x.newAttempt()
--- a/internal/forwarder/detour.go
+++ b/internal/forwarder/detour.go
@@ -52,18 +52,18 @@
 	ended   bool
 }
 
-// path returns the way that the next attempt at a request of a pool takes; free is the
-// number of requests that the pool can run at once from here, and failed names the
-// upstreams that have failed the request.
-func (f *Forwarder) path(config *mapper.RouteTable, r *Request, key poolKey, free int, failed map[string]bool) pathfinder.Path {
-	if f.Detours == nil || r != nil && r.Detour != nil || !f.reachableByPeers(config, key) {
-		return pathfinder.Straight
-	}
-	here := false
-	for _, d := range f.destinations(config, key) {
-		here = here || !failed[d.name]
+// path returns the way that a request of a pool takes. detoured says that it came from a
+// peer, free returns the number of requests that the pool can run at once from here, and
+// failed names the upstreams that have failed the request.
+func (f *Forwarder) path(config *mapper.RouteTable, key poolKey, detoured bool, free func() int, failed map[string]bool) pathfinder.Path {
+	s := pathfinder.Situation{Detoured: detoured, ByPeers: f.Detours != nil && f.reachableByPeers(config, key)}
+	if s.ByPeers && !s.Detoured {
+		for _, d := range f.destinations(config, key) {
+			s.Here = s.Here || !failed[d.name]
+		}
+		s.Room, s.Cut = free() > 0, f.Observer.PathCut()
 	}
-	return pathfinder.Decide(pathfinder.Situation{Here: here, Room: free > 0, Cut: f.Observer.PathCut(), ByPeers: true})
+	return pathfinder.Decide(s)
 }
 
 // reachableByPeers reports whether a pool has servers that can't be reached from here,
@@ -80,12 +80,9 @@
 	return f.Observer.ReachableByPeers(key.service, model)
 }
 
-// attemptPath returns the way that the next attempt at a request takes.
-func (f *Forwarder) attemptPath(x *exchange, config *mapper.RouteTable) pathfinder.Path {
-	if f.Detours == nil || x.request.Detour != nil || !f.reachableByPeers(config, x.pool) {
-		return pathfinder.Straight
-	}
-	return f.path(config, x.request, x.pool, f.freeSlots(config, x.pool), x.failedUpstreams)
+// nextPath returns the way that the next attempt at the request takes.
+func (x *exchange) nextPath(config *mapper.RouteTable, free func() int) pathfinder.Path {
+	return x.f.path(config, x.pool, x.request.Detour != nil, free, x.failedUpstreams)
 }
 
 // startDetour has a peer send the request once. It returns the response, or the event for
