Forwarder: a peer's refusal concerns one request; a cut ends

Now a server's refusal lets the same peer try another server, no_server pauses one pool at that peer, and only a peer that fails or shuts down is left alone. A full pool of a cut instance went to peers even if none could be asked, and was refused; it waits now. Peers that are cut themselves are asked last, since each cut is of its own servers. A cut lasted for ever where one listed server had crashed and nobody sound said so. Bodies from peers take from a budget; a shutdown waits until a response has been written to the peer.

TestRefusalConcernsOneRequest, TestHopAsksForAnotherServer, TestLargeRequestKeepsPeer and TestServerBreaksAtPeer; scripts paths and peers.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -166,7 +166,7 @@
 func (f *Forwarder) startQueued(config *mapper.RouteTable, key poolKey) {
 	now := clocker.Now()
 	free := f.freeSlots(config, key)
-	byPeers := f.path(config, key, false, func() int { return free }, nil) == pathfinder.ByPeer
+	byPeers := f.path(config, key, false, func() int { return free }, nil, nil) == pathfinder.ByPeer
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	free = f.ownShare(free)
--- a/internal/forwarder/detour.go
+++ b/internal/forwarder/detour.go
@@ -47,21 +47,24 @@
 
 // hop is the part of an attempt that goes by a peer.
 type hop struct {
-	peer    DetourPeer
+	peer DetourPeer
+	// pool names the pool of the request.
+	pool    string
 	beganAt time.Time
 	ended   bool
 }
 
 // path returns the way that a request of a pool takes. detoured says that it came from a
-// peer, free returns the number of requests that the pool can run at once from here, and
-// failed names the upstreams that have failed the request.
-func (f *Forwarder) path(config *mapper.RouteTable, key poolKey, detoured bool, free func() int, failed map[string]bool) pathfinder.Path {
+// peer, free returns the number of requests that the pool can run at once from here, failed
+// names the upstreams that have failed the request, and asked the peers that were asked.
+func (f *Forwarder) path(config *mapper.RouteTable, key poolKey, detoured bool, free func() int, failed, asked map[string]bool) pathfinder.Path {
 	s := pathfinder.Situation{Detoured: detoured, ByPeers: f.Detours != nil && f.reachableByPeers(config, key)}
 	if s.ByPeers && !s.Detoured {
 		for _, d := range f.destinations(config, key) {
 			s.Here = s.Here || !failed[d.name]
 		}
 		s.Room, s.Cut = free() > 0, f.Observer.PathCut()
+		_, s.Askable = f.findPeer(key, asked)
 	}
 	return pathfinder.Decide(s)
 }
@@ -82,7 +85,7 @@
 
 // nextPath returns the way that the next attempt at the request takes.
 func (x *exchange) nextPath(config *mapper.RouteTable, free func() int) pathfinder.Path {
-	return x.f.path(config, x.pool, x.request.Detour != nil, free, x.failedUpstreams)
+	return x.f.path(config, x.pool, x.request.Detour != nil, free, x.failedUpstreams, x.askedPeers)
 }
 
 // startDetour has a peer send the request once. It returns the response, or the event for
@@ -93,7 +96,7 @@
 		return nil, retrier.Event{Kind: retrier.Declined}
 	}
 	a := x.newAttempt()
-	a.hop = &hop{peer: peer, beganAt: clocker.Now()}
+	a.hop = &hop{peer: peer, pool: x.pool.String(), beganAt: clocker.Now()}
 	x.f.mu.Lock()
 	x.f.detourPeers.Begin(peer.ID)
 	x.f.registerAttempt(a.hop.beganAt, newPeerUpstream(peer), a.active)
@@ -112,21 +115,31 @@
 // choosePeer returns the peer that is asked next. If there is none for the moment, peers
 // that have declined the request may be asked again later.
 func (x *exchange) choosePeer() (DetourPeer, bool) {
-	all := x.f.Peers.DetourPeers()
+	chosen, found := x.f.findPeer(x.pool, x.askedPeers)
+	if !found {
+		clear(x.askedPeers)
+		return DetourPeer{}, false
+	}
+	x.askedPeers[chosen.ID] = true
+	return chosen, true
+}
+
+// findPeer returns the peer that can be asked for a request of a pool, after those that were
+// asked already.
+func (f *Forwarder) findPeer(key poolKey, asked map[string]bool) (DetourPeer, bool) {
+	if len(asked) >= maxAskedPeers {
+		return DetourPeer{}, false
+	}
+	all := f.Peers.DetourPeers()
 	byID := make(map[string]DetourPeer, len(all))
 	peers := make([]pathfinder.Peer, len(all))
 	for i, p := range all {
 		byID[p.ID], peers[i] = p, p.Peer
 	}
-	x.f.mu.Lock()
-	chosen, found := x.f.detourPeers.Choose(clocker.Now(), x.f.settings.Load().DataCentre, peers, x.askedPeers)
-	x.f.mu.Unlock()
-	if !found || len(x.askedPeers) >= maxAskedPeers {
-		clear(x.askedPeers)
-		return DetourPeer{}, false
-	}
-	x.askedPeers[chosen.ID] = true
-	return byID[chosen.ID], true
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	chosen, found := f.detourPeers.Choose(clocker.Now(), f.settings.Load().DataCentre, key.String(), peers, asked)
+	return byID[chosen.ID], found
 }
 
 // newPeerUpstream returns the upstream that stands for a peer in one attempt. It is not
@@ -160,6 +173,13 @@
 	return nil
 }
 
+// hopOutcomes says what a peer's refusal of a request means for its other requests, by the
+// kind of the refusal. Other kinds concern that request alone.
+var hopOutcomes = map[string]pathfinder.Outcome{
+	KindNoServer.String():     pathfinder.Declined,
+	KindShuttingDown.String(): pathfinder.Failed,
+}
+
 // classifyHopError returns what a hop without a response, or without the rest of one, means
 // for the request and for its peer.
 func (x *exchange) classifyHopError(a *attempt, err error) (event retrier.Event, outcome pathfinder.Outcome, retryAfter time.Duration) {
@@ -172,17 +192,24 @@
 		}
 	}
 	var hopErr *detourer.Error
-	unreachable := errors.As(err, &hopErr) && (hopErr.Kind == detourer.KindUnreachable || hopErr.Kind == detourer.KindTooLarge)
+	known := errors.As(err, &hopErr)
 	switch {
+	case known && (hopErr.Kind == detourer.KindTooLarge || hopErr.Kind == detourer.KindMalformed):
+		// No peer can be handed it.
+		return retrier.Event{Kind: retrier.Declined}, pathfinder.Answered, 0
 	case refused && refusal.Outcome == retrier.NotRun && refusal.Kind == KindQuarantined.String():
 		return retrier.Event{Kind: retrier.Blocked}, pathfinder.Answered, 0
+	case refused && refusal.Outcome == retrier.NotRun && !refusal.NothingSent:
+		// A server refused it; the peer may know another one.
+		delete(x.askedPeers, a.hop.peer.ID)
+		return retrier.Event{Kind: retrier.NotSent}, pathfinder.Answered, 0
 	case refused && refusal.Outcome == retrier.NotRun:
 		x.declined = refusal
-		return retrier.Event{Kind: retrier.NotSent, NothingSent: refusal.NothingSent}, pathfinder.Declined, refusal.RetryAfter
+		return retrier.Event{Kind: retrier.NotSent, NothingSent: true}, hopOutcomes[refusal.Kind], refusal.RetryAfter
 	case refused:
 		x.logHopBroken(a, cause)
 		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
-	case unreachable:
+	case known && hopErr.Kind == detourer.KindUnreachable:
 		return retrier.Event{Kind: retrier.NotSent, NothingSent: true}, pathfinder.Failed, 0
 	case x.ctx.Err() != nil:
 		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
@@ -200,7 +227,7 @@
 	f.metrics.recordHop(outcome)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.detourPeers.End(clocker.Now(), a.hop.peer.ID, outcome, retryAfter)
+	f.detourPeers.End(clocker.Now(), a.hop.peer.ID, a.hop.pool, outcome, retryAfter)
 }
 
 func (x *exchange) logDetour(peer DetourPeer) {
--- a/internal/forwarder/detour_server.go
+++ b/internal/forwarder/detour_server.go
@@ -31,6 +31,9 @@
 // under the limits of this entry instance's own requests, and passes the response back.
 func (f *Forwarder) ServeDetour(ctx context.Context, e *detourer.Envelope, w *detourer.ResponseWriter) {
 	began := clocker.Now()
+	// A shutdown waits until the response has been written.
+	f.countActive(1)
+	defer f.countActive(-1)
 	served := false
 	defer func() { f.metrics.recordHopTaken(served) }()
 	log.WithFields(log.Fields{
--- a/internal/forwarder/detour_test.go
+++ b/internal/forwarder/detour_test.go
@@ -289,3 +289,69 @@
 		assert.Check(t, <-statuses == http.StatusOK)
 	}
 }
+
+// TestRefusalConcernsOneRequest guards against one refused request at a peer keeping others,
+// of the same pool or of another one, from being handed to it.
+func TestRefusalConcernsOneRequest(t *testing.T) {
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "rejected" {
+			notRunHandler(w, r)
+			return
+		}
+		servePlain(w, r)
+	})
+	f.cutOff()
+	status, _, _ := f.callAt(f.server, "POST", "/once/", "rejected", "k", "x", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.callAll(f.server, "next"), len(routesOfCut))
+}
+
+// TestHopAsksForAnotherServer guards against callers of a cut entry instance getting the
+// refusal of one server while others would serve them, as they do elsewhere.
+func TestHopAsksForAnotherServer(t *testing.T) {
+	f := newCutFixture(t, nil, nil)
+	f.addServer("z", "plain", notRunHandler)
+	f.eventually(func() bool {
+		return len(f.cut.Observer.Servers("plain")) == 3 && len(f.forwarder.Observer.Servers("plain")) == 3
+	})
+	f.cutOff()
+	const calls = 30
+	served := 0
+	for i := range calls {
+		id := strconv.Itoa(i)
+		if status, _, _ := f.callAt(f.server, "POST", "/safe/", id, "k", id, ""); status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, float64(served) >= cutShare*calls, "served %d of %d", served, calls)
+}
+
+// TestLargeRequestKeepsPeer guards against a peer being left alone because a request is too
+// large to be handed over, and against that request being said to have run.
+func TestLargeRequestKeepsPeer(t *testing.T) {
+	f := newCutFixture(t, nil, nil)
+	config := testConfig(2)
+	config.Limits.BodyBytes = 16 << 20
+	f.platform.configure(config)
+	f.eventually(func() bool { return f.cut.Observer.Config().Version == 2 })
+	f.cutOff()
+	status, _, err := f.callAt(f.server, "POST", "/once/", "large", "k", strings.Repeat("x", 9<<20), "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.callAll(f.server, "next"), len(routesOfCut))
+}
+
+// TestServerBreaksAtPeer guards against a request that a peer's server may have run being
+// said not to have run, or running again.
+func TestServerBreaksAtPeer(t *testing.T) {
+	var runs atomic.Int32
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		resetConnection(w)
+	})
+	f.cutOff()
+	status, _, err := f.callAt(f.server, "POST", "/once/", "r1", "k", "body", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, runs.Load(), int32(1))
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -35,6 +35,8 @@
 	// resumeWait is how long a broken request may wait for another server:
 	// callers abandon a stream after a pause of two seconds.
 	resumeWait = 1500 * time.Millisecond
+	// verdictWait is how long it may take to find that the path to the servers is cut.
+	verdictWait = 600 * time.Millisecond
 	// keyTTLMargin is subtracted from KeyTTL. It covers the drift between
 	// clocks, and the time from the caller's sending of a request until it has
 	// been read.
@@ -196,7 +198,7 @@
 		Deadline:    x.deadline,
 		QueueUntil:  x.queueUntil,
 		ResumeWait:  resumeWait,
-		VerdictWait: resumeWait,
+		VerdictWait: verdictWait,
 		MaxAttempts: max(1, x.route.MaxAttempts),
 	}
 	if x.request.Detour != nil {
@@ -387,7 +389,7 @@
 			return nil, x.refusal(action)
 		case retrier.Wait:
 			x.wait(action.Delay)
-			event = retrier.Event{Kind: retrier.WaitElapsed, RefundAttempt: action.AwaitsVerdict && x.excuseAttempt()}
+			event = retrier.Event{Kind: retrier.WaitElapsed, RefundAttempt: action.AwaitsVerdict && x.excuseCutOff()}
 		case retrier.Attempt:
 			response, next := x.startAttempt()
 			if response != nil {
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -81,24 +81,27 @@
 		x.counted = nil
 		return false
 	}
-	excused := x.takeExcusable(now)
+	excused := x.takeBroken(x.excusableAttempt(now))
 	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
 	return excused
 }
 
-// excuseAttempt reports whether one of the broken attempts no longer counts against the
-// maximum.
-func (x *exchange) excuseAttempt() bool {
-	now := clocker.Now()
+// excuseCutOff reports whether one of the broken attempts no longer counts against the
+// maximum, because its server is cut off from here.
+func (x *exchange) excuseCutOff() bool {
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	return x.takeExcusable(now)
+	return x.takeBroken(slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool { return x.f.isCutOff(b.head) }))
+}
+
+// isCutOff reports whether the path to a server is cut that peers reach.
+func (f *Forwarder) isCutOff(in provider.Instance) bool {
+	return f.Observer.PathCut() && f.Observer.ReachedByPeer(in)
 }
 
-// takeExcusable forgets a broken attempt that need not count, and reports whether there is
-// one. The caller holds f.mu.
-func (x *exchange) takeExcusable(now time.Time) bool {
-	i := x.excusableAttempt(now)
+// takeBroken forgets the broken attempt with that index, and reports whether there is one.
+// The caller holds f.mu.
+func (x *exchange) takeBroken(i int) bool {
 	if i >= 0 {
 		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
 	}
@@ -111,10 +114,7 @@
 // lost only just now may respond again. The caller holds f.mu.
 func (x *exchange) excusableAttempt(now time.Time) int {
 	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
-		if x.f.Observer.PathCut() && x.f.Observer.ReachedByPeer(b.head) {
-			return true
-		}
-		return now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
+		return x.f.isCutOff(b.head) || now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
 	})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -246,6 +246,13 @@
 	return f.activeRequests
 }
 
+// countActive adds to the number of requests in progress.
+func (f *Forwarder) countActive(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.activeRequests += n
+}
+
 // AwaitIdle waits until no request is in progress, or ctx ends.
 func (f *Forwarder) AwaitIdle(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
@@ -327,6 +334,9 @@
 	model   string
 }
 
+// String returns the name of the pool.
+func (k poolKey) String() string { return k.service + "/" + k.model }
+
 // pool is the queue for the servers of one service and model.
 type pool struct {
 	queue    *limiter.Queue
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -40,6 +40,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/relayer"
 	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
@@ -134,6 +135,12 @@
 	// readers and relays.
 	storeDelay = 3 * time.Second
 
+	// detourMemoryDivisor is the ratio of the process's memory to the part that the bodies of
+	// requests from peers may take together; defaultDetourMemory is that part if the memory is
+	// not known.
+	detourMemoryDivisor = 16
+	defaultDetourMemory = 32 << 20
+
 	metricsInterval = time.Second
 	// shutdownCallTimeout limits both announcing the shutdown and giving up the
 	// control lease.
@@ -228,6 +235,14 @@
 	return max(s.ConfigTTL, s.LeavingTTL)
 }
 
+// detourMemory returns the memory for the bodies of requests that peers hand over.
+func (s Settings) detourMemory() int64 {
+	if s.MemoryBytes <= 0 {
+		return defaultDetourMemory
+	}
+	return s.MemoryBytes / detourMemoryDivisor
+}
+
 // storeDelay returns how long this instance leaves the store to its peers after its
 // start: the seeds read at once, so that the others can ask them.
 func (s Settings) storeDelay() time.Duration {
@@ -282,7 +297,7 @@
 		return err
 	}
 	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read,
-		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour)))
+		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour, detourer.WithMemory(bounder.NewBudget(n.settings.detourMemory())))))
 	if err != nil {
 		return err
 	}
--- a/pkg/pathfinder/pathfinder.go
+++ b/pkg/pathfinder/pathfinder.go
@@ -44,6 +44,8 @@
 	// ByPeers reports whether peers are believed to reach a server of the pool that can't
 	// be reached from here.
 	ByPeers bool
+	// Askable reports whether there is a peer that can be asked now.
+	Askable bool
 }
 
 // Decide returns the path of an attempt. Lack of room alone is no reason for a hop: the
@@ -52,7 +54,7 @@
 	switch {
 	case s.Detoured || !s.ByPeers:
 		return Straight
-	case !s.Here || s.Cut && !s.Room:
+	case !s.Here || s.Cut && !s.Room && s.Askable:
 		return ByPeer
 	}
 	return Straight
--- a/pkg/pathfinder/peers.go
+++ b/pkg/pathfinder/peers.go
@@ -9,7 +9,7 @@
 type Peer struct {
 	ID         string
 	DataCentre string
-	// Cut reports whether the peer itself says that its path to servers is cut.
+	// Cut reports whether the peer itself says that its path to most servers is cut.
 	Cut bool
 }
 
@@ -18,9 +18,10 @@
 
 // Outcomes of a hop.
 const (
-	// Answered means that the peer returned the response of a backend server.
+	// Answered means that the peer returned the response of a backend server, or refused
+	// this request for a reason of its own.
 	Answered Outcome = iota // answered
-	// Declined means that the peer refused the request and is well otherwise.
+	// Declined means that the peer can send no request of this pool.
 	Declined // declined
 	// Failed means that the peer could not be reached, went silent or broke the hop.
 	Failed // failed
@@ -31,11 +32,14 @@
 	// that long to tell that it is gone.
 	failedPause = time.Second
 	// minDeclinedPause and maxDeclinedPause bound how long a peer that declined a request
-	// is asked nothing.
+	// is asked for no other one of the same pool.
 	minDeclinedPause = 50 * time.Millisecond
 	maxDeclinedPause = time.Second
 	// farPenalty is added to the requests in progress of a peer in another data centre.
 	farPenalty = 4
+	// cutPenalty is the same for a peer whose path is cut to most servers: it may reach those
+	// that can't be reached from here.
+	cutPenalty = 1000
 	// maxInProgress is the largest number of requests in progress at one peer.
 	maxInProgress = 64
 )
@@ -50,6 +54,22 @@
 type load struct {
 	inProgress  int
 	pausedUntil time.Time
+	// poolPausedUntil holds the pools for which the peer is asked nothing until a time.
+	poolPausedUntil map[string]time.Time
+}
+
+func (l *load) paused(now time.Time, pool string) bool {
+	return now.Before(l.pausedUntil) || now.Before(l.poolPausedUntil[pool])
+}
+
+// idle reports whether nothing is known of the peer.
+func (l *load) idle(now time.Time) bool {
+	for _, until := range l.poolPausedUntil {
+		if now.Before(until) {
+			return false
+		}
+	}
+	return l.inProgress == 0 && !now.Before(l.pausedUntil)
 }
 
 // NewPeers returns Peers without requests. Ties are broken by random.
@@ -57,17 +77,17 @@
 	return &Peers{random: random, byID: make(map[string]*load)}
 }
 
-// Choose returns the peer to ask: the one with the fewest requests in progress from here,
-// near ones first, except those that were tried for this request, that say that they are
-// cut themselves, or that have failed or declined a request lately. It reports false if
-// there is none.
-func (p *Peers) Choose(now time.Time, dataCentre string, peers []Peer, tried map[string]bool) (Peer, bool) {
+// Choose returns the peer to ask for a request of a pool: the one with the fewest requests in
+// progress from here, near ones first and those that say that they are cut themselves last,
+// except those that were tried for this request, or that have failed, or declined one of the
+// pool, lately. It reports false if there is none.
+func (p *Peers) Choose(now time.Time, dataCentre, pool string, peers []Peer, tried map[string]bool) (Peer, bool) {
 	p.prune(now)
 	var best Peer
 	bestCost, ties := 0, 0
 	for _, peer := range peers {
 		l := p.byID[peer.ID]
-		if peer.Cut || tried[peer.ID] || l != nil && (now.Before(l.pausedUntil) || l.inProgress >= maxInProgress) {
+		if tried[peer.ID] || l != nil && (l.paused(now, pool) || l.inProgress >= maxInProgress) {
 			continue
 		}
 		cost := 0
@@ -77,6 +97,9 @@
 		if peer.DataCentre != dataCentre {
 			cost += farPenalty
 		}
+		if peer.Cut {
+			cost += cutPenalty
+		}
 		switch {
 		case ties == 0 || cost < bestCost:
 			best, bestCost, ties = peer, cost, 1
@@ -100,30 +123,30 @@
 	l.inProgress++
 }
 
-// End records what became of a request at a peer. A peer that declined it is asked nothing
-// for the time after which it wants to be asked again, within bounds.
-func (p *Peers) End(now time.Time, id string, outcome Outcome, retryAfter time.Duration) {
+// End records what became of a request of a pool at a peer. A peer that declined it is asked
+// for no other one of the pool until the time after which it wants to be asked again, within
+// bounds; one that failed is asked nothing for a while.
+func (p *Peers) End(now time.Time, id, pool string, outcome Outcome, retryAfter time.Duration) {
 	l := p.byID[id]
 	if l == nil {
 		return
 	}
 	l.inProgress--
-	var pause time.Duration
 	switch outcome {
 	case Declined:
-		pause = min(max(retryAfter, minDeclinedPause), maxDeclinedPause)
+		if l.poolPausedUntil == nil {
+			l.poolPausedUntil = make(map[string]time.Time)
+		}
+		l.poolPausedUntil[pool] = now.Add(min(max(retryAfter, minDeclinedPause), maxDeclinedPause))
 	case Failed:
-		pause = failedPause
-	}
-	if until := now.Add(pause); pause > 0 && until.After(l.pausedUntil) {
-		l.pausedUntil = until
+		l.pausedUntil = now.Add(failedPause)
 	}
 }
 
 // prune forgets peers without requests that may be asked.
 func (p *Peers) prune(now time.Time) {
 	for id, l := range p.byID {
-		if l.inProgress == 0 && !now.Before(l.pausedUntil) {
+		if l.idle(now) {
 			delete(p.byID, id)
 		}
 	}
--- a/pkg/pathfinder/script_test.go
+++ b/pkg/pathfinder/script_test.go
@@ -20,7 +20,8 @@
 		var members []Peer
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at, wait, count := 0, 0, 1
-			peer, tried := "", ""
+			peer, tried, pool := "", "", ""
+			d.MaybeScanArgs(t, "pool", &pool)
 			d.MaybeScanArgs(t, "at", &at)
 			d.MaybeScanArgs(t, "wait", &wait)
 			d.MaybeScanArgs(t, "count", &count)
@@ -30,7 +31,7 @@
 			switch d.Cmd {
 			case "decide":
 				return Decide(Situation{
-					Detoured: d.HasArg("detoured"), Here: d.HasArg("here"), Room: d.HasArg("room"), Cut: d.HasArg("cut"), ByPeers: d.HasArg("by_peers"),
+					Detoured: d.HasArg("detoured"), Here: d.HasArg("here"), Room: d.HasArg("room"), Cut: d.HasArg("cut"), ByPeers: d.HasArg("by_peers"), Askable: !d.HasArg("no_peer_now"),
 				}).String() + "\n"
 			case "members":
 				members = parseMembers(d.Input)
@@ -38,7 +39,7 @@
 			case "choose":
 				chosen := make(map[string]int)
 				for range count {
-					p, found := peers.Choose(now, "near", members, map[string]bool{tried: true})
+					p, found := peers.Choose(now, "near", pool, members, map[string]bool{tried: true})
 					if !found {
 						return "none\n"
 					}
@@ -48,7 +49,7 @@
 				return fmt.Sprintln(chosen)
 			case "end":
 				for range count {
-					peers.End(now, peer, map[string]Outcome{"declined": Declined, "failed": Failed}[outcomeOf(d)], time.Duration(wait)*time.Millisecond)
+					peers.End(now, peer, pool, map[string]Outcome{"declined": Declined, "failed": Failed}[outcomeOf(d)], time.Duration(wait)*time.Millisecond)
 				}
 				return ""
 			case "in_progress":
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -296,6 +296,7 @@
 func (m *Machine) interrupted(now time.Time, event Event) Action {
 	m.mayHaveRun = true
 	m.unreached = 0
+	m.verdictBy = time.Time{}
 	if until := now.Add(m.request.ResumeWait); until.After(m.request.QueueUntil) {
 		m.request.QueueUntil = until
 	}
--- a/pkg/tracker/path.go
+++ b/pkg/tracker/path.go
@@ -14,6 +14,9 @@
 	responsesAfterFailure = 2
 	// restoredAfter is how long no server must have failed until the path counts as whole.
 	restoredAfter = 3 * time.Second
+	// minorityDivisor is the ratio of all servers to those that are so few that their failure
+	// need not be one of the path, unless peers have reached one of them recently.
+	minorityDivisor = 4
 )
 
 // Path decides whether the path from this entry instance to the backend servers is cut: one
@@ -25,6 +28,8 @@
 	since time.Time
 	// contradictions holds the servers that did not respond here while a peer reached them.
 	contradictions map[string]contradiction
+	// lastContradiction is when a peer last reached a server that did not respond here.
+	lastContradiction time.Time
 	// lastFailure is when a server last failed to respond, while the path is cut.
 	lastFailure time.Time
 	// pairs holds what is known of each server since the path was found cut.
@@ -61,7 +66,7 @@
 // probes of other servers said of the path. It reports whether the path is found cut by it.
 func (p *Path) Contradict(now time.Time, id string, place Place, evidence PathEvidence) bool {
 	p.prune(now)
-	p.contradictions[id] = contradiction{place: place, at: now}
+	p.contradictions[id], p.lastContradiction = contradiction{place: place, at: now}, now
 	if p.cut {
 		return false
 	}
@@ -126,19 +131,25 @@
 	return s.failedSince, p.cut && !s.failedSince.IsZero() && !s.reachable()
 }
 
-// Restore ends the cut if all of the given servers are reachable, or none has failed for
-// some time. It reports whether the path is whole again by it.
+// Restore ends the cut if all of the given servers are reachable, none has failed for some
+// time, or few are unreachable and no peer has reached one of them for some time: those may
+// have failed themselves. It reports whether the path is whole again by it.
 func (p *Path) Restore(now time.Time, servers []string) bool {
 	p.prune(now)
 	if !p.cut {
 		return false
 	}
 	if now.Sub(p.lastFailure) < restoredAfter {
+		unreachable := 0
 		for _, id := range servers {
 			if !p.Reachable(id) {
-				return false
+				unreachable++
 			}
 		}
+		few := minorityDivisor*unreachable <= len(servers) && now.Sub(p.lastContradiction) >= restoredAfter
+		if unreachable > 0 && !few {
+			return false
+		}
 	}
 	p.cut, p.pairs = false, nil
 	clear(p.contradictions)
