Forwarder: what a replacement costs, and when a loss ends an attempt

A replacement whose servers refused the connection cost the attempt all the same. An attempt that was being replaced was excused after a second though it went on, so that a third server ran the request. A whole response that could not go on with a stream, and an earlier fallback, kept their part of the memory for responses; an adopted event waited 30 ms.

TestOldLossDoesNotEndLastAttempt, TestRefusedReplacementCostsNoAttempt, TestSilentAttemptIsNotExcused and TestUnusedReplacementReleasesMemory.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -103,6 +103,7 @@
 	err := x.f.send(x, a)
 	if err != nil {
 		if a.mayHaveSent() {
+			x.reached++
 			event := x.handleBreak(a, err)
 			x.f.finishAttempt(a, true)
 			return nil, event
@@ -149,6 +150,7 @@
 // receive checks a response's header, and reads the whole body or the first
 // event before anything is sent to the caller.
 func (x *exchange) receive(a *attempt) (*Response, retrier.Event) {
+	x.reached++
 	metadata := x.f.Codec.ParseResponse(a.response.StatusCode, a.response.Header)
 	if a.hop == nil {
 		x.f.noteMetadata(a, metadata)
@@ -230,6 +232,9 @@
 	response := &Response{Status: a.response.StatusCode, Header: responseHeader(a.response), Body: body, memory: a.memory}
 	a.memory = nil
 	if response.Status >= http.StatusInternalServerError && x.route.Retryable() {
+		if x.fallback != nil {
+			x.fallback.memory.Close()
+		}
 		x.fallback = response
 		x.failedUpstreams[a.active.upstream.name] = true
 		x.lastErr = errors.Newf("server returned status %d", response.Status)
@@ -284,7 +289,7 @@
 				conn.expect(a.body)
 			}
 		},
-		WroteRequest: func(httptrace.WroteRequestInfo) { x.recordSent(a) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { x.recordSent(a, info.Err) },
 	})
 	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
 	a.body = bodychecker.New(x.request.Body, isAllowed)
--- a/internal/forwarder/detour.go
+++ b/internal/forwarder/detour.go
@@ -105,6 +105,9 @@
 	x.logDetour(peer)
 	if err := x.f.handOver(x, a); err != nil {
 		event, outcome, retryAfter := x.classifyHopError(a, err)
+		if event.Kind == retrier.Interrupted || event.Kind == retrier.NotSent && !event.NothingSent {
+			x.reached++
+		}
 		x.f.endHop(a, outcome, retryAfter)
 		x.f.finishAttempt(a, true)
 		return nil, event
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -100,6 +100,8 @@
 	brokenAttempts []brokenAttempt
 	// revoked is set once the configuration no longer allows the request.
 	revoked *Refusal
+	// reached counts the attempts that may have reached a server.
+	reached int
 	// askedPeers holds the IDs of the peers that were asked to send the request, and declined
 	// is the last refusal of one of them.
 	askedPeers map[string]bool
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -114,6 +114,10 @@
 // lost only just now may respond again. The caller holds f.mu.
 func (x *exchange) excusableAttempt(now time.Time) int {
 	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
+		if x.counted != nil && x.counted.head().ID == b.head.ID {
+			// The attempt that is being replaced goes on.
+			return false
+		}
 		return x.f.isCutOff(b.head) || now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
 	})
 }
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -41,9 +41,9 @@
 	done chan struct{}
 	// response is nil if the replacement has failed.
 	response *Response
-	// attempts is the count of attempts before the replacement, and tried the number of
-	// upstreams that the request was sent to.
-	attempts, tried int
+	// attempts is the count of attempts before the replacement, and reached the number of
+	// those that may have reached a server.
+	attempts, reached int
 }
 
 // watch makes an attempt of a request that may run again replaceable: while it waits for a
@@ -82,7 +82,7 @@
 	}
 	r := &replacement{
 		exchange: x.copyForReplacement(), done: make(chan struct{}),
-		attempts: x.retryMachine.Attempts(), tried: len(x.triedUpstreams),
+		attempts: x.retryMachine.Attempts(), reached: x.reached,
 	}
 	x.replacement, x.counted = r, a.active.upstream
 	go r.run(x, a, cause)
@@ -109,6 +109,7 @@
 	y.failedUpstreams[u.name] = true
 	y.lastErr = cause
 	event := retrier.Event{Kind: retrier.Interrupted, RefundAttempt: y.excuseEarlier(u)}
+	y.counted = u
 	fields := log.Fields{
 		logger.FieldRequest: y.request.ID, logger.FieldUpstream: u.name, logger.FieldInstance: u.head().ID,
 		"delivered": y.deliveredEvents, "excused": event.RefundAttempt,
@@ -119,11 +120,14 @@
 	usable := err == nil && response != y.fallback && (!y.headerSent || response.stream != nil)
 	y.f.mu.Lock()
 	defer y.f.mu.Unlock()
-	if len(y.triedUpstreams) == r.tried {
+	if y.reached == r.reached {
 		y.retryMachine.RevertRetry(r.attempts)
 	}
 	switch {
 	case !usable:
+		if err == nil && response != y.fallback {
+			response.memory.Close()
+		}
 		x.replacer.Step(retrier.ReplacementFailed, false)
 	case x.replacer.Step(retrier.ReplacementResponded, false) == retrier.Adopt:
 		r.response = response
@@ -144,7 +148,10 @@
 }
 
 // recordSent says that a request has been written, and waits for its response.
-func (x *exchange) recordSent(a *attempt) {
+func (x *exchange) recordSent(a *attempt, err error) {
+	if err != nil {
+		return
+	}
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
 	if a.replaceable && a.phase == sending {
@@ -264,6 +271,7 @@
 	defer x.f.mu.Unlock()
 	x.triedUpstreams, x.brokenAttempts = y.triedUpstreams, y.brokenAttempts
 	maps.Copy(x.failedUpstreams, y.failedUpstreams)
+	x.reached = y.reached
 	x.spread = x.spread || y.spread
 	x.lastErr = y.lastErr
 	if y.fallback != nil && y.fallback != x.fallback {
--- a/internal/forwarder/replacement_test.go
+++ b/internal/forwarder/replacement_test.go
@@ -401,3 +401,131 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, testStream(5))
 }
+
+// TestRefusedReplacementCostsNoAttempt guards against a stream being cut because a
+// replacement, whose servers refused the connection, has used its last attempt.
+func TestRefusedReplacementCostsNoAttempt(t *testing.T) {
+	for name, refusing := range map[string]bool{"no server": false, "refused": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addGroup("a", func(w http.ResponseWriter, r *http.Request) {
+				writeHeader(w, r, "text/event-stream")
+				writeAndFlush(w, testEvent(1))
+				if refusing {
+					f.addGroup("b", notRunHandler).Close()
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.platform.kill("a-head")
+				time.Sleep(silence)
+				f.platform.set(func(p *platformStub) { delete(p.dead, "a-head") })
+				writeAndFlush(w, testEvent(2))
+				f.addGroup("c", func(w http.ResponseWriter, r *http.Request) {
+					writeHeader(w, r, "text/event-stream")
+					for id := nextID(r); id <= 5; id++ {
+						writeAndFlush(w, testEvent(id))
+					}
+				})
+				for range 6 {
+					time.Sleep(100 * time.Millisecond)
+					writeAndFlush(w, ": c\n")
+				}
+				resetConnection(w)
+			})
+			f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+			f.applyConfig()
+			_, body, err := f.call("POST", "/stream/", "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, testStream(5))
+		})
+	}
+}
+
+// TestOldLossDoesNotEndLastAttempt guards against an answer being cut for a loss whose server
+// has gone on since, when it pauses for a moment.
+func TestOldLossDoesNotEndLastAttempt(t *testing.T) {
+	for i := range 5 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			var sent atomic.Int32
+			f.addGroup("a", func(w http.ResponseWriter, r *http.Request) {
+				if sent.Add(1) > 1 {
+					notRunHandler(w, r)
+					return
+				}
+				writeHeader(w, r, "text/event-stream")
+				writeAndFlush(w, testEvent(1))
+				f.platform.kill("a-head")
+				time.Sleep(1350 * time.Millisecond)
+				f.platform.set(func(p *platformStub) { delete(p.dead, "a-head") })
+				writeAndFlush(w, testEvent(2))
+				time.Sleep(400 * time.Millisecond)
+				for id := 3; id <= 5; id++ {
+					writeAndFlush(w, testEvent(id))
+				}
+			})
+			f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+			f.applyConfig()
+			_, body, err := f.call("POST", "/stream/", "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, testStream(5))
+		})
+	}
+}
+
+// TestSilentAttemptIsNotExcused guards against a request running on more servers than its
+// route allows because the one that is being replaced, which goes on, no longer counts.
+func TestSilentAttemptIsNotExcused(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int32
+	for _, group := range []string{"a", "b", "c"} {
+		head := group + "-head"
+		f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+			n := sent.Add(1)
+			writeHeader(w, r, "text/event-stream")
+			if n == 1 {
+				writeAndFlush(w, testEvent(1)+testEvent(2))
+			}
+			if n <= 2 {
+				f.platform.kill(head)
+				time.Sleep(1400 * time.Millisecond)
+				f.platform.set(func(p *platformStub) { delete(p.dead, head) })
+			}
+			for id := max(nextID(r), map[bool]int{true: 3}[n == 1]); id <= 5; id++ {
+				writeAndFlush(w, testEvent(id))
+			}
+		})
+	}
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	_, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testStream(5))
+	assert.Equal(t, sent.Load(), int32(2))
+}
+
+// TestUnusedReplacementReleasesMemory guards against the memory for responses shrinking with
+// each replacement whose whole response can't go on with a stream.
+func TestUnusedReplacementReleasesMemory(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int32
+	for _, group := range []string{"a", "b"} {
+		silent := silentServer(f, group+"-head", silence)
+		f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+			if sent.Add(1) == 1 {
+				silent(w, r)
+				return
+			}
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Proof", "p")
+			w.WriteHeader(http.StatusConflict)
+			w.Write([]byte(strings.Repeat("x", 20000)))
+		})
+	}
+	f.addServer("t", "other", func(http.ResponseWriter, *http.Request) {})
+	f.applyConfig()
+	_, body, err := f.call("POST", "/stream/", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testStream(5))
+	f.eventually(func() bool { return f.forwarder.responses.Used() == 0 })
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -146,7 +146,7 @@
 	a := x.current
 	event := x.handleBreak(a, err)
 	x.endAttempt(true)
-	if x.deliveredEvents > 0 && x.ctx.Err() == nil {
+	if x.deliveredEvents > 0 && x.ctx.Err() == nil && !errors.Is(x.lastErr, errReplaced) {
 		x.wait(pathCheckTime)
 	}
 	return event
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -236,11 +236,16 @@
 func (f *Forwarder) cancelLost(u *upstream) {
 	now := clocker.Now()
 	confirmed := f.Observer.LostBefore(now.Add(-confirmedLossAge), u.state().members)
+	restarted := f.Observer.LostBefore(time.Time{}, u.state().members)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now.Sub(u.lastProgress) < minProbeAfter {
 		return
 	}
+	if now.Sub(u.lastProgress) < confirmedLossAge && !restarted {
+		// It has gone on since the first evidence.
+		confirmed = false
+	}
 	for a := range u.active {
 		switch {
 		case confirmed:
