--- a/internal/forwarder/detour_test.go
+++ b/internal/forwarder/detour_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/detourer"
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
@@ -203,11 +206,14 @@
 		other.Observer.Suspect(t.Context(), f.platform.allInstances())
 		return len(other.Observer.Groups("engines", "m")) == 0
 	})
+	var hops atomic.Int32
+	onLogLine(t, logger.LineHopTaken, func() { hops.Add(1) })
 	began := time.Now()
 	status, _, err := f.callAt(f.server, "POST", "/stream/", "r1", "k", "body", "")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Assert(t, time.Since(began) < refusalTolerance, "refused after %s", time.Since(began))
+	assert.Assert(t, hops.Load() <= 2, "two peers were asked %d times", hops.Load())
 }
 
 // TestPeerDecidesOnKeysAndParts guards against a request that the sending entry instance
@@ -355,3 +361,72 @@
 	assert.Equal(t, status, http.StatusBadGateway)
 	assert.Equal(t, runs.Load(), int32(1))
 }
+
+// TestHopMakesOneAttempt guards against a request being sent to more servers than its route
+// allows because sender and peer both count from the start.
+func TestHopMakesOneAttempt(t *testing.T) {
+	var runs atomic.Int32
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		resetConnection(w)
+	})
+	f.cutOff()
+	status, _, err := f.callAt(f.server, "POST", "/safe/", "r1", "k", "body", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, int(runs.Load()), testConfig(1).Routes[2].MaxAttempts)
+}
+
+// TestHopShortensDeadline guards against a server being given more time than the sender of a
+// hop has left.
+func TestHopShortensDeadline(t *testing.T) {
+	left := make(chan int, 1)
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		ms, err := strconv.Atoi(r.Header.Get("Left"))
+		assert.Check(t, err)
+		left <- ms
+		servePlain(w, r)
+	})
+	const remaining = 300 * time.Millisecond
+	header := http.Header{}
+	for name, value := range map[string]string{"Id": "r1", "Key": "k", "Model": "m"} {
+		header.Set(name, value)
+	}
+	response, _, err := detourer.NewClient(dialPlain).Do(t.Context(), netip.MustParseAddrPort(f.detourServers[0].Listener.Addr().String()), &detourer.Envelope{
+		ID: "r1", Host: "h", Method: "POST", Target: "/once/", Path: "/once/", Header: header, Body: []byte("body"), Remaining: remaining,
+	})
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Assert(t, time.Duration(<-left)*time.Millisecond <= remaining)
+}
+
+// TestQueuedRequestsGoByPeer guards against requests that wait for a server when the path is
+// cut being kept until they expire.
+func TestQueuedRequestsGoByPeer(t *testing.T) {
+	proceed := make(chan struct{})
+	var held atomic.Int32
+	const slots = 4
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if held.Add(1) <= slots {
+			<-proceed
+		}
+		servePlain(w, r)
+	})
+	defer close(proceed)
+	statuses := make(chan int, 2)
+	for i := range slots + cap(statuses) {
+		go func() {
+			id := strconv.Itoa(i)
+			status, _, _ := f.callAt(f.server, "POST", "/safe/", id, "k", id, "")
+			if i >= slots {
+				statuses <- status
+			}
+		}()
+		f.eventually(func() bool { return f.cut.ActiveRequests() == i+1 })
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.cutOff()
+	for range cap(statuses) {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+}
