Forwarder: a resumed stream waits for a slot at a peer, before new requests

Traced: all broken streams went to one group at the only sound instance at once, its server refused some as full, which used up their attempts; a peer whose servers were all full for a moment was paused for its pool; an idle connection that the peer had closed paused it for a second; an attempt at a server that is cut off counted where its own loss had no testimony. Now a resumed stream queues before all others at the peer, no_path alone pauses a pool, a hop on a closed idle connection is begun again (it is known not to have been read), and what can't be reached over a cut path counts as cut off unless it is lost for all.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -41,6 +41,8 @@
 	// priorityRanks is the number of priority ranks of routes. The rank of an
 	// organisation takes precedence over the rank of a route.
 	priorityRanks = 100
+	// resumedPriority is that of a peer's stream that resumes: its caller has a part of it.
+	resumedPriority = -1
 )
 
 // admit waits until a request may be sent to its pool.
@@ -55,12 +57,9 @@
 	if x.nextPath(x.config, func() int { return free }) == pathfinder.ByPeer {
 		return nil
 	}
-	if d := x.request.Detour; d != nil && len(f.destinations(x.config, x.pool)) == 0 {
+	if x.request.Detour != nil && len(f.destinations(x.config, x.pool)) == 0 {
 		// Its sender can ask another peer.
-		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
-	} else if d != nil && d.LastEventID != "" {
-		// A stream that resumes does not wait in a queue again, here as at its sender.
-		return nil
+		return &Refusal{Op: "admit", Kind: KindNoPath, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
 	}
 	f.mu.Lock()
 	p := f.poolFor(x.pool)
@@ -107,10 +106,14 @@
 // newTicket returns the request's place in a queue. The caller holds f.mu.
 func (x *exchange) newTicket(now time.Time) limiter.Ticket {
 	x.f.lastTicketID++
+	priority := x.organisation.Priority*priorityRanks + x.route.Priority
+	if d := x.request.Detour; d != nil && d.LastEventID != "" {
+		priority = resumedPriority
+	}
 	return limiter.Ticket{
 		ID:                x.f.lastTicketID,
 		Organisation:      x.organisation.Name,
-		Priority:          x.organisation.Priority*priorityRanks + x.route.Priority,
+		Priority:          priority,
 		Deadline:          x.deadline,
 		StartBy:           x.queueUntil,
 		ObjectiveStartBy:  x.objectiveStartBy,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -82,7 +82,7 @@
 	chosen, found := x.f.pick(config, x.pool, a.active, x.failedUpstreams)
 	if !found {
 		a.active.cancel(context.Canceled)
-		if x.request.Detour != nil {
+		if x.request.Detour != nil && len(x.f.destinations(config, x.pool)) == 0 {
 			return nil, retrier.Event{Kind: retrier.Declined}
 		}
 		// Zero if no server says when it takes requests again.
--- a/internal/forwarder/detour.go
+++ b/internal/forwarder/detour.go
@@ -40,6 +40,8 @@
 	// hopMargin is how much sooner a peer gives a request up, so that its word of it
 	// arrives in time.
 	hopMargin = 50 * time.Millisecond
+	// staleConnTime is the time within which it shows that an idle connection was closed.
+	staleConnTime = 100 * time.Millisecond
 	// peerUpstreamPrefix precedes the ID of a peer in the names of the upstreams of a
 	// request.
 	peerUpstreamPrefix = "peer/"
@@ -162,12 +164,17 @@
 	for name := range x.failedUpstreams {
 		excluded = append(excluded, name)
 	}
-	response, head, err := f.Detours.Do(a.ctx, a.hop.peer.Address, &detourer.Envelope{
+	envelope := &detourer.Envelope{
 		ID: x.request.ID, Sender: f.Entry, Host: x.request.Host, Method: x.request.Method,
 		Target: x.request.Target, Path: x.request.Path, Header: x.request.Header, Body: x.request.Body,
 		Remaining: x.deadline.Sub(now) - hopMargin, Elapsed: now.Sub(x.request.Arrived),
 		LastEventID: x.lastEventID, Excluded: excluded,
-	})
+	}
+	response, head, err := f.Detours.Do(a.ctx, a.hop.peer.Address, envelope)
+	if isUnreachable(err) && clocker.Since(now) < staleConnTime {
+		// The peer had closed an idle connection.
+		response, head, err = f.Detours.Do(a.ctx, a.hop.peer.Address, envelope)
+	}
 	if err != nil {
 		return err
 	}
@@ -176,10 +183,16 @@
 	return nil
 }
 
+// isUnreachable reports whether nothing of a request has reached a peer.
+func isUnreachable(err error) bool {
+	var hopErr *detourer.Error
+	return errors.As(err, &hopErr) && hopErr.Kind == detourer.KindUnreachable
+}
+
 // hopOutcomes says what a peer's refusal of a request means for its other requests, by the
 // kind of the refusal. Other kinds concern that request alone.
 var hopOutcomes = map[string]pathfinder.Outcome{
-	KindNoServer.String():     pathfinder.Declined,
+	KindNoPath.String():       pathfinder.Declined,
 	KindShuttingDown.String(): pathfinder.Failed,
 }
 
@@ -212,7 +225,7 @@
 	case refused:
 		x.logHopBroken(a, cause)
 		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
-	case known && hopErr.Kind == detourer.KindUnreachable:
+	case isUnreachable(err):
 		return retrier.Event{Kind: retrier.NotSent, NothingSent: true}, pathfinder.Failed, 0
 	case x.ctx.Err() != nil:
 		return retrier.Event{Kind: retrier.Interrupted}, pathfinder.Answered, 0
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -172,8 +172,8 @@
 		timeout = r.Timeout
 	}
 	x.deadline = r.Arrived.Add(timeout - responseMargin)
-	x.applyDetour()
 	x.queueUntil = r.Arrived.Add(min(x.route.CallerTimeout()-startMargin, time.Duration(float64(timeout)*maxWaitFraction)))
+	x.applyDetour()
 	x.objectiveStartBy = r.Arrived.Add(x.route.Objective - f.typicalFirstEvent(x))
 	x.fingerprint = r.fingerprint(x.organisation)
 	f.mu.Lock()
@@ -218,7 +218,9 @@
 	if until := clocker.Now().Add(d.Remaining); until.Before(x.deadline) {
 		x.deadline = until
 	}
-	x.lastEventID = d.LastEventID
+	if x.lastEventID = d.LastEventID; d.LastEventID != "" {
+		x.queueUntil = clocker.Now().Add(resumeWait)
+	}
 	for _, name := range d.Excluded {
 		x.failedUpstreams[name] = true
 	}
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -94,9 +94,10 @@
 	return x.takeBroken(slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool { return x.f.isCutOff(b.head) }))
 }
 
-// isCutOff reports whether the path to a server is cut that peers reach.
+// isCutOff reports whether a server can't be reached over a path that is cut, and is not
+// known to be lost itself.
 func (f *Forwarder) isCutOff(in provider.Instance) bool {
-	return f.Observer.PathCut() && f.Observer.ReachedByPeer(in)
+	return f.Observer.PathCut() && f.Observer.AnyLostOrRestarted([]provider.Instance{in}) && !f.Observer.LostForAllOrRestarted(in)
 }
 
 // takeBroken forgets the broken attempt with that index, and reports whether there is one.
--- a/internal/forwarder/kind_string.go
+++ b/internal/forwarder/kind_string.go
@@ -16,15 +16,16 @@
 	_ = x[KindMalformed-5]
 	_ = x[KindOverloaded-6]
 	_ = x[KindNoServer-7]
-	_ = x[KindShuttingDown-8]
-	_ = x[KindQuarantined-9]
-	_ = x[KindFailed-10]
-	_ = x[KindDeadlineExceeded-11]
+	_ = x[KindNoPath-8]
+	_ = x[KindShuttingDown-9]
+	_ = x[KindQuarantined-10]
+	_ = x[KindFailed-11]
+	_ = x[KindDeadlineExceeded-12]
 }
 
-const _Kind_name = "unreadyno_routeno_keystale_keystoo_largemalformedoverloadedno_serverleavingquarantinedfailedexpired"
+const _Kind_name = "unreadyno_routeno_keystale_keystoo_largemalformedoverloadedno_serverno_pathleavingquarantinedfailedexpired"
 
-var _Kind_index = [...]uint8{0, 7, 15, 21, 31, 40, 49, 59, 68, 75, 86, 92, 99}
+var _Kind_index = [...]uint8{0, 7, 15, 21, 31, 40, 49, 59, 68, 75, 82, 93, 99, 106}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -33,6 +33,9 @@
 	// KindNoServer means that there is no server to which the request may be
 	// sent.
 	KindNoServer // no_server
+	// KindNoPath means that no server can be reached from an entry instance that was asked to
+	// send a peer's request.
+	KindNoPath // no_path
 	// KindShuttingDown means that this entry instance is shutting down.
 	KindShuttingDown // leaving
 	// KindQuarantined means that the request has crashed servers.
