Estimator: reports on the requests to each pool, in the load messages

The demand for a model was what one entry instance had itself sent. Load messages now carry, for each pool, the instance time that arrived requests need, how many arrived and missed their objective, and how many wait by rank class, in time or late.

An arrival is counted in admit, before the request is queued or refused, once for a request, and not for a caller's repeat after a refusal. Counts are in thousandths: an instance of 71 with a request every three seconds would be rounded to none or one. Late requests are counted by rank class too, because the queue serves late requests of a rank before the next rank. The entry "" counts the entry instances that report. Messages that are skipped while the load does not change are sent if a queue changes, not because counts decay.

Two pools add 108 bytes to a load message (TestPoolsOfMessageAreSmall; the types are sent once for a connection).

Tests run: estimator, mapper, limiter, forwarder, hostedrunner, messenger; all pass.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -9,6 +9,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
@@ -38,9 +39,6 @@
 	// retryJitter spreads the retries of callers over time, as a fraction of
 	// the delay.
 	retryJitter = 0.5
-	// priorityRanks is the number of priority ranks of routes. The rank of an
-	// organisation takes precedence over the rank of a route.
-	priorityRanks = 100
 	// resumedPriority is that of a peer's stream that resumes: its caller has a part of it.
 	resumedPriority = -1
 )
@@ -51,6 +49,9 @@
 	free := f.freeSlots(x.config, x.pool)
 	if free == 0 {
 		if until, all := f.deferredUntil(x.config, x.pool); all && until.After(x.queueUntil) {
+			if x.request.Detour == nil {
+				f.recordArrival(now, x)
+			}
 			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
 		}
 	}
@@ -61,6 +62,7 @@
 		// Its sender can ask another peer.
 		return &Refusal{Op: "admit", Kind: KindNoPath, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
 	}
+	f.recordArrival(now, x)
 	f.mu.Lock()
 	p := f.poolFor(x.pool)
 	p.workload.ObserveRequest(x.request.PromptTokens, x.route.Objective, x.route.GapObjective)
@@ -106,7 +108,7 @@
 // newTicket returns the request's place in a queue. The caller holds f.mu.
 func (x *exchange) newTicket(now time.Time) limiter.Ticket {
 	x.f.lastTicketID++
-	priority := x.organisation.Priority*priorityRanks + x.route.Priority
+	priority := mapper.Priority(x.organisation, x.route)
 	if d := x.request.Detour; d != nil && d.LastEventID != "" {
 		priority = resumedPriority
 	}
@@ -131,7 +133,7 @@
 func (f *Forwarder) poolFor(key poolKey) *pool {
 	p, found := f.pools[key]
 	if !found {
-		p = &pool{queue: limiter.NewQueue(queueLength), waiting: make(map[uint64]waiter)}
+		p = &pool{queue: limiter.NewQueue(queueLength), waiting: make(map[uint64]waiter), meter: estimator.NewPoolMeter(demandWindow)}
 		f.pools[key] = p
 	}
 	return p
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -62,9 +62,13 @@
 	// still be met.
 	objectiveStartBy time.Time
 	fingerprint      quarantiner.Fingerprint
-	retryMachine     *retrier.Machine
-	ctx              context.Context
-	cancel           context.CancelFunc
+	// observed says that the request counts towards the demand for its pool, and
+	// observedPool is that pool: another service may be chosen later.
+	observed     bool
+	observedPool poolKey
+	retryMachine *retrier.Machine
+	ctx          context.Context
+	cancel       context.CancelFunc
 
 	// The following fields are kept for the log line of the request.
 	admittedAt          time.Time
@@ -136,12 +140,14 @@
 	f.mu.Unlock()
 	if refusal := f.admit(x.ctx, x); refusal != nil {
 		refusal.Route, refusal.Service, refusal.Model = x.route.Name, x.pool.service, x.pool.model
+		f.recordOutcome(x, false)
 		x.close()
 		return nil, refusal
 	}
 	x.admittedAt = clocker.Now()
 	f.metrics.queueTime.RecordDuration(x.admittedAt.Sub(r.Arrived))
 	response, err := x.run(retrier.Event{Kind: retrier.Started})
+	f.recordOutcome(x, err == nil && response.Status < http.StatusInternalServerError)
 	if err == nil && response.stream == nil {
 		x.logResponse(response.Status, true)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -148,7 +148,8 @@
 	tracker      *router.LoadTracker
 	screener     *screener.Screener
 	upstreams    map[string]*upstream
-	peerLoads    *estimator.WorkTable
+	peerLoads    *estimator.ReportTable[estimator.Work]
+	peerPools    *estimator.ReportTable[estimator.PoolReport]
 	pools        map[poolKey]*pool
 	demandMeters map[string]*estimator.DemandMeter
 	quarantine   *quarantiner.Quarantine
@@ -191,7 +192,8 @@
 		detourPeers:    pathfinder.NewPeers(random),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
-		peerLoads:      estimator.NewWorkTable(),
+		peerLoads:      estimator.NewReportTable[estimator.Work](),
+		peerPools:      estimator.NewReportTable[estimator.PoolReport](),
 		pools:          make(map[poolKey]*pool),
 		demandMeters:   make(map[string]*estimator.DemandMeter),
 		quarantine:     quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
@@ -342,6 +344,8 @@
 	queue    *limiter.Queue
 	waiting  map[uint64]waiter
 	workload estimator.Workload
+	// meter counts the requests that arrived here.
+	meter *estimator.PoolMeter
 }
 
 // waiter is a queued request.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -65,14 +65,14 @@
 func (f *Forwarder) UpdatePeerLoad(peer string, works map[string]estimator.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerLoads.SetPeerWork(clocker.Now(), peer, works)
+	f.peerLoads.SetPeer(clocker.Now(), peer, works)
 }
 
 // UpdateRemoteLoad records the work that another data centre has in progress.
 func (f *Forwarder) UpdateRemoteLoad(dataCentre string, works map[string]estimator.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerLoads.SetDataCentreWork(clocker.Now(), dataCentre, works)
+	f.peerLoads.SetDataCentre(clocker.Now(), dataCentre, works)
 }
 
 // DataCentreLoad returns the work that this data centre has in progress, which
@@ -81,7 +81,7 @@
 	own := f.LocalLoad()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.peerLoads.DataCentreWork(clocker.Now(), own)
+	return f.peerLoads.DataCentre(clocker.Now(), own)
 }
 
 // CollectedLoad returns the work in progress of this data centre without that of one peer,
@@ -91,11 +91,7 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	works = f.peerLoads.PeersExcept(now, peer)
-	for name, w := range own {
-		works[name] = estimator.Work{Running: works[name].Running + w.Running, UnreadTokens: works[name].UnreadTokens + w.UnreadTokens}
-	}
-	return works, f.peerLoads.DataCentresWork(now)
+	return f.peerLoads.DataCentreExcept(now, own, []string{peer}), f.peerLoads.DataCentres(now)
 }
 
 // ReportedLoad returns the work in progress of this entry instance and of the peers that
@@ -105,13 +101,13 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.peerLoads.DataCentreWorkExcept(now, own, collectors)
+	return f.peerLoads.DataCentreExcept(now, own, collectors)
 }
 
 // totalWork returns the work that all entry instances have in progress at an
 // upstream, as far as it is known here.
 func (f *Forwarder) totalWork(now time.Time, u *upstream) estimator.Work {
-	sum, others := u.activeWork(), f.peerLoads.RemoteWork(now, u.name)
+	sum, others := u.activeWork(), f.peerLoads.Remote(now, u.name)
 	sum.Running += others.Running
 	sum.UnreadTokens += others.UnreadTokens
 	return sum
--- a/internal/hostedrunner/loads.go
+++ b/internal/hostedrunner/loads.go
@@ -65,8 +65,9 @@
 	// booted, or zero.
 	collectedAt atomic.Int64
 
-	last   map[string]estimator.Work
-	sentAt time.Time
+	last      map[string]estimator.Work
+	lastPools map[string]estimator.PoolReport
+	sentAt    time.Time
 	// remoteAt is when the load of the other data centres was last received.
 	remoteAt time.Time
 }
@@ -108,15 +109,17 @@
 	}
 }
 
-// sendDirectly sends this instance's own load to peers, unless it has not changed.
+// sendDirectly sends this instance's own load to peers, unless neither the work in flight
+// nor the queues have changed.
 func (l *loads) sendDirectly(ctx context.Context, recipients []gossiper.Member) {
-	works := l.node.forwarder.LocalLoad()
-	if maps.Equal(works, l.last) && clocker.Since(l.sentAt) < unchangedLoadInterval {
+	works, pools := l.node.forwarder.LocalLoad(), l.node.forwarder.LocalPools()
+	same := maps.Equal(works, l.last) && estimator.SameQueues(pools, l.lastPools)
+	if same && clocker.Since(l.sentAt) < unchangedLoadInterval {
 		return
 	}
-	l.last, l.sentAt = works, clocker.Now()
+	l.last, l.lastPools, l.sentAt = works, pools, clocker.Now()
 	l.node.peers.send(ctx, recipients, messenger.MethodLoad, &messenger.LoadMessage{
-		From: l.node.settings.ID, Works: works, Limits: l.node.forwarder.ServerLimits(),
+		From: l.node.settings.ID, Works: works, Pools: pools, Limits: l.node.forwarder.ServerLimits(),
 	})
 }
 
@@ -129,7 +132,8 @@
 		names = append(names, collectorPrefix+m.ID)
 	}
 	l.node.peers.send(ctx, others, messenger.MethodLoad, &messenger.LoadMessage{
-		From: collectorPrefix + l.node.settings.ID, Works: l.node.forwarder.ReportedLoad(names), Limits: l.node.forwarder.ServerLimits(),
+		From: collectorPrefix + l.node.settings.ID, Works: l.node.forwarder.ReportedLoad(names),
+		Pools: l.node.forwarder.ReportedPools(names), Limits: l.node.forwarder.ServerLimits(),
 	})
 }
 
@@ -137,7 +141,8 @@
 // from its reply. It reports false if no collector replied.
 func (l *loads) collect(ctx context.Context, collectors []gossiper.Member) bool {
 	message := &messenger.LoadMessage{
-		From: l.node.settings.ID, Works: l.node.forwarder.LocalLoad(), Limits: l.node.forwarder.ServerLimits(),
+		From: l.node.settings.ID, Works: l.node.forwarder.LocalLoad(), Pools: l.node.forwarder.LocalPools(),
+		Limits:     l.node.forwarder.ServerLimits(),
 		WantRemote: clocker.Since(l.remoteAt) >= remoteCollectInterval,
 	}
 	for _, m := range gossiper.Rotate(collectors, l.node.settings.ID) {
@@ -149,9 +154,11 @@
 		l.collectedAt.Store(clocker.Now().UnixNano())
 		l.node.forwarder.MergeServerLimits(reply.Limits)
 		l.node.forwarder.UpdatePeerLoad(collectedPeers, reply.Works)
+		l.node.forwarder.UpdatePeerPools(collectedPeers, reply.Pools)
 		if message.WantRemote {
 			l.remoteAt = clocker.Now()
 			l.node.forwarder.UpdateRemoteLoad(remoteDataCentres, reply.Remote)
+			l.node.forwarder.UpdateRemotePools(remoteDataCentres, reply.RemotePools)
 		}
 		return true
 	}
@@ -183,7 +190,8 @@
 			continue
 		}
 		l.node.peers.send(ctx, remoteRecipients(all, self.DataCentre), messenger.MethodLoad, &messenger.LoadMessage{
-			From: self.ID, DataCentre: self.DataCentre, Works: l.node.forwarder.DataCentreLoad(), Limits: l.node.forwarder.ServerLimits(),
+			From: self.ID, DataCentre: self.DataCentre, Works: l.node.forwarder.DataCentreLoad(),
+			Pools: l.node.forwarder.DataCentrePools(), Limits: l.node.forwarder.ServerLimits(),
 		})
 	}
 }
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -203,8 +203,10 @@
 		// The collector's replies contain the message.
 	case arguments.DataCentre != "":
 		s.node.forwarder.UpdateRemoteLoad(arguments.DataCentre, arguments.Works)
+		s.node.forwarder.UpdateRemotePools(arguments.DataCentre, arguments.Pools)
 	default:
 		s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
+		s.node.forwarder.UpdatePeerPools(arguments.From, arguments.Pools)
 	}
 	return nil
 }
@@ -213,10 +215,12 @@
 func (s *peerService) Collect(arguments messenger.LoadMessage, reply *messenger.CollectReply) error {
 	s.node.forwarder.MergeServerLimits(arguments.Limits)
 	s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
+	s.node.forwarder.UpdatePeerPools(arguments.From, arguments.Pools)
 	works, remote := s.node.forwarder.CollectedLoad(arguments.From)
-	*reply = messenger.CollectReply{Works: works, Limits: s.node.forwarder.ServerLimits()}
+	pools, remotePools := s.node.forwarder.CollectedPools(arguments.From)
+	*reply = messenger.CollectReply{Works: works, Pools: pools, Limits: s.node.forwarder.ServerLimits()}
 	if arguments.WantRemote {
-		reply.Remote = remote
+		reply.Remote, reply.RemotePools = remote, remotePools
 	}
 	return nil
 }
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -110,6 +110,9 @@
 	DataCentre string
 	// Works holds the work in progress, by the name of the backend that runs it.
 	Works map[string]estimator.Work
+	// Pools holds the reports on the requests to each pool, by its name. Instances before
+	// it send none.
+	Pools map[string]estimator.PoolReport
 	// Limits holds the limits that the sender knows, by backend server.
 	Limits map[string]permitter.Statement
 	// WantRemote asks a collector for the work of the other data centres.
@@ -122,6 +125,9 @@
 	// Remote that of all other data centres, if the sender asked for it.
 	Works  map[string]estimator.Work
 	Remote map[string]estimator.Work
+	// Pools and RemotePools are the same for the reports on the requests to each pool.
+	Pools       map[string]estimator.PoolReport
+	RemotePools map[string]estimator.PoolReport
 	// Limits holds the limits that the collector knows, by backend server.
 	Limits map[string]permitter.Statement
 }
--- a/pkg/estimator/work_table_test.go
+++ b/pkg/estimator/report_table_test.go
@@ -9,22 +9,22 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestWorkTableExpiry(t *testing.T) {
+func TestReportTableExpiry(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	table := NewWorkTable()
-	table.SetPeerWork(now, "peer", map[string]Work{"g": {Running: 2, UnreadTokens: 100}})
-	table.SetDataCentreWork(now, "there", map[string]Work{"g": {Running: 3}})
-	assert.Equal(t, table.RemoteWork(now, "g"), Work{Running: 5, UnreadTokens: 100})
-	assert.DeepEqual(t, table.DataCentreWork(now, map[string]Work{"g": {Running: 1}, "h": {Running: 1}}), map[string]Work{"g": {Running: 3, UnreadTokens: 100}, "h": {Running: 1}})
-	assert.Equal(t, table.RemoteWork(now.Add(peerTTL+1), "g"), Work{Running: 3})
-	assert.Equal(t, table.RemoteWork(now.Add(dataCentreTTL+1), "g"), Work{})
+	table := NewReportTable[Work]()
+	table.SetPeer(now, "peer", map[string]Work{"g": {Running: 2, UnreadTokens: 100}})
+	table.SetDataCentre(now, "there", map[string]Work{"g": {Running: 3}})
+	assert.Equal(t, table.Remote(now, "g"), Work{Running: 5, UnreadTokens: 100})
+	assert.DeepEqual(t, table.DataCentre(now, map[string]Work{"g": {Running: 1}, "h": {Running: 1}}), map[string]Work{"g": {Running: 3, UnreadTokens: 100}, "h": {Running: 1}})
+	assert.Equal(t, table.Remote(now.Add(peerTTL+1), "g"), Work{Running: 3})
+	assert.Equal(t, table.Remote(now.Add(dataCentreTTL+1), "g"), Work{})
 	assert.Assert(t, table.Empty())
 }
 
 // fleet simulates entry instances of several data centres that share replica
 // groups. Each instance handles a small part of the requests.
 type fleet struct {
-	tables []*WorkTable
+	tables []*ReportTable[Work]
 	// running is the number of running requests by entry instance and group.
 	running [][]int
 }
@@ -51,7 +51,7 @@
 	for e := range own {
 		for peer := range own {
 			if peer != e && peer%fleetDataCentres == e%fleetDataCentres {
-				f.tables[e].SetPeerWork(now, strconv.Itoa(peer), own[peer])
+				f.tables[e].SetPeer(now, strconv.Itoa(peer), own[peer])
 			}
 		}
 	}
@@ -61,7 +61,7 @@
 	for e := range own {
 		for dataCentre := range fleetDataCentres {
 			if dataCentre != e%fleetDataCentres {
-				f.tables[e].SetDataCentreWork(now, strconv.Itoa(dataCentre), f.tables[dataCentre].DataCentreWork(now, own[dataCentre]))
+				f.tables[e].SetDataCentre(now, strconv.Itoa(dataCentre), f.tables[dataCentre].DataCentre(now, own[dataCentre]))
 			}
 		}
 	}
@@ -72,7 +72,7 @@
 func (f *fleet) knownShare(now time.Time) float64 {
 	known, all := 0, 0
 	for g := range fleetGroups {
-		known += f.tables[0].RemoteWork(now, strconv.Itoa(g)).Running + f.running[0][g]
+		known += f.tables[0].Remote(now, strconv.Itoa(g)).Running + f.running[0][g]
 		for e := range f.running {
 			all += f.running[e][g]
 		}
@@ -88,16 +88,16 @@
 	for _, sums := range []bool{false, true} {
 		random := rand.New(rand.NewPCG(1, 1))
 		now := time.Unix(1_800_000_000, 0)
-		f := &fleet{tables: make([]*WorkTable, fleetEntries), running: make([][]int, fleetEntries)}
+		f := &fleet{tables: make([]*ReportTable[Work], fleetEntries), running: make([][]int, fleetEntries)}
 		for e := range f.tables {
-			f.tables[e], f.running[e] = NewWorkTable(), make([]int, fleetGroups)
+			f.tables[e], f.running[e] = NewReportTable[Work](), make([]int, fleetGroups)
 		}
 		for range 400 {
 			e := random.IntN(fleetEntries)
 			best := random.IntN(fleetGroups)
 			for range fleetPicks - 1 {
 				g := random.IntN(fleetGroups)
-				if f.tables[e].RemoteWork(now, strconv.Itoa(g)).Running < f.tables[e].RemoteWork(now, strconv.Itoa(best)).Running {
+				if f.tables[e].Remote(now, strconv.Itoa(g)).Running < f.tables[e].Remote(now, strconv.Itoa(best)).Running {
 					best = g
 				}
 			}
--- a/pkg/mapper/route_table.go
+++ b/pkg/mapper/route_table.go
@@ -13,6 +13,8 @@
 	routes             map[routeKey]Route
 	services           map[string]Service
 	organisationsByKey map[string]Organisation
+	// priorities are those that requests can have, sorted.
+	priorities []int
 }
 
 // routeKey selects a route.
@@ -40,6 +42,7 @@
 			t.organisationsByKey[key] = o
 		}
 	}
+	t.priorities = config.priorities()
 	return t
 }
 
