Forwarder: the demand for a model is that of the whole fleet

The demand was what the holder of the control lease had itself sent: one entry instance of many stood for all, the estimate was lost at each failover, left out requests that waited or were refused, and counted for only one half.

Demand now uses the sums of the fleet's reports, with weight 1 once 3 s of instance time have been offered to the fleet, and the configured shares before. The correction by UsableShare is as it was.

Loads gives what a model is offered per second, the arrivals per second and the missed fraction, scaled up where live instances do not report.

DemandMeter is removed.

Tests run: estimator, forwarder, hostedrunner, simulator; all pass. The effect on the deployments has not been measured.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,9 +90,6 @@
 		return nil, retrier.Event{Kind: retrier.NoBackend, AvailableAt: availableAt}
 	}
 	u := chosen.upstream
-	if x.current == nil && x.deliveredEvents == 0 && len(x.failedUpstreams) == 0 {
-		x.f.recordDemand(x, chosen)
-	}
 	x.triedUpstreams = append(x.triedUpstreams, u.name)
 	if group := u.state().group; group != nil {
 		x.predictedFirstEvent = chosen.firstEvent
--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -5,6 +5,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
@@ -15,16 +16,15 @@
 	// unavailableShare is the fraction of the instances that are assumed to be
 	// lost, or to load weights, at any time.
 	unavailableShare = 0.1
-	// minDemandInstanceSeconds is how much work must have been requested before
-	// the demand is measured.
-	minDemandInstanceSeconds = 3
+	// minDemandInstanceTime is how much work the fleet must have been offered before the
+	// demand is measured.
+	minDemandInstanceTime = 3 * time.Second
 )
 
 // Demand implements [orchestrator.DemandSource]. It returns the share of the
-// instances that each model needs. The share of the work is the mean of the
-// configured and the measured share once there are enough measurements, and the
-// configured share until then. A model gets more instances for its share of the
-// work if fewer of them can serve in whole groups.
+// instances that each model needs: by what all entry instances report of its
+// requests, and as configured until there are enough of them. A model gets more
+// instances for its share of the work if fewer of them can serve in whole groups.
 func (f *Forwarder) Demand(service string) map[string]float64 {
 	demand := make(map[string]float64)
 	config := f.Observer.Config()
@@ -35,16 +35,13 @@
 	if !found || s.Engine == nil {
 		return demand
 	}
-	for _, m := range s.Engine.Models {
-		demand[m.Name] = m.Share
-	}
-	f.mu.Lock()
-	if meter := f.demandMeters[service]; meter != nil {
-		for name, share := range meter.Shares(clocker.Now(), minDemandInstanceSeconds) {
-			demand[name] = (demand[name] + share) / 2
+	demand = estimator.DemandShares(f.modelReports(config, s), minDemandInstanceTime)
+	if demand == nil {
+		demand = make(map[string]float64)
+		for _, m := range s.Engine.Models {
+			demand[m.Name] = m.Share
 		}
 	}
-	f.mu.Unlock()
 	domainSize := f.domainSize(service)
 	sum := 0.0
 	for _, m := range s.Engine.Models {
@@ -59,6 +56,52 @@
 	return demand
 }
 
+// modelReports returns what the fleet knows of the requests to each model of a service.
+func (f *Forwarder) modelReports(config *mapper.RouteTable, service mapper.Service) map[string]estimator.PoolReport {
+	now := clocker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reports := make(map[string]estimator.PoolReport)
+	for _, m := range service.Engine.Models {
+		reports[m.Name] = f.fleetPool(now, config, poolKey{service: service.Name, model: m.Name})
+	}
+	return reports
+}
+
+// Loads returns the load that the fleet has had for each model of a service over the last
+// demandWindow. Live entry instances that do not report, such as those of an older build,
+// are taken to have as much as the others.
+func (f *Forwarder) Loads(service string) map[string]estimator.ModelLoad {
+	loads := make(map[string]estimator.ModelLoad)
+	config := f.Observer.Config()
+	if config == nil {
+		return loads
+	}
+	s, found := config.Service(service)
+	if !found || s.Engine == nil {
+		return loads
+	}
+	live := f.Peers.Count()
+	f.mu.Lock()
+	reporters := f.reporters(clocker.Now())
+	f.mu.Unlock()
+	perSecond := max(1, float64(live)/float64(reporters)) / demandWindow.Seconds()
+	for name, r := range f.modelReports(config, s) {
+		loads[name] = estimator.ModelLoad{
+			Offered: r.Offered.Seconds() * perSecond,
+			Arrived: float64(r.Arrived) / estimator.Milli * perSecond,
+			Missed:  r.MissedShare(),
+		}
+	}
+	return loads
+}
+
+// reporters returns how many entry instances report on their pools, this one included. The
+// caller holds f.mu.
+func (f *Forwarder) reporters(now time.Time) int {
+	return 1 + max(0, f.peerPools.Remote(now, estimator.AllPools).Reporters)
+}
+
 // domainSize returns the number of instances of a service in its largest fabric
 // domain.
 func (f *Forwarder) domainSize(service string) int {
@@ -76,27 +119,3 @@
 	}
 	return largest
 }
-
-// recordDemand counts a request towards the demand for its model.
-func (f *Forwarder) recordDemand(x *exchange, c choice) {
-	u := c.upstream
-	if u.state().group == nil || x.route.Objective <= 0 {
-		return
-	}
-	now := clocker.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	meter := f.demandMeters[x.pool.service]
-	if meter == nil {
-		meter = estimator.NewDemandMeter(demandWindow)
-		f.demandMeters[x.pool.service] = meter
-	}
-	compactGroup := u.state().estimate
-	compactGroup.Spread = false
-	responseTokens := x.request.LengthHint
-	if responseTokens <= 0 {
-		responseTokens = u.state().estimate.Engine.UsualAnswer
-	}
-	meter.Observe(now, x.pool.model, len(u.state().members), compactGroup.Cost(x.request.PromptTokens, responseTokens),
-		float64(c.firstEvent)/float64(x.route.Objective))
-}
--- a/internal/forwarder/demand_test.go
+++ b/internal/forwarder/demand_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math"
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
@@ -32,3 +35,42 @@
 	assert.Assert(t, demand["m"] > 0.51, "%v", demand)
 	assert.Assert(t, math.Abs(demand["m"]+demand["n"]-1) < 1e-9)
 }
+
+// TestDemandOfRefusedRequests guards against demand that only the requests that are sent
+// make, and against callers that repeat refused requests and count again.
+func TestDemandOfRefusedRequests(t *testing.T) {
+	f := newFixture(t)
+	f.applyConfig()
+	for range 2 {
+		status, _, err := f.call("POST", "/stream/", "r")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	report := f.forwarder.LocalPools()["engines/m"]
+	assert.Assert(t, report.Offered > 0)
+	assert.Assert(t, report.Arrived > estimator.Milli/2 && report.Arrived <= estimator.Milli, "%+v", report)
+	assert.Assert(t, report.Missed > estimator.Milli/2 && report.Missed <= estimator.Milli, "%+v", report)
+}
+
+// TestDemandOfFleet guards against the demand of the one entry instance that holds the
+// control lease: it has no request, and its peers have them for one model only. Two of the
+// four live instances report, so that the load is twice what they report.
+func TestDemandOfFleet(t *testing.T) {
+	f := newFixture(t)
+	config := testConfig(1)
+	engine := *testEngine
+	engine.Models = []mapper.Model{{Name: "m", Size: 2, Share: 0.5}, {Name: "n", Size: 2, Share: 0.5}}
+	config.Services[0].Engine = &engine
+	f.apply(config)
+	f.platform.set(func(p *platformStub) { p.peers = 3 })
+	offered := 40 * time.Second
+	f.forwarder.UpdatePeerPools("peer", map[string]estimator.PoolReport{
+		estimator.AllPools: {Reporters: 1}, "engines/n": {Offered: offered, Arrived: 100 * estimator.Milli, Missed: 25 * estimator.Milli},
+	})
+	assert.Equal(t, f.forwarder.Demand("engines")["n"], 1.0)
+	assert.DeepEqual(t, f.forwarder.Loads("engines"), map[string]estimator.ModelLoad{
+		"m": {}, "n": {Offered: 8, Arrived: 20, Missed: 0.25},
+	})
+	f.forwarder.UpdatePeerPools("peer", nil)
+	assert.Equal(t, f.forwarder.Demand("engines")["n"], 0.5)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -143,19 +143,18 @@
 	// responses is the memory that the responses in progress may take together.
 	responses *bounder.Budget
 
-	mu           sync.Mutex
-	random       *rand.Rand
-	tracker      *router.LoadTracker
-	screener     *screener.Screener
-	upstreams    map[string]*upstream
-	peerLoads    *estimator.ReportTable[estimator.Work]
-	peerPools    *estimator.ReportTable[estimator.PoolReport]
-	pools        map[poolKey]*pool
-	demandMeters map[string]*estimator.DemandMeter
-	quarantine   *quarantiner.Quarantine
-	parts        *quarantiner.PartQuarantine
-	budget       *retrier.Budget
-	detourPeers  *pathfinder.Peers
+	mu          sync.Mutex
+	random      *rand.Rand
+	tracker     *router.LoadTracker
+	screener    *screener.Screener
+	upstreams   map[string]*upstream
+	peerLoads   *estimator.ReportTable[estimator.Work]
+	peerPools   *estimator.ReportTable[estimator.PoolReport]
+	pools       map[poolKey]*pool
+	quarantine  *quarantiner.Quarantine
+	parts       *quarantiner.PartQuarantine
+	budget      *retrier.Budget
+	detourPeers *pathfinder.Peers
 	// recentRefusals holds the time at which a request with the same content
 	// was last refused.
 	recentRefusals     *simplelru.LRU[quarantiner.Fingerprint, time.Time]
@@ -195,7 +194,6 @@
 		peerLoads:      estimator.NewReportTable[estimator.Work](),
 		peerPools:      estimator.NewReportTable[estimator.PoolReport](),
 		pools:          make(map[poolKey]*pool),
-		demandMeters:   make(map[string]*estimator.DemandMeter),
 		quarantine:     quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
 		parts:          quarantiner.NewPartQuarantine(partLimits),
 		recentRefusals: recentRefusals,
