Limiter: the order of requests holds at the servers, too

Cause: entry instances order only their own queues; at the servers requests of 71 instances meet in order of arrival, so that late ones take the slots of those that can be in time. Interrupted responses go first. Tests of the three packages pass.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -18,6 +18,8 @@
 	"github.com/waxwingmount/waxwingmount/internal/bodychecker"
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
@@ -338,10 +340,28 @@
 		Instance:     head.ID,
 		Organisation: x.organisation.Name,
 		Remaining:    x.deadline.Sub(clocker.Now()),
+		Urgency:      x.urgency(clocker.Now()),
 	})
 	return request, nil
 }
 
+// urgency returns the place of the request among those that wait at its server. Entry
+// instances order only their own requests, and where there are many the servers' queues are
+// where requests of different instances meet. Plain servers don't order requests.
+func (x *exchange) urgency(now time.Time) limiter.Urgency {
+	if x.pool.model == "" {
+		return 0
+	}
+	timeliness := limiter.InTime
+	switch {
+	case x.lastEventID != "":
+		timeliness = limiter.Interrupted
+	case x.route.Objective > 0 && now.After(x.objectiveStartBy):
+		timeliness = limiter.TooLate
+	}
+	return limiter.NewUrgency(x.config.RankClass(mapper.Priority(x.organisation, x.route), estimator.Ranks), timeliness)
+}
+
 // finishAttempt unregisters an attempt and closes its response body.
 func (f *Forwarder) finishAttempt(a *attempt, failed bool) {
 	f.endHop(a, pathfinder.Answered, 0)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
@@ -39,6 +40,8 @@
 	Organisation string
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration
+	// Urgency orders the request among those that wait at the server.
+	Urgency limiter.Urgency
 }
 
 // ResponseMetadata is what a codec reads from the headers of a server's
