Cold servers: the entry instances divide the rate that one tolerates

Cause: a server that has just started, or became cold again, tolerates only warmup_per_s requests a second from all entry instances together; nothing read the fields, so that 71 entry instances sent at will.

Change: pkg/warmer divides the rate by rendezvous hashing of the server without messages: of 71 entry instances and 14 requests a second the first 14 send one each in 1.05 s. An allowance is taken where the attempt is registered, and checked again before the first byte (valid for 40 ms, then it counts anew or is void). pkg/screener has the verdict cold; an allowance is no shared free slot. provider.Instance carries the remaining time; the relayer treats a report that only counts it down as a repeated one.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -146,6 +146,7 @@
 		Prober:              client,
 		OrderSender:         client,
 		LeavingSource:       client,
+		WarmupSource:        client,
 		Codec:               platform.HeaderCodec{},
 		NewDirectoryHandler: platform.NewDirectoryHandler,
 		NewReadinessHandler: platform.NewReadinessHandler,
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -168,11 +168,11 @@
 
 func (f *Forwarder) startQueued(config *mapper.RouteTable, key poolKey) {
 	now := clocker.Now()
-	free := f.freeSlots(config, key)
-	byPeers := f.path(config, key, false, func() int { return free }, nil, nil) == pathfinder.ByPeer
+	shared, own := f.freeSlotsByUse(config, key)
+	byPeers := f.path(config, key, false, func() int { return shared + own }, nil, nil) == pathfinder.ByPeer
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	free = f.ownShare(free)
+	free := f.ownShare(shared) + own
 	p := f.poolFor(key)
 	if byPeers {
 		free = p.queue.Len()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -291,7 +291,7 @@
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { x.recordSent(a, info.Err) },
 	})
-	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
+	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) && f.confirmWarmUp(a.active) }
 	a.body = bodychecker.New(x.request.Body, isAllowed)
 	if !isAllowed() {
 		return bodychecker.ErrNotAllowed
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -30,6 +30,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
+	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 // testCodec reads and writes metadata in headers with short names.
@@ -127,6 +128,15 @@
 	return p.peers + 1
 }
 
+// Entries returns this entry instance and the other ones.
+func (p *platformStub) Entries() []warmer.Entry {
+	entries := []warmer.Entry{{ID: ""}}
+	for i := range p.Count() - 1 {
+		entries = append(entries, warmer.Entry{ID: "entry-" + strconv.Itoa(i)})
+	}
+	return entries
+}
+
 func (p *platformStub) Announce(context.Context, messenger.LossesMessage) {}
 
 func (p *platformStub) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sys/unix"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
@@ -41,6 +42,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 	"github.com/waxwingmount/waxwingmount/pkg/screener"
+	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 // Peers are the other entry instances, as far as request handling needs them.
@@ -57,6 +59,8 @@
 	RequestPermit(ctx context.Context, request permitter.Request) (permitter.Reply, error)
 	// DetourPeers returns the peers to which requests may be handed.
 	DetourPeers() []DetourPeer
+	// Entries returns the live entry instances, this one included.
+	Entries() []warmer.Entry
 }
 
 const (
@@ -112,6 +116,13 @@
 	// together.
 	RetryRatio float64
 	RetrySlack float64
+	// WarmUpOverage and WarmUpSlack bound the requests that a cold backend server may get
+	// in any one second: its rate times the overage plus the slack.
+	WarmUpOverage float64
+	WarmUpSlack   float64
+	// FewestEntries is the least number of entry instances that there are, whether they are
+	// live or not.
+	FewestEntries int
 	// MemoryBytes is the memory of the process, or zero if it is not known. It can't be
 	// changed by Configure.
 	MemoryBytes int64
@@ -147,6 +158,7 @@
 	random       *rand.Rand
 	tracker      *router.LoadTracker
 	screener     *screener.Screener
+	warmUps      warmUps
 	upstreams    map[string]*upstream
 	peerLoads    *estimator.WorkTable
 	pools        map[poolKey]*pool
@@ -187,6 +199,7 @@
 		permits:        newPermits(d.Scope),
 		responses:      bounder.NewBudget(responseMemory(d.MemoryBytes)),
 		screener:       screener.New(),
+		warmUps:        warmUps{warmer: warmer.New(clocker.Now(), d.Entry)},
 		random:         random,
 		detourPeers:    pathfinder.NewPeers(random),
 		tracker:        router.NewLoadTracker(),
@@ -286,6 +299,7 @@
 			return
 		case <-ticker.C:
 		case <-f.Observer.Changed():
+			f.updateWarmUps()
 		case <-f.wake:
 			f.requestPermits(ctx)
 			f.startQueuedInAllPools()
@@ -293,6 +307,7 @@
 		}
 		f.requestPermits(ctx)
 		f.judgeParts(ctx)
+		f.updateWarmUpEntries()
 		f.checkUpstreams(ctx)
 		f.startQueuedInAllPools()
 	}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -25,6 +25,10 @@
 	retries tally.Counter
 	// deferrals counts the servers that said that they want nothing for a time.
 	deferrals tally.Counter
+	// coldServers is the number of cold servers, and coldRefusals counts how often one was
+	// left out of a choice because of it.
+	coldServers  tally.Gauge
+	coldRefusals tally.Counter
 	// strikes and peerStrikes count the strikes of requests of this entry instance and
 	// those that peers reported.
 	strikes     tally.Counter
@@ -48,6 +52,8 @@
 		attempts:       scope.Counter("tries"),
 		retries:        scope.Counter("moves"),
 		deferrals:      scope.Counter("server_deferrals"),
+		coldServers:    scope.Gauge("cold_servers"),
+		coldRefusals:   scope.Counter("cold_refusals"),
 		strikes:        scope.Tagged(map[string]string{"source": "own"}).Counter("strikes"),
 		peerStrikes:    scope.Tagged(map[string]string{"source": "peer"}).Counter("strikes"),
 		blockedParts:   scope.Gauge("blocked_parts"),
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 	"github.com/waxwingmount/waxwingmount/pkg/screener"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
+	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 const (
@@ -124,6 +125,8 @@
 	// group and engine are nil for a plain server.
 	group  *tracker.Group
 	engine *mapper.Engine
+	// warmUp is the limit of the service's cold servers.
+	warmUp warmer.Limit
 }
 
 // destinations returns what may be sent requests of a pool now.
@@ -133,32 +136,39 @@
 		return nil
 	}
 	var available []destination
+	warmUp := f.warmUpLimit(service)
 	if service.Engine != nil && key.model != "" {
 		for _, g := range f.Observer.Groups(key.service, key.model) {
-			available = append(available, destination{name: g.Name, members: g.Members, group: &g, engine: service.Engine})
+			available = append(available, destination{name: g.Name, members: g.Members, group: &g, engine: service.Engine, warmUp: warmUp})
 		}
 		return available
 	}
 	for _, in := range f.Observer.Servers(key.service) {
-		available = append(available, destination{name: in.ID, members: []provider.Instance{in}})
+		available = append(available, destination{name: in.ID, members: []provider.Instance{in}, warmUp: warmUp})
 	}
 	return available
 }
 
 // candidates returns the upstreams of the destinations that may be sent a request.
-// Those that only lack a permit are returned separately. The caller holds f.mu.
-func (f *Forwarder) candidates(now time.Time, destinations []destination) (usable, withoutPermit []*upstream) {
+// Those that only lack a permit are returned separately, and those that may get none because
+// they are cold are counted. The caller holds f.mu.
+func (f *Forwarder) candidates(now time.Time, destinations []destination) (usable, withoutPermit []*upstream, cold int) {
 	usable = make([]*upstream, 0, len(destinations))
 	for _, d := range destinations {
 		u := f.upstreamFor(now, d)
+		if d.warmUp.PerSecond > 0 {
+			f.warmUps.warmer.Observe(now, listed(d.members[0], d.warmUp))
+		}
 		switch verdict, _ := f.screen(now, u); verdict {
 		case screener.Eligible:
 			usable = append(usable, u)
+		case screener.Cold:
+			cold++
 		case screener.NoPermit:
 			withoutPermit = append(withoutPermit, u)
 		}
 	}
-	return usable, withoutPermit
+	return usable, withoutPermit, cold
 }
 
 // wantPermits asks for permits for a few upstreams that have a usable slot free.
@@ -197,27 +207,40 @@
 	return float64(first) / float64(time.Millisecond)
 }
 
-// freeSlots returns how many more requests a pool can run at once.
+// freeSlots returns how many more requests a pool can run at once, as far as this entry
+// instance may start them.
 func (f *Forwarder) freeSlots(config *mapper.RouteTable, key poolKey) int {
+	shared, own := f.freeSlotsByUse(config, key)
+	return shared + own
+}
+
+// freeSlotsByUse returns how many more requests a pool can run at once: on servers to which
+// all entry instances send requests, and on cold ones, whose allowances are only this
+// instance's.
+func (f *Forwarder) freeSlotsByUse(config *mapper.RouteTable, key poolKey) (shared, own int) {
 	destinations := f.destinations(config, key)
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.poolFor(key)
-	free := 0
-	usable, withoutPermit := f.candidates(now, destinations)
+	usable, withoutPermit, _ := f.candidates(now, destinations)
 	for _, u := range usable {
 		slots := max(0, p.usableSlots(u)-f.totalWork(now, u).Running)
 		if f.permits.isLimited(u.head()) {
 			// A permit is for one request.
 			slots = min(slots, 1)
 		}
-		free += slots
+		if f.warmUps.warmer.Limited(now, limitKey(u.head())) {
+			// An allowance is for one request.
+			own += min(slots, 1)
+			continue
+		}
+		shared += slots
 	}
-	if free == 0 {
+	if shared+own == 0 {
 		f.wantPermits(now, p, withoutPermit)
 	}
-	return free
+	return shared, own
 }
 
 // usableSlots returns how many requests an upstream can run so that the pool's
@@ -266,7 +289,8 @@
 	now := clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable, withoutPermit := f.candidates(now, destinations)
+	usable, withoutPermit, cold := f.candidates(now, destinations)
+	f.metrics.coldRefusals.Inc(int64(cold))
 	f.wantPermits(now, f.poolFor(key), withoutPermit)
 	upstreams := withoutFailed(usable, failed)
 	works := make(map[*upstream]estimator.Work, len(upstreams))
--- a/internal/forwarder/screen.go
+++ b/internal/forwarder/screen.go
@@ -48,7 +48,7 @@
 func (f *Forwarder) screen(now time.Time, u *upstream) (screener.Verdict, time.Time) {
 	head := u.head()
 	return f.screener.Screen(now, limitKey(head), screener.Evidence{
-		EjectedUntil: u.ejectedUntil, NoPermit: f.permits.lacks(now, head),
+		EjectedUntil: u.ejectedUntil, NoPermit: f.permits.lacks(now, head), Cold: !f.warmUps.warmer.Allowed(now, limitKey(head)),
 	})
 }
 
@@ -114,7 +114,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, in := range instances {
-		e := screener.Evidence{Lost: lost[in.ID], Leaving: in.Leaving, NoPermit: f.permits.lacks(now, in)}
+		e := screener.Evidence{Lost: lost[in.ID], Leaving: in.Leaving, NoPermit: f.permits.lacks(now, in), Cold: !f.warmUps.warmer.Allowed(now, limitKey(in))}
 		if u, found := f.upstreams[upstreamName(in, key)]; found {
 			e.EjectedUntil = u.ejectedUntil
 		}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
+	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 // upstream is a destination of requests: a replica group or a plain server.
@@ -69,6 +70,8 @@
 	promptTokens int
 	// parts are the parts of the prompt.
 	parts []quarantiner.Part
+	// allowance permits the attempt if its server is cold.
+	allowance warmer.Allowance
 }
 
 const (
@@ -119,6 +122,7 @@
 	u.active[a] = struct{}{}
 	f.tracker.Begin(u.name)
 	f.permits.use(u.head())
+	a.allowance = f.warmUps.warmer.Use(now, limitKey(u.head()))
 }
 
 // unregisterAttempt removes an attempt from its upstream, records whether it
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -79,6 +79,10 @@
 	// AddressTTL is the longest time that callers cache a response of the
 	// directory.
 	AddressTTL time.Duration
+	// WarmUpOverage and WarmUpSlack bound the requests that a cold backend server may get
+	// in any one second: its rate times the overage plus the slack.
+	WarmUpOverage float64
+	WarmUpSlack   float64
 }
 
 // Process identifies the running process and counts its dropped log lines.
@@ -97,6 +101,8 @@
 	Codec       forwarder.Codec
 	// LeavingSource may be nil.
 	LeavingSource LeavingSource
+	// WarmupSource may be nil.
+	WarmupSource WarmupSource
 	// NewDirectoryHandler and NewReadinessHandler create the handlers of
 	// DirectoryAddress and ReadinessAddress.
 	NewDirectoryHandler func(Directory) http.Handler
@@ -110,6 +116,14 @@
 	OnLeaving(handle func(provider.Instance))
 }
 
+// WarmupSource tells of backend servers that say in their responses to probes for how long
+// they are still cold.
+type WarmupSource interface {
+	// OnWarmup sets the function that is told of them, with the time at which the probe was
+	// sent.
+	OnWarmup(handle func(in provider.Instance, sentAt time.Time, left time.Duration))
+}
+
 const (
 	// heartbeatInterval is the time between two gossip exchanges with peers.
 	heartbeatInterval = 250 * time.Millisecond
@@ -211,6 +225,9 @@
 		Tracer:   n.traces.Tracer("waxwingmount"),
 		Scope:    scope,
 	})
+	if p.WarmupSource != nil {
+		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
+	}
 	n.orchestrator = orchestrator.New(orchestrator.Dependencies{
 		Holder:      holderName(s.ID, epoch),
 		FirstStart:  s.FirstStart,
@@ -235,6 +252,14 @@
 	return max(s.ConfigTTL, s.LeavingTTL)
 }
 
+// fewestEntries returns how many entry instances the settings name, this one included.
+func (s Settings) fewestEntries() int {
+	if slices.Contains(s.Seeds, s.PeerAddress) {
+		return len(s.Seeds)
+	}
+	return len(s.Seeds) + 1
+}
+
 // detourMemory returns the memory for the bodies of requests that peers hand over.
 func (s Settings) detourMemory() int64 {
 	if s.MemoryBytes <= 0 {
@@ -275,7 +300,8 @@
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL,
+		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL, WarmUpOverage: s.WarmUpOverage, WarmUpSlack: s.WarmUpSlack,
+		FewestEntries: s.fewestEntries(),
 	}
 }
 
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 const (
@@ -64,6 +65,15 @@
 // Count implements [forwarder.Peers].
 func (p *peers) Count() int { return p.node.discoverer.Count() }
 
+// Entries implements [forwarder.Peers].
+func (p *peers) Entries() []warmer.Entry {
+	var entries []warmer.Entry
+	for _, m := range p.node.discoverer.Live() {
+		entries = append(entries, warmer.Entry{ID: m.ID, Leaving: m.Leaving})
+	}
+	return entries
+}
+
 // DetourPeers implements [forwarder.Peers].
 func (p *peers) DetourPeers() []forwarder.DetourPeer {
 	var found []forwarder.DetourPeer
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -26,6 +26,8 @@
 	LineInstanceLeaving   = "instance says that it leaves"
 	LineServerDeferral    = "server wants nothing until"
 	LineServerLimit       = "server limit changed"
+	LineServerCold        = "server is cold"
+	LineServerWarm        = "server is warm"
 	LineGroups            = "groups"
 	LineOrderSent         = "order sent"
 	LineOrderFailed       = "order not carried out"
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -68,6 +68,8 @@
 type versionedInstance struct {
 	instance provider.Instance
 	revision uint64
+	// listedAt is when the list with this report was current.
+	listedAt time.Time
 }
 
 // maxRemoved bounds the number of removed instances that are remembered. Beyond
@@ -158,17 +160,18 @@
 // put stores an instance and reports whether its report has changed.
 func (v *versionedState) put(next uint64, in provider.Instance) bool {
 	old, known := v.instances[in.ID]
-	if known && old.instance.Sequence == in.Sequence && sameReport(old.instance, in) {
+	same := known && sameReport(old.instance, in, v.listedAt.Sub(old.listedAt))
+	if same && old.instance.Sequence == in.Sequence && old.instance.WarmupLeft == in.WarmupLeft {
 		return false
 	}
 	v.list = nil
 	v.content++
-	if known && sameReport(old.instance, in) {
+	if same {
 		// Peers are not sent a report that only repeats the last one.
-		v.instances[in.ID] = versionedInstance{instance: in, revision: old.revision}
+		v.instances[in.ID] = versionedInstance{instance: in, revision: old.revision, listedAt: v.listedAt}
 		return false
 	}
-	v.instances[in.ID] = versionedInstance{instance: in, revision: next}
+	v.instances[in.ID] = versionedInstance{instance: in, revision: next, listedAt: v.listedAt}
 	delete(v.removed, in.ID)
 	return true
 }
@@ -252,11 +255,21 @@
 	return !v.eraSince.IsZero() && at.Before(v.eraSince.Add(rewriteTimeout))
 }
 
-// sameReport reports whether two reports of an instance differ in their count at
-// most.
-func sameReport(a, b provider.Instance) bool {
-	a.Sequence = b.Sequence
-	return reflect.DeepEqual(a, b)
+// warmupTolerance is by how much the remaining time of a warm-up must exceed what was left of
+// the one before to mean that the instance has become cold anew. A smaller difference is due
+// to the time that readings take.
+const warmupTolerance = 500 * time.Millisecond
+
+// sameReport reports whether a report of an instance differs from the one that was listed
+// elapsed before in its count and in the remaining time of one warm-up at most. That time
+// differs in every report of a cold instance; sending it each time would make every
+// heartbeat a change.
+func sameReport(previous, next provider.Instance, elapsed time.Duration) bool {
+	if (previous.WarmupLeft > 0) == (next.WarmupLeft > 0) && next.WarmupLeft <= max(0, previous.WarmupLeft-elapsed)+warmupTolerance {
+		previous.WarmupLeft = next.WarmupLeft
+	}
+	previous.Sequence = next.Sequence
+	return reflect.DeepEqual(previous, next)
 }
 
 // updateConfig applies a configuration that was the newest at that time, or at no known
--- a/internal/relayer/state_test.go
+++ b/internal/relayer/state_test.go
@@ -21,7 +21,8 @@
 // scripts in which one instance fetches changes from three readers, each with a state of its
 // own. Times are in milliseconds; a reply takes no time unless "took" is set. A reply to
 // "ask" arrives with "arrive". "show" shows the state of a reader or the client. An instance is written as
-// its ID, data centre and, if it counts its reports, their number.
+// its ID, data centre, the number of its reports if it counts them, and the time for which it is
+// still cold if it states that.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		client := New(Dependencies{Epoch: 3})
@@ -86,10 +87,15 @@
 	reader.firstStart = reader.firstStart || d.HasArg("first_start")
 	for _, word := range strings.Fields(d.Input) {
 		id, zone, _ := strings.Cut(word, "=")
+		zone, left, stated := strings.Cut(zone, "~")
 		zone, number, _ := strings.Cut(zone, "#")
 		sequence, err := strconv.ParseUint("0"+number, 10, 64)
 		assert.NilError(t, err)
-		reading.Instances = append(reading.Instances, provider.Instance{ID: id, DataCentre: zone, Sequence: sequence})
+		warmup, err := strconv.Atoi("0" + left)
+		assert.NilError(t, err)
+		reading.Instances = append(reading.Instances, provider.Instance{
+			ID: id, DataCentre: zone, Sequence: sequence, WarmupStated: stated, WarmupLeft: time.Duration(warmup) * time.Millisecond,
+		})
 	}
 	for _, argument := range d.CmdArgs {
 		if argument.Key == "removed" {
@@ -115,6 +121,9 @@
 		if in.Sequence > 0 {
 			name += fmt.Sprint("#", in.Sequence)
 		}
+		if in.WarmupStated {
+			name += fmt.Sprint("~", in.WarmupLeft.Milliseconds())
+		}
 		names = append(names, name)
 	}
 	slices.Sort(names)
--- a/pkg/assigner/assign.go
+++ b/pkg/assigner/assign.go
@@ -13,6 +13,7 @@
 package assigner
 
 import (
+	"iter"
 	"maps"
 	"slices"
 
@@ -74,3 +75,15 @@
 	first := round * count % len(ranked)
 	return slices.Concat(ranked[first:], ranked[:first])[:count]
 }
+
+// Rank returns how many of the entry instances have a higher weight for the key than one of
+// them: its place in the result of Assign.
+func Rank(key, entry string, entries iter.Seq[string]) int {
+	own, rank := weight(key, entry), 0
+	for other := range entries {
+		if weight(key, other) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/pkg/mapper/config.go
+++ b/pkg/mapper/config.go
@@ -122,6 +122,11 @@
 	Name string
 	// Engine is nil for a service that runs no models.
 	Engine *Engine
+	// WarmUp is how long a server is cold after it starts during traffic, and WarmUpRate
+	// the rate of requests that a cold server tolerates from all entry instances together;
+	// zero means that there is no limit.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Organisation is a customer; its requests carry one of its API keys.
--- a/pkg/provider/instance.go
+++ b/pkg/provider/instance.go
@@ -1,6 +1,9 @@
 package provider
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 //go:generate stringer -type=MemberState -linecomment -output=member_state_string.go
 
@@ -61,4 +64,9 @@
 	// Staged lists the models whose weights are in the host's memory.
 	Staged     []string   `json:"staged,omitempty"`
 	Membership Membership `json:"membership,omitzero"`
+	// WarmupStated reports whether the instance's report says how long it is still cold, and
+	// WarmupLeft is that time as of the report. A list that peers send holds the time of an
+	// earlier report, unless the instance has become cold or warm since.
+	WarmupStated bool          `json:"warmup_stated,omitempty"`
+	WarmupLeft   time.Duration `json:"warmup_left,omitempty"`
 }
--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -33,6 +33,9 @@
 	Deferred // wants_nothing_until
 	// Ejected means that earlier requests failed there, until a time.
 	Ejected // ejected
+	// Cold means that the server is cold and this entry instance may not send it a request
+	// now.
+	Cold // cold
 	// NoPermit means that the server limits its requests and there is no permit.
 	NoPermit // no_permit
 )
@@ -43,6 +46,9 @@
 	// EjectedUntil is the time until which the server gets no requests because earlier
 	// ones failed, or zero.
 	EjectedUntil time.Time
+	// Cold means that the server is cold and this entry instance may not send it a request
+	// now.
+	Cold bool
 	// NoPermit means that the server limits its requests and there is no permit.
 	NoPermit bool
 }
@@ -123,6 +129,8 @@
 		return Deferred, until
 	case !now.After(e.EjectedUntil):
 		return Ejected, e.EjectedUntil
+	case e.Cold:
+		return Cold, time.Time{}
 	case e.NoPermit:
 		return NoPermit, time.Time{}
 	}
--- a/pkg/screener/script_test.go
+++ b/pkg/screener/script_test.go
@@ -32,7 +32,7 @@
 			case "answered":
 				return fmt.Sprintf("%t\n", s.HasAnswered(now, server, 1500*time.Millisecond))
 			case "screen":
-				e := Evidence{Lost: d.HasArg("lost"), Leaving: d.HasArg("leaving"), NoPermit: d.HasArg("no_permit")}
+				e := Evidence{Lost: d.HasArg("lost"), Leaving: d.HasArg("leaving"), NoPermit: d.HasArg("no_permit"), Cold: d.HasArg("cold")}
 				if ejected >= 0 {
 					e.EjectedUntil = start.Add(time.Duration(ejected) * time.Millisecond)
 				}
--- a/pkg/screener/verdict_string.go
+++ b/pkg/screener/verdict_string.go
@@ -13,12 +13,13 @@
 	_ = x[Leaving-2]
 	_ = x[Deferred-3]
 	_ = x[Ejected-4]
-	_ = x[NoPermit-5]
+	_ = x[Cold-5]
+	_ = x[NoPermit-6]
 }
 
-const _Verdict_name = "eligiblelostleaveswants_nothing_untilejectedno_permit"
+const _Verdict_name = "eligiblelostleaveswants_nothing_untilejectedcoldno_permit"
 
-var _Verdict_index = [...]uint8{0, 8, 12, 18, 37, 44, 53}
+var _Verdict_index = [...]uint8{0, 8, 12, 18, 37, 44, 48, 57}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
