--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -29,6 +29,8 @@
 	Lost // lost
 	// Leaving means that the server or the list says that it leaves.
 	Leaving // leaves
+	// Evacuated means that the server's data centre is evacuated.
+	Evacuated // evacuated
 	// Deferred means that the server wants nothing until a time.
 	Deferred // wants_nothing_until
 	// Ejected means that earlier requests failed there, until a time.
@@ -39,7 +41,7 @@
 
 // Evidence is what the caller knows of a server.
 type Evidence struct {
-	Lost, Leaving bool
+	Lost, Leaving, Evacuated bool
 	// EjectedUntil is the time until which the server gets no requests because earlier
 	// ones failed, or zero.
 	EjectedUntil time.Time
@@ -119,6 +121,8 @@
 		return Lost, time.Time{}
 	case e.Leaving:
 		return Leaving, time.Time{}
+	case e.Evacuated:
+		return Evacuated, time.Time{}
 	case now.Before(until):
 		return Deferred, until
 	case !now.After(e.EjectedUntil):
--- a/pkg/screener/verdict_string.go
+++ b/pkg/screener/verdict_string.go
@@ -11,14 +11,15 @@
 	_ = x[Eligible-0]
 	_ = x[Lost-1]
 	_ = x[Leaving-2]
-	_ = x[Deferred-3]
-	_ = x[Ejected-4]
-	_ = x[NoPermit-5]
+	_ = x[Evacuated-3]
+	_ = x[Deferred-4]
+	_ = x[Ejected-5]
+	_ = x[NoPermit-6]
 }
 
-const _Verdict_name = "eligiblelostleaveswants_nothing_untilejectedno_permit"
+const _Verdict_name = "eligiblelostleavesevacuatedwants_nothing_untilejectedno_permit"
 
-var _Verdict_index = [...]uint8{0, 8, 12, 18, 37, 44, 53}
+var _Verdict_index = [...]uint8{0, 8, 12, 18, 27, 46, 53, 62}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/pkg/tracker/reach.go
+++ b/pkg/tracker/reach.go
@@ -28,27 +28,31 @@
 	if model != "" {
 		return len(t.remoteGroups[serviceModel{service, model}]) > 0
 	}
-	return len(t.individuals[service]) > len(t.servers[service])
+	return slices.ContainsFunc(t.individuals[service], func(in provider.Instance) bool {
+		return !t.Evacuated(in) && !t.Reachable(in.ID)
+	})
 }
 
 // selectReachable divides the available groups and servers by whether they can be reached
-// from here.
+// from here, and leaves out those in evacuated data centres.
 func (t *Tracker) selectReachable() {
 	t.groupsByModel = make(map[serviceModel][]Group)
 	t.remoteGroups = make(map[serviceModel][]Group)
 	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
 		g := t.groups[name]
 		key := serviceModel{g.Service, g.Model}
-		if t.Reachable(g.Head().ID) {
+		switch {
+		case t.Evacuated(g.Head()):
+		case t.Reachable(g.Head().ID):
 			t.groupsByModel[key] = append(t.groupsByModel[key], g)
-		} else {
+		default:
 			t.remoteGroups[key] = append(t.remoteGroups[key], g)
 		}
 	}
 	t.servers = make(map[string][]provider.Instance)
 	for service, all := range t.individuals {
 		for _, in := range all {
-			if t.Reachable(in.ID) {
+			if t.usable(in) {
 				t.servers[service] = append(t.servers[service], in)
 			}
 		}
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -16,7 +16,7 @@
 }
 
 // parseInstance parses a line "id incarnation group epoch rank state [sequence=N]
-// [leaving]".
+// [in=DATACENTRE] [leaving]". A dash stands for no group.
 func parseInstance(t *testing.T, line string) provider.Instance {
 	t.Helper()
 	in := provider.Instance{Service: "s"}
@@ -26,6 +26,12 @@
 		t.Fatalf("%q: %v", line, err)
 	}
 	m.State = memberStates[state]
+	if m.Group == "-" {
+		*m = provider.Membership{}
+	}
+	if _, place, found := strings.Cut(line, "in="); found {
+		in.DataCentre = strings.Fields(place)[0]
+	}
 	in.Leaving = strings.HasSuffix(line, "leaving")
 	if _, count, found := strings.Cut(line, "sequence="); found {
 		if _, err := fmt.Sscan(count, &in.Sequence); err != nil {
@@ -59,7 +65,7 @@
 				era := uint64(0)
 				d.MaybeScanArgs(t, "era", &era)
 				tracker.Update(at(d), era, listed)
-			case "mark_lost", "mark_lost_here", "contradict", "path_respond", "path_fail", "restore", "remote_groups", "localize", "renew_loss", "instance_lost":
+			case "mark_lost", "mark_lost_here", "contradict", "path_respond", "path_fail", "restore", "remote_groups", "localize", "evacuate", "servers", "renew_loss", "instance_lost":
 				return runPathCommand(t, tracker, at, d)
 			case "judge", "respond", "prune":
 				return runSuspicionCommand(t, suspicions, at, d)
@@ -150,6 +156,18 @@
 		return fmt.Sprintf("restored: %t\n", tracker.RestorePath(at(d), servers))
 	case "remote_groups":
 		return fmt.Sprintf("%t\n", tracker.ReachableByPeers("s", "m"))
+	case "evacuate":
+		dataCentres := make(map[string]bool)
+		for _, dataCentre := range strings.Fields(d.Input) {
+			dataCentres[dataCentre] = true
+		}
+		tracker.SetEvacuated(dataCentres)
+	case "servers":
+		var names []string
+		for _, in := range tracker.Servers("s") {
+			names = append(names, fmt.Sprintf("%s available=%t", in.ID, tracker.InstanceAvailable(in)))
+		}
+		return fmt.Sprintf("%s; by peers %t; all evacuated %t\n", strings.Join(names, ", "), tracker.ReachableByPeers("s", ""), tracker.AllEvacuated("s"))
 	case "localize":
 		tracker.LocalizeLoss(d.CmdArgs[0].Key)
 	case "renew_loss":
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -110,6 +110,8 @@
 	// service, and servers those of them that can be reached from here.
 	individuals, servers map[string][]provider.Instance
 	path                 *Path
+	// evacuated holds the data centres whose servers get no requests. It is not changed.
+	evacuated map[string]bool
 }
 
 // serviceModel is a service and one of its models.
@@ -312,17 +314,17 @@
 }
 
 // Servers returns the instances of a service that can take requests individually rather
-// than as a group, and can be reached from here. The caller must not change them.
+// than as a group, can be reached from here and are in no evacuated data centre. The caller must not change them.
 func (t *Tracker) Servers(service string) []provider.Instance { return t.servers[service] }
 
-// Groups returns the available groups of a service and model that can be reached from here,
-// sorted by name. The caller must not change them.
+// Groups returns the available groups of a service and model that can be reached from here
+// and whose heads are in no evacuated data centre, sorted by name. The caller must not change them.
 func (t *Tracker) Groups(service, model string) []Group {
 	return t.groupsByModel[serviceModel{service, model}]
 }
 
 // Heads returns the heads of all groups that are available, whether or not they can be
-// reached from here.
+// reached from here or are in an evacuated data centre.
 func (t *Tracker) Heads() []provider.Instance {
 	var heads []provider.Instance
 	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
@@ -332,21 +334,21 @@
 }
 
 // Individuals returns the instances of a service that can take requests individually,
-// whether or not they can be reached from here. The caller must not change them.
+// whether or not they can be reached from here or are in an evacuated data centre. The caller must not change them.
 func (t *Tracker) Individuals(service string) []provider.Instance { return t.individuals[service] }
 
 // GroupAvailable reports whether a group can still take requests from here, in the same
 // epoch and with the same member incarnations.
 func (t *Tracker) GroupAvailable(g Group) bool {
 	current, found := t.groups[g.Name]
-	return found && current.Epoch == g.Epoch && slices.EqualFunc(current.Members, g.Members, sameIncarnation) && t.Reachable(current.Head().ID)
+	return found && current.Epoch == g.Epoch && slices.EqualFunc(current.Members, g.Members, sameIncarnation) && t.usable(current.Head())
 }
 
 // InstanceAvailable reports whether an individual instance can still take
 // requests from here, in the same incarnation.
 func (t *Tracker) InstanceAvailable(in provider.Instance) bool {
 	current, found := t.instances[in.ID]
-	return found && sameIncarnation(current, in) && !current.Leaving && t.Reachable(in.ID)
+	return found && sameIncarnation(current, in) && !current.Leaving && t.usable(current)
 }
 
 // sameIncarnation reports whether a and b are the same run of one instance.
