Scheduler: instances of an evacuated data centre are no capacity

Cause: capacity there would be counted, loaded and joined to new groups while no request may be sent to it. Change: such instances, and groups whose heads are there, are not in the inventory. Open groups stay open, so that they can serve at once after the evacuation; a new group that would wait for a member there to join is ended. The log line of the groups counts them as evacuated.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -319,7 +319,7 @@
 		scope := o.Scope.Tagged(map[string]string{"service": service, "model": model})
 		scope.Gauge("groups_open").Update(float64(s.Open))
 		scope.Gauge("groups_forming").Update(float64(s.Forming))
-		log.WithFields(log.Fields{"service": service, "model": model, "open": s.Open, "forming": s.Forming, "ending": s.Ending, "spread": s.Spread, "ready": s.Ready, "loading": s.Loading, "demand": math.Round(demand[model]*100) / 100}).Info(logger.LineGroups)
+		log.WithFields(log.Fields{"service": service, "model": model, "open": s.Open, "forming": s.Forming, "ending": s.Ending, "spread": s.Spread, "evacuated": s.Evacuated, "ready": s.Ready, "loading": s.Loading, "demand": math.Round(demand[model]*100) / 100}).Info(logger.LineGroups)
 	}
 }
 
--- a/pkg/scheduler/compact.go
+++ b/pkg/scheduler/compact.go
@@ -41,27 +41,28 @@
 	}
 }
 
-// countOpenAndEnding returns the number of open groups of a model and the number
-// that drain or are broken.
+// countOpenAndEnding returns the number of open groups of a model, without those whose
+// heads are evacuated, and the number that drain or are broken.
 func (s *Scheduler) countOpenAndEnding(model string) (open, ending int) {
 	for _, g := range s.groups {
 		switch {
 		case g.model.Name != model:
 		case !g.drainingSince.IsZero() || !g.brokenSince.IsZero():
 			ending++
-		case g.opened:
+		case g.opened && !g.evacuated:
 			open++
 		}
 	}
 	return open, ending
 }
 
-// spreadGroups returns the open groups of a model that span several domains.
+// spreadGroups returns the open groups of a model that span several domains and have no
+// member in an evacuated data centre.
 func (s *Scheduler) spreadGroups(m mapper.Model) []*group {
 	var found []*group
 	for _, name := range slices.Sorted(maps.Keys(s.groups)) {
 		g := s.groups[name]
-		if g.model.Name == m.Name && g.opened && g.drainingSince.IsZero() && (tracker.Group{Members: g.members}).Spread() {
+		if g.model.Name == m.Name && g.opened && g.drainingSince.IsZero() && (tracker.Group{Members: g.members}).Spread() && !g.inEvacuated {
 			found = append(found, g)
 		}
 	}
--- a/pkg/scheduler/form.go
+++ b/pkg/scheduler/form.go
@@ -92,7 +92,8 @@
 }
 
 // takeInventory builds the inventory and removes the loads of instances that
-// are leaving or lost.
+// are leaving or lost. Instances in evacuated data centres, and in groups whose heads are
+// there, are not in it.
 func (s *Scheduler) takeInventory(now time.Time, v View) inventory {
 	inv := newInventory()
 	groupOf := make(map[string]*group)
@@ -109,6 +110,9 @@
 			continue
 		}
 		if g := groupOf[in.ID]; g != nil {
+			if g.evacuated {
+				continue
+			}
 			if g.drainingSince.IsZero() {
 				inv.addHolder(g.model.Name, in.FabricDomain)
 			} else {
@@ -125,17 +129,10 @@
 // inventory, and updates its load.
 func (s *Scheduler) classify(now time.Time, v View, in provider.Instance, inv *inventory) {
 	model := s.lastModel(in)
-	l, loading := s.loading[in.ID]
+	l, loading := s.updateLoad(now, in)
 	state := in.Membership.State
-	if loading && state == provider.Joining && in.Membership.Group == l.group {
-		l.reported = true
-		s.loading[in.ID] = l
-	}
-	done := loading && in.Membership.Group == l.group && state == provider.MemberReady
-	expired := loading && (now.After(l.deadline) || !l.reported && now.Sub(l.startedAt) > joinReportTimeout)
-	if done || expired || loading && l.incarnation != in.Incarnation {
-		delete(s.loading, in.ID)
-		loading = false
+	if v.Tracker.Evacuated(in) {
+		return
 	}
 	switch {
 	case s.inUnmanagedGroup(now, in):
@@ -156,6 +153,23 @@
 	}
 }
 
+// updateLoad updates an instance's load by its report, and returns it if it is in progress.
+func (s *Scheduler) updateLoad(now time.Time, in provider.Instance) (weightLoad, bool) {
+	l, loading := s.loading[in.ID]
+	state := in.Membership.State
+	if loading && state == provider.Joining && in.Membership.Group == l.group {
+		l.reported = true
+		s.loading[in.ID] = l
+	}
+	done := loading && in.Membership.Group == l.group && state == provider.MemberReady
+	expired := loading && (now.After(l.deadline) || !l.reported && now.Sub(l.startedAt) > joinReportTimeout)
+	if done || expired || loading && l.incarnation != in.Incarnation {
+		delete(s.loading, in.ID)
+		loading = false
+	}
+	return l, loading
+}
+
 // inUnmanagedGroup reports whether an instance that is in none of the
 // scheduler's groups reports a group with other members.
 func (s *Scheduler) inUnmanagedGroup(now time.Time, in provider.Instance) bool {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -3,6 +3,9 @@
 // groups within one fabric domain where it can, for the model with the largest
 // capacity deficit, and prefers instances that already hold the model's
 // weights. It dissolves every group that has lost a member.
+// Instances in evacuated data centres are no capacity: they join no new group and
+// load nothing, while open groups there stay open, so that they can serve at once
+// when the evacuation ends.
 //
 // # Usage
 //
@@ -71,6 +74,9 @@
 	drainingSince time.Time
 	// brokenSince is when the group was first found to be broken, or zero.
 	brokenSince time.Time
+	// evacuated reports whether the head is in an evacuated data centre, so that the group
+	// takes no requests; inEvacuated, whether any member is.
+	evacuated, inEvacuated bool
 }
 
 // Scheduler holds the scheduling state of one holder of the control lease. It
@@ -194,9 +200,11 @@
 }
 
 // stepGroup advances one group towards its desired state: it dissolves a broken
-// group, drains one that is closing, and joins and opens a new one.
+// group, drains one that is closing, and joins and opens a new one. An evacuation does not
+// end an open group. It ends a new one that would wait for a member there to join.
 func (s *Scheduler) stepGroup(now time.Time, v View, g *group) []Order {
 	head, _ := s.currentInstance(v, g.members[0])
+	g.evacuated, g.inEvacuated = v.Tracker.Evacuated(head), slices.ContainsFunc(g.members, v.Tracker.Evacuated)
 	switch {
 	case s.isBroken(v, g):
 		if g.brokenSince.IsZero() {
@@ -218,6 +226,10 @@
 			continue
 		}
 		ready = false
+		if !s.hasRank(in, g, rank) && v.Tracker.Evacuated(in) {
+			g.brokenSince = now
+			return s.dissolve(now, v, g)
+		}
 		if !s.hasRank(in, g, rank) {
 			orders = append(orders, s.throttle(now, s.newOrder(Join, in, g))...)
 		}
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -221,6 +221,12 @@
 				return s.step(d)
 			case "groups":
 				return s.groups()
+			case "evacuate":
+				dataCentres := make(map[string]bool)
+				for _, dataCentre := range strings.Fields(d.Input) {
+					dataCentres[dataCentre] = true
+				}
+				s.tracker.SetEvacuated(dataCentres)
 			default:
 				for _, id := range strings.Fields(d.Input) {
 					s.applyEvent(d.Cmd, id)
@@ -233,12 +239,13 @@
 
 // addInstances adds instances in one domain.
 func (s *simulation) addInstances(d *datadriven.TestData) {
-	var domain, loaded, staged string
+	var domain, loaded, staged, dataCentre string
 	d.ScanArgs(s.t, "domain", &domain)
 	d.MaybeScanArgs(s.t, "loaded", &loaded)
 	d.MaybeScanArgs(s.t, "staged", &staged)
+	d.MaybeScanArgs(s.t, "in", &dataCentre)
 	for _, id := range strings.Fields(d.Input) {
-		in := &provider.Instance{ID: id, Incarnation: "1", FabricDomain: domain}
+		in := &provider.Instance{ID: id, Incarnation: "1", FabricDomain: domain, DataCentre: dataCentre}
 		if loaded != "" {
 			in.Loaded, in.Staged = []string{loaded}, []string{loaded}
 		}
--- a/pkg/scheduler/stats.go
+++ b/pkg/scheduler/stats.go
@@ -6,6 +6,9 @@
 type ModelStats struct {
 	Forming int
 	Open    int
+	// Evacuated counts the groups that would be open, but their heads are in evacuated data
+	// centres.
+	Evacuated int
 	// Spread counts the open groups that span several fabric domains.
 	Spread int
 	// Ending counts the groups that drain or are broken.
@@ -24,6 +27,8 @@
 		switch {
 		case !g.brokenSince.IsZero() || !g.drainingSince.IsZero():
 			m.Ending++
+		case g.opened && g.evacuated:
+			m.Evacuated++
 		case g.opened:
 			m.Open++
 			if (tracker.Group{Members: g.members}).Spread() {
