Evacuations: from the store and peers to the forwarder

Change: the feed of the configuration covers the rows up to evacuate/..., so that no call is added; the configuration's row is found by its key. Replies to peers and heartbeats carry the evacuations whole, so that a reply without any other change has them. The observer logs them and sets them in its tracker. The forwarder refuses at once if all servers of a service are in evacuated data centres, and confirms what it knows before it sends if the settings name bounds.evacuate_ms.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -113,6 +113,14 @@
 			if own {
 				last[l.Message] = i
 			}
+		case logger.LineEvacuated:
+			if own {
+				last[l.Message+l.text(logger.FieldDataCentre)] = i
+			}
+		case logger.LineEvacuationEnded:
+			if own {
+				delete(last, logger.LineEvacuated+l.text(logger.FieldDataCentre))
+			}
 		case logger.LineStoreRegained, logger.LineStoreLost:
 			if own {
 				last[logger.LineStoreRegained] = i
--- a/internal/explainer/request.go
+++ b/internal/explainer/request.go
@@ -79,7 +79,7 @@
 		return r.model != "" && l.text(logger.FieldModel) == r.model && l.At >= r.from && l.At <= r.to
 	case logger.LinePathCut, logger.LinePathRestored:
 		return l.process() == r.process
-	case logger.LineConfigInForce, logger.LineStoreRegained, logger.LineStoreLost, logger.LineEntryStopping, logger.LineEntryStopped, logger.LineDropped, logger.LineReloaded:
+	case logger.LineConfigInForce, logger.LineEvacuated, logger.LineEvacuationEnded, logger.LineStoreRegained, logger.LineStoreLost, logger.LineEntryStopping, logger.LineEntryStopped, logger.LineDropped, logger.LineReloaded:
 		return l.process() == r.process && l.At >= r.from
 	}
 	return false
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -32,6 +32,9 @@
 	// defaultRetryAfter is the Retry-After of refusals for a temporary lack of
 	// servers or a stale view of the system.
 	defaultRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter replaces it while all servers are in evacuated data centres, which
+	// lasts for seconds at least.
+	evacuatedRetryAfter = 2 * time.Second
 	// shutdownRetryAfter is the Retry-After of an entry instance that shuts
 	// down; another one can serve the request at once.
 	shutdownRetryAfter = 50 * time.Millisecond
@@ -54,6 +57,10 @@
 			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
 		}
 	}
+	if free == 0 && f.Observer.AllEvacuated(x.pool.service) {
+		// None that is known can become available but by the operator.
+		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(evacuatedRetryAfter), Route: x.route.Name, Service: x.pool.service, Model: x.pool.model}
+	}
 	if x.nextPath(x.config, func() int { return free }) == pathfinder.ByPeer {
 		return nil
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -41,8 +41,8 @@
 	// clocks, and the time from the caller's sending of a request until it has
 	// been read.
 	keyTTLMargin = 800 * time.Millisecond
-	// viewAgeFraction is the fraction of ConfigTTL and LeavingTTL from which the
-	// configuration or the list of servers is confirmed again before a request is sent by
+	// viewAgeFraction is the fraction of ConfigTTL, LeavingTTL and EvacuationTTL from which
+	// the configuration, the list of servers or the evacuations are confirmed again before a request is sent by
 	// it, and viewPatience how long the request waits for that.
 	viewAgeFraction = 0.75
 	viewPatience    = 200 * time.Millisecond
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 	// LeavingTTL is the time within which a backend server that leaves must get no more
 	// requests, or zero if there is none.
 	LeavingTTL time.Duration
+	// EvacuationTTL is the time within which an evacuated data centre must get no more
+	// requests, or zero if there is none.
+	EvacuationTTL time.Duration
 	// RetryRatio and RetrySlack bound the retries of all entry instances
 	// together.
 	RetryRatio float64
--- a/internal/forwarder/screen.go
+++ b/internal/forwarder/screen.go
@@ -54,8 +54,12 @@
 
 // confirmServer waits a short time for a newer list if the one that names the head of an
 // upstream is so old that the head may have begun to leave, unless the head itself has
-// answered since. Without a newer list the request is sent all the same.
+// answered since. What is known of the evacuations is confirmed likewise, since the server
+// does not know of them. Without newer state the request is sent all the same.
 func (f *Forwarder) confirmServer(ctx context.Context, u *upstream) {
+	if ttl := f.settings.Load().EvacuationTTL; ttl > 0 {
+		f.Observer.AwaitEvacuations(ctx, time.Duration(viewAgeFraction*float64(ttl)), viewPatience)
+	}
 	maxAge := time.Duration(viewAgeFraction * float64(f.settings.Load().LeavingTTL))
 	if maxAge <= 0 {
 		return
@@ -100,12 +104,12 @@
 // that found none.
 func (f *Forwarder) verdicts(key poolKey) map[string]int {
 	var instances []provider.Instance
-	lost := make(map[string]bool)
+	lost, evacuated := make(map[string]bool), make(map[string]bool)
 	f.Observer.WithTracker(func(t *tracker.Tracker) {
 		for _, in := range t.Instances() {
 			if in.Service == key.service && (key.model == "" || leads(in, key.model)) {
 				instances = append(instances, in)
-				lost[in.ID] = t.IsLost(in.ID)
+				lost[in.ID], evacuated[in.ID] = t.IsLost(in.ID), t.Evacuated(in)
 			}
 		}
 	})
@@ -114,7 +118,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, in := range instances {
-		e := screener.Evidence{Lost: lost[in.ID], Leaving: in.Leaving, NoPermit: f.permits.lacks(now, in)}
+		e := screener.Evidence{Lost: lost[in.ID], Leaving: in.Leaving, Evacuated: evacuated[in.ID], NoPermit: f.permits.lacks(now, in)}
 		if u, found := f.upstreams[upstreamName(in, key)]; found {
 			e.EjectedUntil = u.ejectedUntil
 		}
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -71,6 +71,9 @@
 	// LeavingTTL is the time within which a backend server that leaves must get no more
 	// requests, or zero if there is none.
 	LeavingTTL time.Duration
+	// EvacuationTTL is the time within which an evacuated data centre must get no more
+	// requests, or zero if there is none.
+	EvacuationTTL time.Duration
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
 	// RetryRatio and RetrySlack limit the retries of all entry instances together.
@@ -229,10 +232,13 @@
 // stateTTL returns the shortest time within which a change of the platform's state must be
 // in force here, or zero if there is none.
 func (s Settings) stateTTL() time.Duration {
-	if s.ConfigTTL > 0 && s.LeavingTTL > 0 {
-		return min(s.ConfigTTL, s.LeavingTTL)
+	shortest := time.Duration(0)
+	for _, ttl := range []time.Duration{s.ConfigTTL, s.LeavingTTL, s.EvacuationTTL} {
+		if ttl > 0 && (shortest == 0 || ttl < shortest) {
+			shortest = ttl
+		}
 	}
-	return max(s.ConfigTTL, s.LeavingTTL)
+	return shortest
 }
 
 // detourMemory returns the memory for the bodies of requests that peers hand over.
@@ -275,7 +281,7 @@
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL,
+		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL, EvacuationTTL: s.EvacuationTTL,
 	}
 }
 
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -48,15 +48,17 @@
 }
 
 // FillVersions implements [discoverer.StateVersions]. The platform stores the state
-// that entry instances share; the version of the configuration is told so that a peer
-// learns of a newer one however long its own readings take.
+// that entry instances share; the version of the configuration and the evacuations are told
+// so that a peer learns of newer ones however long its own readings take.
 func (p *peers) FillVersions(message *messenger.ExchangeMessage) {
 	message.Head.Version = p.node.relayer.ConfigVersion()
+	message.Evacuations = p.node.relayer.Evacuations()
 }
 
 // HandleVersions implements [discoverer.StateVersions].
 func (p *peers) HandleVersions(peer netip.AddrPort, message messenger.ExchangeMessage) {
-	if p.node.relayer.HearVersion(peer, message.Head.Version) {
+	evacuated := p.node.relayer.HearEvacuations(message.Evacuations)
+	if p.node.relayer.HearVersion(peer, message.Head.Version) || evacuated {
 		p.node.observer.Refresh()
 	}
 }
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -31,6 +31,8 @@
 	LineOrderFailed       = "order not carried out"
 	LineControlAcquired   = "control taken"
 	LineConfigInForce     = "configuration in force"
+	LineEvacuated         = "data centre evacuated"
+	LineEvacuationEnded   = "evacuation ended"
 	LineStoreLost         = "store lost"
 	LineStoreRegained     = "store regained"
 	LineStoreEra          = "store era changed"
@@ -52,9 +54,11 @@
 	FieldGroup    = "group"
 	FieldModel    = "model"
 	FieldService  = "service"
-	FieldKind     = "kind"
-	FieldOutcome  = "outcome"
-	FieldComplete = "complete"
+	// FieldDataCentre names the data centre that is evacuated.
+	FieldDataCentre = "data_centre"
+	FieldKind       = "kind"
+	FieldOutcome    = "outcome"
+	FieldComplete   = "complete"
 	// FieldParts holds the parts of a prompt that other requests may share.
 	FieldParts = "parts"
 	// FieldSuspects holds those of them that may have crashed a server, and FieldPart
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -5,6 +5,7 @@
 
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
+	"github.com/waxwingmount/waxwingmount/pkg/evacuator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
@@ -47,6 +48,8 @@
 	Uptime time.Duration
 	// Head is the version of the configuration in force at the sender.
 	Head configurer.Head
+	// Evacuations holds the evacuated data centres that the sender knows of, or is nil.
+	Evacuations *evacuator.Report
 	// Fence is the highest fencing token of the groups that the sender knows.
 	Fence uint64
 }
@@ -188,4 +191,8 @@
 	Config *mapper.Config
 	// PackedConfig replaces Config where the caller accepts it. It is the result of Pack.
 	PackedConfig []byte
+
+	// Evacuations holds the evacuated data centres. It is nil if the peer does not know them,
+	// or is of a build that does not tell.
+	Evacuations *evacuator.Report
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -43,6 +43,11 @@
 	ConfigSource string
 	// ConfirmedAt is a time at which the configuration was the newest.
 	ConfirmedAt time.Time
+	// Evacuated holds the evacuated data centres, each with the time at which the source
+	// learned of it.
+	Evacuated map[string]time.Time
+	// EvacuationsAt is a time at which Evacuated was current, or zero if it is not known.
+	EvacuationsAt time.Time
 }
 
 // Source reads the state of the platform.
@@ -123,6 +128,10 @@
 	configConfirmedAt time.Time
 	// configChangedAt is when the configuration came into force here.
 	configChangedAt time.Time
+	// evacuated holds the evacuated data centres, each with the time at which that was
+	// learned of, and evacuationsAt is a time at which it was current, or zero.
+	evacuated     map[string]time.Time
+	evacuationsAt time.Time
 	// checkedAt is when each suspected instance was last probed, by ID.
 	checkedAt map[string]time.Time
 	// path is the last check of the own path, or nil.
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -112,6 +112,7 @@
 		}
 		o.content = snapshot.Content
 	}
+	o.updateEvacuations(snapshot)
 	o.updateConfig(snapshot)
 	for id := range o.ownLosses {
 		if !o.tracker.IsLost(id) {
--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -21,11 +21,16 @@
 	r.mu.Lock()
 	r.direct, r.storeAnswered = direct, false
 	hasNews := r.hasNewsLocked()
+	// Peers of an older build send a configuration alone.
+	unknown := r.state.config != nil && !r.configRead && !r.state.evacuations.Known()
 	r.mu.Unlock()
 	var heard *landing
 	if hasNews {
 		heard = r.readHeard.begin(ctx)
 	}
+	if unknown {
+		r.readConfig.begin(ctx)
+	}
 	var err error
 	switch {
 	case direct || own == roleReader:
@@ -40,7 +45,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returned, r.returnedVersion = r.state.listedAt, r.state.configVersion()
+	r.returned, r.returnedVersion, r.evacuationsReturned = r.state.listedAt, r.state.configVersion(), true
 	return r.state.snapshot(), err
 }
 
@@ -175,7 +180,7 @@
 func (r *Relayer) hasMore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion
+	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion || !r.evacuationsReturned
 }
 
 // hasNewsLocked reports whether a peer has told of a newer configuration. The caller holds
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -28,6 +28,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/evacuator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -71,7 +72,9 @@
 	ReadInstances(ctx context.Context, hold bool) (InstancesReading, error)
 	// Era returns the newest era that the table's responses have shown.
 	Era() uint64
-	// ReadConfig reads the operator's configuration. It may wait like ReadInstances.
+	// ReadConfig reads the operator's configuration and the evacuations. It may wait like
+	// ReadInstances. If the configuration alone is unreadable, the reading that is returned
+	// with the error holds the evacuations.
 	ReadConfig(ctx context.Context, hold bool) (ConfigReading, error)
 }
 
@@ -106,6 +109,9 @@
 	// Rewritten reports whether the configuration is known to have been written in
 	// this era, so that it does not come from an older copy.
 	Rewritten bool
+	// Evacuations holds the data centres that the operator has evacuated, as of the same
+	// time, or is nil if they were not read.
+	Evacuations *evacuator.Reading
 }
 
 // Members returns this entry instance and all live ones.
@@ -152,9 +158,10 @@
 	mu    sync.Mutex
 	state *versionedState
 	// returned is the list's time, and returnedVersion the configuration's version, in the
-	// last result of Fetch.
-	returned        time.Time
-	returnedVersion uint64
+	// last result of Fetch. evacuationsReturned reports whether that had the evacuations.
+	returned            time.Time
+	returnedVersion     uint64
+	evacuationsReturned bool
 	// direct reports whether the last call of Fetch was to read the store, and storeAnswered
 	// whether the store answered it beside the peers.
 	direct        bool
@@ -163,6 +170,8 @@
 	failedAt map[string]time.Time
 	// listFromStore reports whether the last change of the list was read from the store.
 	listFromStore bool
+	// configRead reports whether the configuration has been read from the store.
+	configRead bool
 	// heardVersion is the newest version of the configuration that a peer has told,
 	// and heardFrom the peer's address.
 	heardVersion uint64
@@ -262,6 +271,9 @@
 	hard, soft := r.hardMaxAge(), r.softMaxAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Evacuations are ordered by the store's versions, so that they count whatever the age
+	// of the rest.
+	r.mergeEvacuations(began, reply.Evacuations)
 	return r.takeReply(began, peer.ID, reply, hard) && reply.ListAge <= soft && reply.ConfigAge <= soft
 }
 
@@ -279,6 +291,45 @@
 	return true
 }
 
+// mergeEvacuations applies the evacuations in a peer's reply to a call that began at that
+// time; nil if the peer does not know them. The caller holds r.mu.
+func (r *Relayer) mergeEvacuations(began time.Time, report *evacuator.Report) {
+	if report == nil {
+		return
+	}
+	var at time.Time
+	if report.Age < unconfirmed {
+		at = began.Add(-report.Age)
+	}
+	if r.state.evacuations.Merge(clocker.Now(), at, *report) {
+		r.evacuationsReturned = false
+	}
+}
+
+// HearEvacuations applies what a peer has told of the evacuations, which is nil if the peer
+// does not know them, so that they are in force even if this instance's own sources lag
+// behind. It reports whether that was news. How old it is can't be known, so it does not
+// count as confirmation.
+func (r *Relayer) HearEvacuations(report *evacuator.Report) bool {
+	if report == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.state.evacuations.Merge(clocker.Now(), time.Time{}, *report)
+	if news {
+		r.evacuationsReturned = false
+	}
+	return news
+}
+
+// Evacuations returns what peers are told of the evacuations, or nil if nothing is known.
+func (r *Relayer) Evacuations() *evacuator.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.evacuations.Report(clocker.Now())
+}
+
 // applyReply applies a peer's reply to a call that began at that time.
 func (r *Relayer) applyReply(began time.Time, peer string, reply messenger.ChangesReply) {
 	content := r.state.content
--- a/internal/relayer/state.go
+++ b/internal/relayer/state.go
@@ -7,8 +7,10 @@
 
 	"github.com/apex/log"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/evacuator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
@@ -55,11 +57,13 @@
 	// configRewritten reports whether the configuration is known to have been
 	// written in the era.
 	configRewritten bool
+
+	evacuations *evacuator.Evacuator
 }
 
 // rewriteTimeout is how long the operator may take to write a configuration again
 // that an older copy of the table has lost.
-const rewriteTimeout = 3 * time.Second
+const rewriteTimeout = evacuator.RewriteTimeout
 
 // unconfirmed is the age of a configuration that was not confirmed: what
 // [time.Time.Sub] returns for the zero time.
@@ -77,6 +81,7 @@
 func newVersionedState(epoch uint64) *versionedState {
 	return &versionedState{
 		localEpoch: epoch, epoch: epoch, instances: make(map[string]versionedInstance), removed: make(map[string]uint64),
+		evacuations: evacuator.New(),
 	}
 }
 
@@ -244,6 +249,7 @@
 	if era == v.era {
 		v.eraSince = time.Time{}
 	}
+	v.evacuations.Settle(era)
 }
 
 // eraIsNew reports whether the operator may still have to write a configuration
@@ -302,6 +308,7 @@
 	return observer.Snapshot{
 		Instances: v.all(), Content: v.content, ListedAt: v.listedAt, Era: v.era, Config: v.config, ConfigSource: v.configSource,
 		ConfirmedAt: v.configConfirmedAt,
+		Evacuated:   v.evacuations.InEffect(clocker.Now()), EvacuationsAt: v.evacuations.ConfirmedAt(),
 	}
 }
 
@@ -352,7 +359,11 @@
 		// A peer that has just started can't tell by itself.
 		EraSettled: !v.eraIsNew(now),
 		ListAge:    now.Sub(v.listedAt),
-		Whole:      arguments.Epoch != v.epoch || arguments.Revision < v.historySince,
+		// Always whole, since it is small: a peer that has nothing else to learn sees each
+		// change, too.
+		Evacuations: v.evacuations.Report(now),
+
+		Whole: arguments.Epoch != v.epoch || arguments.Revision < v.historySince,
 	}
 	since := arguments.Revision
 	if reply.Whole {
--- a/internal/relayer/store.go
+++ b/internal/relayer/store.go
@@ -138,13 +138,22 @@
 	return nil
 }
 
-// updateConfigFromStore updates the configuration.
+// updateConfigFromStore updates the configuration and the evacuations.
 func (r *Relayer) updateConfigFromStore(ctx context.Context) error {
 	reading, err := r.Platform.ReadConfig(ctx, r.readsSteadily())
+	if reading.Evacuations != nil {
+		// They do not wait for the call that may follow, and count without a configuration.
+		r.mu.Lock()
+		if r.state.evacuations.Observe(reading.At, *reading.Evacuations) {
+			r.evacuationsReturned = false
+		}
+		r.mu.Unlock()
+	}
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
+	r.configRead = true
 	r.state.observeEra(reading.At, reading.Era)
 	undecided := r.state.eraIsNew(reading.At) && !reading.Rewritten
 	r.mu.Unlock()
