Evacuations: tests from the store to the forwarder

Cause: nothing showed that an evacuation arrives and is kept. TestListAgeIsBounded also bounds the age of the evacuations.

--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -44,7 +44,9 @@
 
 	mu sync.Mutex
 	// config replaces the platform's configuration unless it is nil.
-	config  *mapper.RouteTable
+	config *mapper.RouteTable
+	// unaware says that this instance has not learned of any evacuation.
+	unaware bool
 	state   linkState
 	changed chan struct{}
 	proxies map[string]netip.AddrPort
@@ -64,6 +66,9 @@
 	if l.config != nil {
 		s.Config = l.config
 	}
+	if l.unaware {
+		clear(s.Evacuated)
+	}
 	l.mu.Unlock()
 	for i, in := range s.Instances {
 		if in.Address.IsValid() {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -88,6 +88,8 @@
 	lag time.Duration
 	// detourPeers are the forwarders that take requests from others.
 	detourPeers []DetourPeer
+	// evacuated holds the evacuated data centres.
+	evacuated []string
 	// forwarders are those of the entry instances whose strikes reach each other.
 	forwarders []*Forwarder
 }
@@ -109,7 +111,14 @@
 		return observer.Snapshot{}, errDown
 	}
 	now := clocker.Now()
-	return observer.Snapshot{Instances: slices.Clone(p.instances), ListedAt: now.Add(-p.lag), Config: p.config, ConfirmedAt: now}, nil
+	evacuated := make(map[string]time.Time)
+	for _, dataCentre := range p.evacuated {
+		evacuated[dataCentre] = now
+	}
+	return observer.Snapshot{
+		Instances: slices.Clone(p.instances), ListedAt: now.Add(-p.lag), Config: p.config, ConfirmedAt: now,
+		Evacuated: evacuated, EvacuationsAt: now.Add(-p.lag),
+	}, nil
 }
 
 func (p *platformStub) Probe(_ context.Context, in provider.Instance, _ time.Duration) error {
--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/evacuator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -45,6 +46,7 @@
 		at := clocker.Now().Add(-s.lag)
 		s.state.confirmList(at, 1)
 		s.state.configConfirmedAt = at
+		s.state.evacuations.Observe(at, evacuator.Reading{Version: 1})
 	}
 	*reply = s.state.changesSince(clocker.Now(), arguments)
 	return nil
@@ -70,6 +72,7 @@
 	s := &source{state: newVersionedState(1), lag: lag, released: t.Context().Done()}
 	s.state.updateList(InstancesReading{At: clocker.Now().Add(-lag), Version: 1, Instances: []provider.Instance{{ID: "a", Service: "s"}}})
 	s.state.updateConfig(clocker.Now().Add(-lag), "", mapper.New(mapper.Config{Version: 1}), false)
+	s.state.evacuations.Observe(clocker.Now().Add(-lag), evacuator.Reading{Version: 1})
 	var err error
 	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -95,7 +98,7 @@
 func (s *soundStore) ReadConfig(context.Context, bool) (ConfigReading, error) {
 	at := clocker.Now()
 	time.Sleep(s.takes)
-	return ConfigReading{At: at, Table: mapper.New(mapper.Config{Version: 1})}, nil
+	return ConfigReading{At: at, Table: mapper.New(mapper.Config{Version: 1}), Evacuations: &evacuator.Reading{Version: 1}}, nil
 }
 
 func (*soundStore) Era() uint64 { return 0 }
@@ -111,8 +114,9 @@
 	return nil
 }
 
-// TestListAgeIsBounded guards against a list of backend servers that an instance acts upon
-// for longer than a server may be sent requests after the store knows that it leaves:
+// TestListAgeIsBounded guards against a list of backend servers, or evacuations, that an
+// instance acts upon for longer than a server may be sent requests after the store knows that
+// it leaves, or that its data centre is evacuated:
 // each step of a fetch kept its own limit, and nobody added them up. The store is sound;
 // the instance's sources fall silent, or go on answering without the store. In calm the store
 // is left to the readers.
@@ -173,6 +177,8 @@
 			assert.Equal(t, r.leaf.readsInCalm, int32(0))
 			t.Logf("at most %s of %s", r.leaf.oldest.Round(time.Millisecond), r.bound)
 			assert.Assert(t, r.leaf.oldest <= r.bound, "acted upon a list of %s", r.leaf.oldest)
+			t.Logf("evacuations at most %s", r.leaf.oldestEvacuations.Round(time.Millisecond))
+			assert.Assert(t, r.leaf.oldestEvacuations <= r.bound, "acted upon evacuations of %s", r.leaf.oldestEvacuations)
 		})
 	}
 }
@@ -191,6 +197,8 @@
 	// ageInCalm is the list's age before the disturbance, and oldest the greatest one after
 	// it, less the time for which the machine did not run the test.
 	ageInCalm, oldest time.Duration
+	// oldestEvacuations is like oldest, for the evacuations.
+	oldestEvacuations time.Duration
 	// readsInCalm is how often the store was read before the disturbance.
 	readsInCalm int32
 }
@@ -228,6 +236,7 @@
 		}
 		last = time.Now()
 		l.oldest = max(l.oldest, l.observer.ListAge()-stalled)
+		l.oldestEvacuations = max(l.oldestEvacuations, l.observer.EvacuationsAge()-stalled)
 		if l.told && l.relayer.HearVersion(l.source.Addr().(*net.TCPAddr).AddrPort(), 2) {
 			l.observer.Refresh()
 		}
