Soak: evacuations of data centres

Cause: nothing ran the daemon through an evacuation. Change: the emulated operator evacuates data centres; TestEvacuationSoak runs one of each beside changes of the configuration while single entry instances are stopped, killed or cut from the store, and checks that no request from an instance in touch reaches a server there later than the bound of the configuration (2 s) plus 150 ms. An instance whose sources are of an older build, which send no evacuations, reads the store for them.

--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -21,16 +21,11 @@
 	r.mu.Lock()
 	r.direct, r.storeAnswered = direct, false
 	hasNews := r.hasNewsLocked()
-	// Peers of an older build send a configuration alone.
-	unknown := r.state.config != nil && !r.configRead && !r.state.evacuations.Known()
 	r.mu.Unlock()
 	var heard *landing
 	if hasNews {
 		heard = r.readHeard.begin(ctx)
 	}
-	if unknown {
-		r.readConfig.begin(ctx)
-	}
 	var err error
 	switch {
 	case direct || own == roleReader:
@@ -43,6 +38,9 @@
 	if heard != nil {
 		heard.await(ctx, hedgeDelay-clocker.Since(began))
 	}
+	if r.lacksEvacuations() {
+		r.readConfig.begin(ctx).await(ctx, hedgeDelay)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.returned, r.returnedVersion, r.evacuationsReturned = r.state.listedAt, r.state.configVersion(), true
@@ -183,6 +181,14 @@
 	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion || !r.evacuationsReturned
 }
 
+// lacksEvacuations reports whether the evacuations are older than the configuration: the
+// sources are of an older build, which sends a configuration alone. The store then tells.
+func (r *Relayer) lacksEvacuations() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.config != nil && !r.withoutEvacuations && r.state.configConfirmedAt.Sub(r.state.evacuations.ConfirmedAt()) > relayInterval
+}
+
 // hasNewsLocked reports whether a peer has told of a newer configuration. The caller holds
 // r.mu.
 func (r *Relayer) hasNewsLocked() bool { return r.heardVersion > r.state.configVersion() }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -170,8 +170,8 @@
 	failedAt map[string]time.Time
 	// listFromStore reports whether the last change of the list was read from the store.
 	listFromStore bool
-	// configRead reports whether the configuration has been read from the store.
-	configRead bool
+	// withoutEvacuations reports whether the store's last reading had none.
+	withoutEvacuations bool
 	// heardVersion is the newest version of the configuration that a peer has told,
 	// and heardFrom the peer's address.
 	heardVersion uint64
--- a/internal/relayer/store.go
+++ b/internal/relayer/store.go
@@ -153,7 +153,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.configRead = true
+	r.withoutEvacuations = reading.Evacuations == nil
 	r.state.observeEra(reading.At, reading.Era)
 	undecided := r.state.eraIsNew(reading.At) && !reading.Rewritten
 	r.mu.Unlock()
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -49,6 +49,8 @@
 	// config says that the configuration changes often while single entry instances are
 	// disturbed, instead of the usual steps.
 	config bool
+	// evacuations says that data centres are evacuated meanwhile.
+	evacuations bool
 	// cuts says that entry instances may be cut from servers.
 	cuts bool
 	// planned says that all other steps are regular operations, so that no request may be
@@ -57,6 +59,9 @@
 }
 
 func (s scenario) name() string {
+	if s.evacuations {
+		return "evacuations " + strconv.FormatUint(s.seed, 10)
+	}
 	if s.config {
 		return "config " + strconv.FormatUint(s.seed, 10)
 	}
@@ -177,6 +182,9 @@
 		steps = append(steps, generateReturns(f, s.seed)...)
 		steps = append(steps, generateStatements(f, s.seed)...)
 	}
+	if s.evacuations {
+		steps = append(steps, generateEvacuations(f, s.seed)...)
+	}
 	if s.planned {
 		steps = slices.DeleteFunc(steps, func(s step) bool { return !s.planned })
 	}
--- a/internal/soaker/violations_test.go
+++ b/internal/soaker/violations_test.go
@@ -82,6 +82,13 @@
 			c.recordRun(groupEvent(emulator.Opened, "a", "g", time.Second))
 			c.recordRun(groupEvent(emulator.Joined, "b", "h", 2*time.Second))
 		}},
+		{"evacuation", func(c *checker) {
+			c.places["a"] = "east"
+			c.recordEvacuation(evacuation{interval{baseTime.Add(-time.Minute), baseTime.Add(time.Minute)}, "east"})
+			c.recordEvacuation(evacuation{interval{baseTime.Add(-time.Minute), baseTime.Add(time.Minute)}, "west"})
+			c.recordResult(newResult(pathIdempotent))
+			c.recordRun(startedRun(pathIdempotent, "a"))
+		}},
 		{"budget", func(c *checker) {
 			for range 3 {
 				c.recordRun(startedRun(pathIdempotent, "a"))
--- a/pkg/evacuator/evacuator.go
+++ b/pkg/evacuator/evacuator.go
@@ -176,9 +176,6 @@
 	return all
 }
 
-// Known reports whether there has been a reading.
-func (e *Evacuator) Known() bool { return e.known }
-
 // ConfirmedAt returns a time at which the newest known reading was current, or zero.
 func (e *Evacuator) ConfirmedAt() time.Time { return e.confirmedAt }
 
