--- a/internal/forwarder/warmup_test.go
+++ b/internal/forwarder/warmup_test.go
@@ -145,3 +145,24 @@
 	assert.Equal(t, began.Load(), int64(1))
 	assert.Equal(t, ended.Load(), int64(1))
 }
+
+// TestServersOfEvacuatedDataCentreReturnCold guards against all entry instances sending at
+// full rate to servers that went cold during the evacuation of their data centre.
+func TestServersOfEvacuatedDataCentreReturnCold(t *testing.T) {
+	f := newFixture(t)
+	f.forwarder.Observer.OnReturn(f.forwarder.HandleReturn)
+	arrivals := f.addPlain("p", 0)
+	f.place("p", "east")
+	f.applyWarmUp(5)
+	f.evacuate("east")
+	f.eventually(func() bool { return len(f.forwarder.Observer.Servers("plain")) == 0 })
+	f.evacuate()
+	f.eventually(func() bool { return len(f.forwarder.Observer.Servers("plain")) == 1 })
+	var calls sync.WaitGroup
+	for i := range 30 {
+		calls.Go(func() { _, _, _ = f.call("GET", "/safe/", "r"+strconv.Itoa(i)) })
+	}
+	calls.Wait()
+	most := arrivals.most(time.Time{})
+	assert.Assert(t, most >= 1 && most <= 5, "%d in a second", most)
+}
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -71,6 +71,9 @@
 	// LeavingTTL is the time within which a backend server that leaves must get no more
 	// requests, or zero if there is none.
 	LeavingTTL time.Duration
+	// EvacuationTTL is the time within which an evacuated data centre must get no more
+	// requests, or zero if there is none.
+	EvacuationTTL time.Duration
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
 	// RetryRatio and RetrySlack limit the retries of all entry instances together.
@@ -228,6 +231,7 @@
 	if p.WarmupSource != nil {
 		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
 	}
+	n.observer.OnReturn(n.forwarder.HandleReturn)
 	n.orchestrator = orchestrator.New(orchestrator.Dependencies{
 		Holder:      holderName(s.ID, epoch),
 		FirstStart:  s.FirstStart,
@@ -246,10 +250,13 @@
 // stateTTL returns the shortest time within which a change of the platform's state must be
 // in force here, or zero if there is none.
 func (s Settings) stateTTL() time.Duration {
-	if s.ConfigTTL > 0 && s.LeavingTTL > 0 {
-		return min(s.ConfigTTL, s.LeavingTTL)
+	shortest := time.Duration(0)
+	for _, ttl := range []time.Duration{s.ConfigTTL, s.LeavingTTL, s.EvacuationTTL} {
+		if ttl > 0 && (shortest == 0 || ttl < shortest) {
+			shortest = ttl
+		}
 	}
-	return max(s.ConfigTTL, s.LeavingTTL)
+	return shortest
 }
 
 // fewestEntries returns how many entry instances the settings name, this one included.
@@ -301,7 +308,7 @@
 	return forwarder.Settings{
 		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL, WarmUpOverage: s.WarmUpOverage, WarmUpSlack: s.WarmUpSlack,
-		FewestEntries: s.fewestEntries(),
+		FewestEntries: s.fewestEntries(), EvacuationTTL: s.EvacuationTTL,
 	}
 }
 
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -102,6 +102,7 @@
 
 // apply updates the view by a snapshot. What is older than the view is ignored.
 func (o *Observer) apply(snapshot Snapshot) {
+	o.announceReturns(snapshot)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if snapshot.ListedAt.After(o.tracker.UpdatedAt()) {
@@ -112,6 +113,7 @@
 		}
 		o.content = snapshot.Content
 	}
+	o.updateEvacuations(snapshot)
 	o.updateConfig(snapshot)
 	for id := range o.ownLosses {
 		if !o.tracker.IsLost(id) {
--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -38,9 +38,12 @@
 	if heard != nil {
 		heard.await(ctx, hedgeDelay-clocker.Since(began))
 	}
+	if r.lacksEvacuations() {
+		r.readConfig.begin(ctx).await(ctx, hedgeDelay)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returned, r.returnedVersion = r.state.listedAt, r.state.configVersion()
+	r.returned, r.returnedVersion, r.evacuationsReturned = r.state.listedAt, r.state.configVersion(), true
 	return r.state.snapshot(), err
 }
 
@@ -175,7 +178,15 @@
 func (r *Relayer) hasMore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion
+	return r.state.listedAt.After(r.returned) || r.state.configVersion() > r.returnedVersion || !r.evacuationsReturned
+}
+
+// lacksEvacuations reports whether the evacuations are older than the configuration: the
+// sources are of an older build, which sends a configuration alone. The store then tells.
+func (r *Relayer) lacksEvacuations() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.config != nil && !r.withoutEvacuations && r.state.configConfirmedAt.Sub(r.state.evacuations.ConfirmedAt()) > relayInterval
 }
 
 // hasNewsLocked reports whether a peer has told of a newer configuration. The caller holds
--- a/pkg/screener/verdict_string.go
+++ b/pkg/screener/verdict_string.go
@@ -11,15 +11,16 @@
 	_ = x[Eligible-0]
 	_ = x[Lost-1]
 	_ = x[Leaving-2]
-	_ = x[Deferred-3]
-	_ = x[Ejected-4]
-	_ = x[Cold-5]
-	_ = x[NoPermit-6]
+	_ = x[Evacuated-3]
+	_ = x[Deferred-4]
+	_ = x[Ejected-5]
+	_ = x[Cold-6]
+	_ = x[NoPermit-7]
 }
 
-const _Verdict_name = "eligiblelostleaveswants_nothing_untilejectedcoldno_permit"
+const _Verdict_name = "eligiblelostleavesevacuatedwants_nothing_untilejectedcoldno_permit"
 
-var _Verdict_index = [...]uint8{0, 8, 12, 18, 37, 44, 48, 57}
+var _Verdict_index = [...]uint8{0, 8, 12, 18, 27, 46, 53, 57, 66}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
