Tracker: a lost server elsewhere may return

Cause: a service whose servers outside the evacuated data centres were all held for lost was refused at once instead of queued; a lost one may return within a moment. Change: AllEvacuated counts lost instances, too. Result: scripts of pkg/tracker and pkg/scheduler and the forwarder's tests of evacuations pass.

--- a/pkg/tracker/evacuation.go
+++ b/pkg/tracker/evacuation.go
@@ -20,14 +20,17 @@
 // Evacuated reports whether an instance is in an evacuated data centre.
 func (t *Tracker) Evacuated(in provider.Instance) bool { return t.evacuated[in.DataCentre] }
 
-// AllEvacuated reports whether a service has instances, and all that are neither lost nor
-// leaving are in evacuated data centres.
+// AllEvacuated reports whether a service has instances, and all that do not leave are in
+// evacuated data centres. A lost one elsewhere may return at any moment.
 func (t *Tracker) AllEvacuated(service string) bool {
 	if len(t.evacuated) == 0 {
 		return false
 	}
 	found := false
-	for _, in := range t.individuals[service] {
+	for _, in := range t.instances {
+		if in.Service != service || in.Leaving {
+			continue
+		}
 		if !t.Evacuated(in) {
 			return false
 		}
