--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -41,6 +41,8 @@
 	lossInterval     time.Duration
 	replacementDelay time.Duration
 	duration         time.Duration
+	// lossesAtOnce is the number of instances that are lost together.
+	lossesAtOnce int
 	// cutShare is the share of the instances that cannot be reached from
 	// churnCutStart on, for churnCutTime.
 	cutShare float64
@@ -119,8 +121,10 @@
 		idle := c.now.Sub(start) < churnLead
 		for !idle && !c.now.Before(nextLoss) {
 			nextLoss = nextLoss.Add(time.Duration(c.random.ExpFloat64() * float64(c.settings.lossInterval)))
-			c.lose()
-			replacements = append(replacements, c.now.Add(c.settings.replacementDelay))
+			for range c.settings.lossesAtOnce {
+				c.lose()
+				replacements = append(replacements, c.now.Add(c.settings.replacementDelay))
+			}
 		}
 		for len(replacements) > 0 && !c.now.Before(replacements[0]) {
 			replacements = replacements[1:]
@@ -333,6 +337,7 @@
 	datadriven.RunTest(t, "testdata_churn/installations", func(t *testing.T, d *datadriven.TestData) string {
 		engine := *testEngine
 		settings := churnSettings{engine: &engine, replacementDelay: 4 * time.Second, duration: 34 * time.Second, demand: make(map[string]float64)}
+		settings.lossesAtOnce = 1
 		var largeSize, smallSize, seeds, interval, large, atOnce, perSecond, cut int
 		d.ScanArgs(t, "sizes", &largeSize, &smallSize)
 		d.ScanArgs(t, "domains", &settings.domains)
@@ -343,6 +348,7 @@
 		d.ScanArgs(t, "loads_per_second", &perSecond)
 		d.ScanArgs(t, "seeds", &seeds)
 		d.MaybeScanArgs(t, "cut_percent", &cut)
+		d.MaybeScanArgs(t, "losses_at_once", &settings.lossesAtOnce)
 		settings.cutShare = float64(cut) / 100
 		engine.SpreadFactor = churnSpread
 		engine.LoadsAtOnce, engine.LoadsPerSecond = atOnce, float64(perSecond)
