Scheduler: a model with a surplus lends its instances to one that lacks them

Cause: a loaded instance keeps its model while it is in service, so that callers of one model are refused while groups of another idle.

Change: View has the wanted instances by model, which replace the demand for loads of empty instances, and the moves that pay. Without Wanted and Moves nothing changes.

--- a/pkg/scheduler/form.go
+++ b/pkg/scheduler/form.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -51,6 +52,8 @@
 	ready map[string][]provider.Instance
 	// cold holds the instances in no group without loaded weights, sorted by ID.
 	cold []provider.Instance
+	// lent holds the instances in no group that are to load another model.
+	lent []provider.Instance
 	// expected holds the times at which the instances that load weights or drain
 	// are expected to be ready, by model and domain.
 	expected map[string]map[string][]time.Time
@@ -106,14 +109,11 @@
 	for _, in := range v.Tracker.Instances() {
 		if in.Service != v.Service || in.Leaving || v.Tracker.IsLost(in.ID) {
 			delete(s.loading, in.ID)
+			delete(s.lent, in.ID)
 			continue
 		}
 		if g := groupOf[in.ID]; g != nil {
-			if g.drainingSince.IsZero() {
-				inv.addHolder(g.model.Name, in.FabricDomain)
-			} else {
-				inv.addExpected(g.model.Name, in.FabricDomain, now)
-			}
+			s.addMember(now, v, g, in, inv)
 			continue
 		}
 		s.classify(now, v, in, &inv)
@@ -121,6 +121,18 @@
 	return inv
 }
 
+// addMember adds a member of one of the scheduler's groups to the inventory.
+func (s *Scheduler) addMember(now time.Time, v View, g *group, in provider.Instance, inv inventory) {
+	switch to, lent := v.Engine.Model(g.lentTo); {
+	case g.drainingSince.IsZero():
+		inv.addHolder(g.model.Name, in.FabricDomain)
+	case lent:
+		inv.addExpected(to.Name, in.FabricDomain, now.Add(drainTimeout+to.Load))
+	default:
+		inv.addExpected(g.model.Name, in.FabricDomain, now)
+	}
+}
+
 // classify adds an instance that is in none of the scheduler's groups to the
 // inventory, and updates its load.
 func (s *Scheduler) classify(now time.Time, v View, in provider.Instance, inv *inventory) {
@@ -148,6 +160,9 @@
 		inv.addExpected(l.model, in.FabricDomain, l.expectedAt)
 	case state == provider.Joining && in.Membership.Group != "" && !s.recentlyLeft(now, in.ID, in.Membership.Group):
 		inv.addExpected(tracker.ModelOf(in.Membership.Group), in.FabricDomain, now.Add(2*domainWait))
+	case s.lentModel(in) != "":
+		inv.lent = append(inv.lent, in)
+		inv.addHolder(s.lentModel(in), in.FabricDomain)
 	case model != "":
 		inv.ready[model] = append(inv.ready[model], in)
 		inv.addHolder(model, in.FabricDomain)
@@ -180,13 +195,15 @@
 	// cold reports whether the weights are read from the weight store rather than
 	// from the host's memory.
 	cold bool
+	// lentIn is the instance's domain if it was lent to the model, or "".
+	lentIn string
 	// reported is set once the instance has reported the join.
 	reported bool
 }
 
 // formGroups forms groups from the unassigned instances that hold weights, starts
-// draining groups for compaction, and starts loads on the unassigned instances
-// without weights.
+// draining groups for compaction or for another model, and starts loads on the
+// unassigned instances without weights.
 func (s *Scheduler) formGroups(now time.Time, v View) []Order {
 	s.loadTokens.refill(now, v.Engine.LoadsPerSecond)
 	inv := s.takeInventory(now, v)
@@ -205,6 +222,7 @@
 	}
 	if !v.Idle {
 		s.compact(now, v, inv)
+		s.lend(now, v, &inv)
 	}
 	return append(orders, s.startLoads(now, v, inv)...)
 }
@@ -284,20 +302,25 @@
 		if m.Name == "" || cold && !s.canStartColdLoad(v) {
 			continue
 		}
-		g := &group{model: m, members: []provider.Instance{in}}
-		g.name, g.epoch = s.nextGroupName(m.Name)
-		l := weightLoad{group: g.name, model: m.Name, incarnation: in.Incarnation, startedAt: now, cold: cold}
-		l.expectedAt = now.Add(s.estimateLoadTime(v, m, cold))
-		l.deadline = now.Add(2*l.expectedAt.Sub(now) + joinTimeoutMargin)
-		s.loading[in.ID] = l
-		s.loadGroups[in.ID] = g.name
-		if cold {
-			s.loadTokens.tokens--
-		}
-		inv.addExpected(m.Name, in.FabricDomain, l.expectedAt)
-		orders = append(orders, s.throttle(now, s.newOrder(Join, in, g))...)
+		orders = append(orders, s.startLoad(now, v, inv, in, m, cold)...)
 	}
-	return orders
+	return append(orders, s.startLentLoads(now, v, inv)...)
+}
+
+// startLoad makes one instance load a model.
+func (s *Scheduler) startLoad(now time.Time, v View, inv inventory, in provider.Instance, m mapper.Model, cold bool) []Order {
+	g := &group{model: m, members: []provider.Instance{in}}
+	g.name, g.epoch = s.nextGroupName(m.Name)
+	l := weightLoad{group: g.name, model: m.Name, incarnation: in.Incarnation, startedAt: now, cold: cold}
+	l.expectedAt = now.Add(s.estimateLoadTime(v, m, cold))
+	l.deadline = now.Add(2*l.expectedAt.Sub(now) + joinTimeoutMargin)
+	s.loading[in.ID] = l
+	s.loadGroups[in.ID] = g.name
+	if cold {
+		s.loadTokens.tokens--
+	}
+	inv.addExpected(m.Name, in.FabricDomain, l.expectedAt)
+	return s.throttle(now, s.newOrder(Join, in, g))
 }
 
 // modelToLoad returns the model that an instance should load and whether the
@@ -316,7 +339,7 @@
 	bestDeficit := math.Inf(-1)
 	for _, m := range v.Engine.Models {
 		deficit := inv.deficit(v, m.Name)
-		if m.Name == home && deficit > -maxHomeSurplus*float64(size) {
+		if m.Name == home && deficit > -maxHomeSurplus*float64(size) && !v.givesAway(m) {
 			return m, true
 		}
 		if deficit > bestDeficit {
@@ -341,17 +364,39 @@
 	return home, sum
 }
 
-// deficit returns how many instances a model lacks compared with its share by
-// demand; it is negative for a surplus.
+// deficit returns how many instances a model lacks compared with its share; it is
+// negative for a surplus.
 func (inv inventory) deficit(v View, model string) float64 {
 	all, sum := 0, 0.0
 	for name := range inv.holders {
 		all += inv.holderCount(name)
 	}
 	for _, m := range v.Engine.Models {
-		sum += max(v.Demand[m.Name], minDemand)
+		sum += v.share(m.Name)
+	}
+	return v.share(model)/sum*float64(all+1) - float64(inv.holderCount(model))
+}
+
+// share returns the share of the instances that a model should have. The shares may
+// add up to more than one.
+func (v View) share(model string) float64 {
+	if v.Wanted == nil {
+		return max(v.Demand[model], minDemand)
+	}
+	sum := 0
+	for _, n := range v.Wanted {
+		sum += n
 	}
-	return max(v.Demand[model], minDemand)/sum*float64(all+1) - float64(inv.holderCount(model))
+	return max(float64(v.Wanted[model])/float64(max(1, sum)), minDemand)
+}
+
+// givesAway reports whether groups of a model end for a model of the same size or
+// smaller, which can use an instance in any domain.
+func (v View) givesAway(m mapper.Model) bool {
+	return slices.ContainsFunc(v.Moves, func(move apportioner.Move) bool {
+		to, found := v.Engine.Model(move.To)
+		return move.From == m.Name && found && to.Size <= m.Size
+	})
 }
 
 // coldLoadCount returns the number of loads from the weight store in progress.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -2,7 +2,8 @@
 // that form and dissolve the groups. It aims to use every instance: it forms
 // groups within one fabric domain where it can, for the model with the largest
 // capacity deficit, and prefers instances that already hold the model's
-// weights. It dissolves every group that has lost a member.
+// weights. It dissolves every group that has lost a member. On request it ends groups of
+// one model and lends their instances to another.
 //
 // # Usage
 //
@@ -22,6 +23,7 @@
 	"strconv"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -54,6 +56,11 @@
 	// Demand is each model's share of the work, by model name; the shares add up to
 	// one.
 	Demand map[string]float64
+	// Wanted is the number of instances of each model, by model name. If it is nil,
+	// Demand divides the instances.
+	Wanted map[string]int
+	// Moves are the moves of loaded instances between models that pay.
+	Moves []apportioner.Move
 	// Idle reports whether the system has not received a request yet. Loads are
 	// then fast and exempt from the limits on rate and concurrency.
 	Idle bool
@@ -69,6 +76,8 @@
 	opened    bool
 	// drainingSince is when the group began to drain, or zero.
 	drainingSince time.Time
+	// lentTo is the model that the members load once the group has drained, or "".
+	lentTo string
 	// brokenSince is when the group was first found to be broken, or zero.
 	brokenSince time.Time
 }
@@ -96,6 +105,9 @@
 	// loadGroups holds the name of the single-member group of each instance's last
 	// load, by instance ID.
 	loadGroups map[string]string
+	// lent holds the model that each instance is to load in place of its last one,
+	// by instance ID.
+	lent map[string]loan
 }
 
 // lastModel is the model of the last group that one incarnation of an instance
@@ -130,6 +142,7 @@
 		lastModels: make(map[string]lastModel),
 		loading:    make(map[string]weightLoad),
 		loadGroups: make(map[string]string),
+		lent:       make(map[string]loan),
 	}
 }
 
@@ -308,6 +321,9 @@
 	for _, member := range g.members {
 		in, present := s.currentInstance(v, member)
 		s.lastModels[member.ID] = lastModel{member.Incarnation, g.model.Name}
+		if g.lentTo != "" {
+			s.lent[member.ID] = loan{lastModel{member.Incarnation, g.lentTo}, member.FabricDomain}
+		}
 		if !present || s.recentlyLeft(now, member.ID, g.name) || !s.inGroup(in, g) {
 			continue
 		}
@@ -391,6 +407,11 @@
 			delete(s.departures, id)
 		}
 	}
+	for id := range s.lent {
+		if _, listed := v.Tracker.Instance(id); !listed {
+			delete(s.lent, id)
+		}
+	}
 	for id := range s.loadGroups {
 		if _, listed := v.Tracker.Instance(id); !listed {
 			delete(s.loadGroups, id)
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -133,6 +134,16 @@
 		demand = map[string]float64{"large": 0, "small": 1}
 	}
 	view := View{Tracker: s.tracker, Engine: testEngine, Demand: demand, Idle: s.idle}
+	if d.HasArg("wanted") {
+		var large, small int
+		d.ScanArgs(s.t, "wanted", &large, &small)
+		view.Wanted = map[string]int{"large": large, "small": small}
+	}
+	if d.HasArg("move") {
+		move := apportioner.Move{}
+		d.ScanArgs(s.t, "move", &move.From, &move.To, &move.Groups)
+		view.Moves = []apportioner.Move{move}
+	}
 	var lines []string
 	for _, o := range s.scheduler.Step(now, view) {
 		line := describe(o)
--- a/pkg/scheduler/stats.go
+++ b/pkg/scheduler/stats.go
@@ -14,6 +14,8 @@
 	Ready int
 	// Loading counts the instances in no group that load the model's weights.
 	Loading int
+	// Lent counts the instances that have yet to load the model in place of another.
+	Lent int
 }
 
 // Stats returns the counts of each model, by model name.
@@ -44,5 +46,10 @@
 		m.Loading++
 		stats[l.model] = m
 	}
+	for model := range stats {
+		m := stats[model]
+		m.Lent = s.countLent(model)
+		stats[model] = m
+	}
 	return stats
 }
