Scheduler: churn cases in which the load does not fit the division

Cause: the scripts of lending show single steps, not what it yields while instances are lost.

Change: the churn model gains the load of each model and an apportioner that decides on it; the scan of a case's settings is a function of its own.

--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -28,6 +29,10 @@
 	instances []*churnInstance
 	nextID    int
 	result    churnResult
+	// apportioner divides the instances if the settings ask for it.
+	apportioner *apportioner.Apportioner
+	// missed is the share of each model's requests that was missed in the last step.
+	missed map[string]float64
 }
 
 type churnSettings struct {
@@ -36,6 +41,11 @@
 	// domainSize is the number of instances of each domain at the start.
 	domainSize int
 	demand     map[string]float64
+	// offered is the work of each model in instance seconds per second; nil means
+	// its share of the instances by demand, divided by churnHeadroom.
+	offered map[string]float64
+	// lending is set if an apportioner decides on the division.
+	lending bool
 	// lossInterval is the mean time between two losses; a replacement arrives
 	// replacementDelay later.
 	lossInterval     time.Duration
@@ -59,7 +69,9 @@
 	unused float64
 	// served is the mean of the demand served, weighted by share.
 	served float64
-	loads  int
+	// servedBy is the time-weighted share of each model's requests that is served.
+	servedBy map[string]float64
+	loads    int
 }
 
 // churnInstance is one simulated instance.
@@ -90,7 +102,8 @@
 func newChurn(settings churnSettings, seed uint64) *churn {
 	c := &churn{
 		settings: settings, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), scheduler: New(0), tracker: tracker.New(),
-		result: churnResult{capacity: make(map[string]float64)},
+		result:      churnResult{capacity: make(map[string]float64), servedBy: make(map[string]float64)},
+		apportioner: apportioner.New(), missed: make(map[string]float64),
 	}
 	sizes := make(map[string]int)
 	for _, m := range settings.engine.Models {
@@ -136,6 +149,9 @@
 		c.advance()
 		c.list()
 		view := View{Tracker: c.tracker, Engine: c.settings.engine, Demand: c.settings.demand, Idle: idle}
+		if c.settings.lending && !idle {
+			c.divide(&view)
+		}
 		for _, o := range c.scheduler.Step(c.now, view) {
 			c.scheduler.HandleOutcome(c.now, o, c.apply(o, idle))
 		}
@@ -147,6 +163,22 @@
 	return c.result
 }
 
+// divide sets the division of the instances in the view. One request takes half an
+// instance second.
+func (c *churn) divide(view *View) {
+	in := apportioner.Input{Instances: len(c.tracker.Instances()), Reported: true}
+	for _, m := range c.settings.engine.Models {
+		stats := c.scheduler.Stats()[m.Name]
+		in.Models = append(in.Models, apportioner.Model{
+			Name: m.Name, Size: m.Size, UsableShare: 0.85, Load: m.Load, Warm: m.Warm, Open: stats.Open,
+			Forming: stats.Forming + (stats.Ready+stats.Loading+stats.Lent)/m.Size,
+			Offered: c.settings.offered[m.Name], Arrived: 2 * c.settings.offered[m.Name], Missed: c.missed[m.Name],
+		})
+	}
+	result := c.apportioner.Divide(c.now, in)
+	view.Wanted, view.Moves = result.Wanted, result.Moves
+}
+
 // lose loses a random member of a group.
 func (c *churn) lose() {
 	var members []*churnInstance
@@ -315,7 +347,15 @@
 	for _, m := range c.settings.engine.Models {
 		c.result.capacity[m.Name] += open[m.Name] * seconds
 		needed := c.settings.demand[m.Name] * float64(c.settings.domains*c.settings.domainSize) / churnHeadroom / float64(m.Size)
-		c.result.served += c.settings.demand[m.Name] * servedShare(open[m.Name]/needed) * seconds
+		weight := c.settings.demand[m.Name]
+		if c.settings.offered != nil {
+			needed = c.settings.offered[m.Name] / float64(m.Size)
+			weight = c.settings.offered[m.Name] / (c.settings.offered["large"] + c.settings.offered["small"])
+		}
+		share := servedShare(open[m.Name] / needed)
+		c.missed[m.Name] = 1 - share
+		c.result.served += weight * share * seconds
+		c.result.servedBy[m.Name] += share * seconds
 	}
 }
 
@@ -331,34 +371,53 @@
 	return points[len(points)-1][1]
 }
 
+// scanChurnSettings returns the settings that a script states.
+func scanChurnSettings(t *testing.T, d *datadriven.TestData) churnSettings {
+	engine := *testEngine
+	settings := churnSettings{engine: &engine, replacementDelay: 4 * time.Second, duration: 34 * time.Second, demand: make(map[string]float64)}
+	settings.lossesAtOnce = 1
+	var largeSize, smallSize, interval, large, atOnce, perSecond, cut int
+	d.ScanArgs(t, "sizes", &largeSize, &smallSize)
+	d.ScanArgs(t, "domains", &settings.domains)
+	d.ScanArgs(t, "domain_size", &settings.domainSize)
+	d.ScanArgs(t, "loss_interval", &interval)
+	d.ScanArgs(t, "large_demand", &large)
+	d.ScanArgs(t, "loads_at_once", &atOnce)
+	d.ScanArgs(t, "loads_per_second", &perSecond)
+	d.MaybeScanArgs(t, "cut_percent", &cut)
+	d.MaybeScanArgs(t, "losses_at_once", &settings.lossesAtOnce)
+	settings.cutShare = float64(cut) / 100
+	settings.lending = d.HasArg("lending")
+	if d.HasArg("seconds") {
+		var seconds int
+		d.ScanArgs(t, "seconds", &seconds)
+		settings.duration = time.Duration(seconds) * time.Second
+	}
+	if d.HasArg("offered") {
+		var offeredLarge, offeredSmall int
+		d.ScanArgs(t, "offered", &offeredLarge, &offeredSmall)
+		settings.offered = map[string]float64{"large": float64(offeredLarge), "small": float64(offeredSmall)}
+	}
+	engine.SpreadFactor = churnSpread
+	engine.LoadsAtOnce, engine.LoadsPerSecond = atOnce, float64(perSecond)
+	engine.Models = []mapper.Model{
+		{Name: "large", Size: largeSize, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+		{Name: "small", Size: smallSize, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+	}
+	settings.lossInterval = time.Duration(interval) * time.Millisecond
+	settings.demand["large"], settings.demand["small"] = float64(large)/100, 1-float64(large)/100
+	return settings
+}
+
 // TestChurn records the capacity that the scheduler makes of installations whose
 // instances are lost and replaced, as a mean over many seeds in virtual time.
 func TestChurn(t *testing.T) {
 	datadriven.RunTest(t, "testdata_churn/installations", func(t *testing.T, d *datadriven.TestData) string {
-		engine := *testEngine
-		settings := churnSettings{engine: &engine, replacementDelay: 4 * time.Second, duration: 34 * time.Second, demand: make(map[string]float64)}
-		settings.lossesAtOnce = 1
-		var largeSize, smallSize, seeds, interval, large, atOnce, perSecond, cut int
-		d.ScanArgs(t, "sizes", &largeSize, &smallSize)
-		d.ScanArgs(t, "domains", &settings.domains)
-		d.ScanArgs(t, "domain_size", &settings.domainSize)
-		d.ScanArgs(t, "loss_interval", &interval)
-		d.ScanArgs(t, "large_demand", &large)
-		d.ScanArgs(t, "loads_at_once", &atOnce)
-		d.ScanArgs(t, "loads_per_second", &perSecond)
+		settings := scanChurnSettings(t, d)
+		var seeds int
 		d.ScanArgs(t, "seeds", &seeds)
-		d.MaybeScanArgs(t, "cut_percent", &cut)
-		d.MaybeScanArgs(t, "losses_at_once", &settings.lossesAtOnce)
-		settings.cutShare = float64(cut) / 100
-		engine.SpreadFactor = churnSpread
-		engine.LoadsAtOnce, engine.LoadsPerSecond = atOnce, float64(perSecond)
-		engine.Models = []mapper.Model{
-			{Name: "large", Size: largeSize, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
-			{Name: "small", Size: smallSize, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
-		}
-		settings.lossInterval = time.Duration(interval) * time.Millisecond
-		settings.demand["large"], settings.demand["small"] = float64(large)/100, 1-float64(large)/100
 		var sum churnResult
+		var servedLarge, servedSmall float64
 		capacity := make(map[string]float64)
 		results := make([]churnResult, seeds)
 		var runs errgroup.Group
@@ -377,11 +436,17 @@
 				capacity[name] += v
 			}
 			sum.served += r.served
+			servedLarge += r.servedBy["large"]
+			servedSmall += r.servedBy["small"]
 			sum.spread += r.spread
 			sum.unused += r.unused
 			sum.loads += r.loads
 		}
 		per := func(v float64) float64 { return v / float64(seeds) / settings.duration.Seconds() }
+		if settings.offered != nil {
+			return fmt.Sprintf("served %.3f %.3f groups %.2f %.2f spread %.2f unused %.2f loads %d\n", per(servedLarge), per(servedSmall),
+				per(capacity["large"]), per(capacity["small"]), per(sum.spread), per(sum.unused), sum.loads/seeds)
+		}
 		return fmt.Sprintf("served %.3f groups %.2f %.2f spread %.2f unused %.2f loads %d\n", sum.served/float64(seeds),
 			per(capacity["large"]), per(capacity["small"]), per(sum.spread), per(sum.unused), sum.loads/seeds)
 	})
