Orchestrator: the load of each model divides the instances, if there is a source

Cause: lending needs the load of each model and its groups once per iteration of the control loop.

Change: Dependencies gains the optional Loads (LoadSource); with it the holder of the control lease divides the instances and passes Wanted and Moves to the scheduler. Scheduler.Models reports the groups; an open group across domains counts by its speed. The groups line gains wanted and lent, the gauges instances_wanted. Without Loads nothing changes.

Result: go test ./internal/orchestrator ./pkg/scheduler passes.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -27,6 +27,8 @@
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/internal/renewer"
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/leaser"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -82,6 +84,13 @@
 	Demand(service string) map[string]float64
 }
 
+// LoadSource measures the load of each model.
+type LoadSource interface {
+	// Loads returns the load of each model of a service over the whole fleet, by
+	// model, or nil if too few entry instances have reported theirs.
+	Loads(service string) map[string]estimator.ModelLoad
+}
+
 // IdleChecker reports whether the system is still unused.
 type IdleChecker interface {
 	// Idle reports whether no request has arrived yet.
@@ -98,6 +107,9 @@
 	Observer    *observer.Observer
 	OrderSender OrderSender
 	Demand      DemandSource
+	// Loads is optional. With it, instances are divided by the load of each model,
+	// and loaded instances change their model; without it by Demand alone.
+	Loads       LoadSource
 	IdleChecker IdleChecker
 	Scope       tally.Scope
 	// Eligible reports whether this instance may take control. Other instances
@@ -121,6 +133,8 @@
 	// controlSince is when this term of control began or resumed after a lapse.
 	controlSince time.Time
 	schedulers   map[string]*scheduler.Scheduler
+	// apportioners holds the averages of each service's load in this term.
+	apportioners map[string]*apportioner.Apportioner
 	// lastOrderAt is when the last order was sent.
 	lastOrderAt time.Time
 	// epochs holds the last group epoch used in this term, by service.
@@ -135,6 +149,7 @@
 	return &Orchestrator{
 		Dependencies: d,
 		schedulers:   make(map[string]*scheduler.Scheduler),
+		apportioners: make(map[string]*apportioner.Apportioner),
 		epochs:       make(map[string]uint64),
 		loggedStats:  make(map[string]map[string]scheduler.ModelStats),
 		lease: renewer.New(d.Table, leaser.Settings{
@@ -235,6 +250,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	clear(o.schedulers)
+	clear(o.apportioners)
 	o.standby = true
 }
 
@@ -252,6 +268,7 @@
 	if o.term != term {
 		o.term = term
 		clear(o.schedulers)
+		clear(o.apportioners)
 		clear(o.epochs)
 	}
 }
@@ -288,6 +305,10 @@
 func (o *Orchestrator) reconcileService(ctx context.Context, term uint64, service mapper.Service) {
 	demand := o.Demand.Demand(service.Name)
 	idle := o.IdleChecker.Idle()
+	var loads map[string]estimator.ModelLoad
+	if o.Loads != nil {
+		loads = o.Loads.Loads(service.Name)
+	}
 	o.mu.Lock()
 	s := o.schedulers[service.Name]
 	if s == nil {
@@ -295,11 +316,14 @@
 		o.schedulers[service.Name] = s
 	}
 	var orders []scheduler.Order
+	view := scheduler.View{Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle}
 	o.Observer.WithTracker(func(t *tracker.Tracker) {
-		orders = s.Step(clocker.Now(), scheduler.View{Tracker: t, Engine: service.Engine, Service: service.Name, Demand: demand, Idle: idle})
+		view.Tracker = t
+		o.divide(s, &view, loads)
+		orders = s.Step(clocker.Now(), view)
 	})
 	o.epochs[service.Name] = s.Epoch()
-	o.logStats(service.Name, s.Stats(), demand)
+	o.logStats(service.Name, s.Stats(), view)
 	if len(orders) > 0 {
 		o.lastOrderAt = clocker.Now()
 	}
@@ -310,7 +334,7 @@
 }
 
 // logStats logs the number of groups of each model when it changes.
-func (o *Orchestrator) logStats(service string, stats map[string]scheduler.ModelStats, demand map[string]float64) {
+func (o *Orchestrator) logStats(service string, stats map[string]scheduler.ModelStats, view scheduler.View) {
 	if maps.Equal(stats, o.loggedStats[service]) {
 		return
 	}
@@ -319,7 +343,12 @@
 		scope := o.Scope.Tagged(map[string]string{"service": service, "model": model})
 		scope.Gauge("groups_open").Update(float64(s.Open))
 		scope.Gauge("groups_forming").Update(float64(s.Forming))
-		log.WithFields(log.Fields{"service": service, "model": model, "open": s.Open, "forming": s.Forming, "ending": s.Ending, "spread": s.Spread, "ready": s.Ready, "loading": s.Loading, "demand": math.Round(demand[model]*100) / 100}).Info(logger.LineGroups)
+		fields := log.Fields{"service": service, "model": model, "open": s.Open, "forming": s.Forming, "ending": s.Ending, "spread": s.Spread, "ready": s.Ready, "loading": s.Loading, "demand": math.Round(view.Demand[model]*100) / 100}
+		if view.Wanted != nil {
+			scope.Gauge("instances_wanted").Update(float64(view.Wanted[model]))
+			fields["wanted"], fields["lent"] = view.Wanted[model], s.Lent
+		}
+		log.WithFields(fields).Info(logger.LineGroups)
 	}
 }
 
--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -166,14 +166,11 @@
 // divide sets the division of the instances in the view. One request takes half an
 // instance second.
 func (c *churn) divide(view *View) {
-	in := apportioner.Input{Instances: len(c.tracker.Instances()), Reported: true}
-	for _, m := range c.settings.engine.Models {
-		stats := c.scheduler.Stats()[m.Name]
-		in.Models = append(in.Models, apportioner.Model{
-			Name: m.Name, Size: m.Size, UsableShare: 0.85, Load: m.Load, Warm: m.Warm, Open: stats.Open,
-			Forming: stats.Forming + (stats.Ready+stats.Loading+stats.Lent)/m.Size,
-			Offered: c.settings.offered[m.Name], Arrived: 2 * c.settings.offered[m.Name], Missed: c.missed[m.Name],
-		})
+	in := apportioner.Input{Instances: len(c.tracker.Instances()), Reported: true, Models: c.scheduler.Models(*view)}
+	for i := range in.Models {
+		m := &in.Models[i]
+		m.UsableShare, m.Missed = 0.85, c.missed[m.Name]
+		m.Offered, m.Arrived = c.settings.offered[m.Name], 2*c.settings.offered[m.Name]
 	}
 	result := c.apportioner.Divide(c.now, in)
 	view.Wanted, view.Moves = result.Wanted, result.Moves
--- a/pkg/scheduler/stats.go
+++ b/pkg/scheduler/stats.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "github.com/waxwingmount/waxwingmount/pkg/tracker"
+import (
+	"math"
+	"slices"
+
+	"github.com/waxwingmount/waxwingmount/pkg/apportioner"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
+)
 
 // ModelStats counts a model's groups by state, and its instances in no group.
 type ModelStats struct {
@@ -53,3 +59,34 @@
 	}
 	return stats
 }
+
+// Models returns the groups of each model for an [apportioner.Input], without their
+// load. An open group across domains counts by its speed; a group counts as forming as
+// soon as enough instances load its weights or are to do so.
+func (s *Scheduler) Models(v View) []apportioner.Model {
+	stats := s.Stats()
+	var models []apportioner.Model
+	for _, m := range v.Engine.Models {
+		state := stats[m.Name]
+		models = append(models, apportioner.Model{
+			Name: m.Name, Size: m.Size, Load: m.Load, Warm: m.Warm,
+			Open:    state.Open - state.Spread + int(math.Ceil(float64(state.Spread)/max(1, v.Engine.SpreadFactor))),
+			Forming: state.Forming + (state.Ready+state.Loading+state.Lent)/max(1, m.Size),
+			Staged:  countStagedElsewhere(v, m.Name),
+		})
+	}
+	return models
+}
+
+// countStagedElsewhere counts the instances that are in a group of another model and
+// whose hosts have a model's weights.
+func countStagedElsewhere(v View, model string) int {
+	count := 0
+	for _, in := range v.Tracker.Instances() {
+		group := in.Membership.Group
+		if in.Service == v.Service && !in.Leaving && !v.Tracker.IsLost(in.ID) && group != "" && tracker.ModelOf(group) != model && slices.Contains(in.Staged, model) {
+			count++
+		}
+	}
+	return count
+}
