--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -70,7 +70,8 @@
 
 // Loads returns the load that the fleet has had for each model of a service over the last
 // demandWindow. Live entry instances that do not report, such as those of an older build,
-// are taken to have as much as the others.
+// are taken to have as much as the others. Loads returns nil while fewer than half of them
+// report.
 func (f *Forwarder) Loads(service string) map[string]estimator.ModelLoad {
 	loads := make(map[string]estimator.ModelLoad)
 	config := f.Observer.Config()
@@ -85,6 +86,9 @@
 	f.mu.Lock()
 	reporters := f.reporters(clocker.Now())
 	f.mu.Unlock()
+	if 2*reporters < live {
+		return nil
+	}
 	perSecond := max(1, float64(live)/float64(reporters)) / demandWindow.Seconds()
 	for name, r := range f.modelReports(config, s) {
 		loads[name] = estimator.ModelLoad{
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -239,6 +239,7 @@
 		Observer:    n.observer,
 		OrderSender: p.OrderSender,
 		Demand:      n.forwarder,
+		Loads:       n.forwarder,
 		IdleChecker: n.forwarder,
 		Scope:       scope,
 		Eligible:    n.relayer.IsReader,
--- a/pkg/estimator/pool_report.go
+++ b/pkg/estimator/pool_report.go
@@ -71,16 +71,6 @@
 	return len(a) == len(b)
 }
 
-// ModelLoad is the load that the fleet has had for one model over the last demand window.
-type ModelLoad struct {
-	// Offered is the instance time per second that the requests need.
-	Offered float64
-	// Arrived is the number of requests per second.
-	Arrived float64
-	// Missed is the fraction of them that were refused, failed or late.
-	Missed float64
-}
-
 // PoolMeter counts the requests to one pool at one entry instance. Its counts decay
 // exponentially. It does no I/O and is not safe for concurrent use.
 type PoolMeter struct {
