Forwarder: reported faults and restarts: late copies, stopped processes, stops under load

Causes: connections to backend servers were used again, so that a second copy of a response, sent later, became the response to the next request; a copied "not run" made a request run twice. A process that was stopped sent requests by the list, the key and the permit of before. When the process ended, callers whose requests were being read or in progress had their connection reset. Ejections, retractions of losses and testimonies of a server held for its next run under the same ID.

Changes: each request to a backend server has a connection of its own. At the end of a shutdown, requests that are left are ended and their callers told (server.Stop). Failures are counted by incarnation, and a retraction concerns one incarnation.

TestNoRetryAfterClosedConnection asked for 502 on the second request of a connection, which the server closed. No connection has a second request now; the server closes the first one instead, and the test also checks that each request came on a connection of its own, which is as strict.

--- /dev/null
+++ b/cmd/waxwingd/stop_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/platform"
+)
+
+// stopStore emulates a store with one plain server that has one slot.
+func stopStore(server string) http.HandlerFunc {
+	config, _ := json.Marshal(map[string]any{
+		"version":  1,
+		"routes":   []any{map[string]any{"name": "r", "hostname": "h", "prefix": "/", "route_type": "non_idempotent", "timeout_ms": 30000, "service": "s", "max_attempts": 1, "anonymous": true}},
+		"services": []any{map[string]any{"name": "s"}},
+	})
+	entry, _ := json.Marshal(map[string]any{"service": "s", "address": server, "zone": "z", "slots": 1, "state": "ready"})
+	return func(w http.ResponseWriter, r *http.Request) {
+		var rows []any
+		if r.Method == http.MethodGet {
+			switch r.URL.Query().Get("table") {
+			case "op":
+				rows = append(rows, map[string]any{"table": "op", "key": "config", "ver": 1, "value": config})
+			case "servers":
+				rows = append(rows, map[string]any{"table": "servers", "key": "p", "ver": 1, "value": entry})
+			}
+		}
+		json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": 1})
+	}
+}
+
+// TestStopUnderLoad guards against callers whose connection is reset when the process stops
+// before their requests have ended: one that is being read, one that runs, one that waits.
+// Each gets a response that states correctly whether it may have run.
+func TestStopUnderLoad(t *testing.T) {
+	reached := make(chan struct{}, 8)
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		reached <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer busy.Close()
+	platformStore := httptest.NewServer(stopStore(busy.Listener.Addr().String()))
+	defer platformStore.Close()
+	binary := filepath.Join(t.TempDir(), "waxwingd")
+	build, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", build)
+	path := filepath.Join(t.TempDir(), "local.json")
+	callers, ready := freePort(t), freePort(t)
+	settings := fmt.Sprintf(`{"node_name":"n","zone":"z","listen":{"frontend":"127.0.0.1:%d","readiness":"127.0.0.1:%d",`+
+		`"control_plane":"127.0.0.1:%d","directory":"127.0.0.1:%d"},"bounds":{"revoke_ms":5000,"grace_s":3,"ttl_max_s":5},"platform":{"address":%q}}`,
+		callers, ready, freePort(t), freePort(t), platformStore.Listener.Addr().String())
+	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
+	out := &outputBuffer{}
+	daemon := exec.Command(binary, "--hosted")
+	daemon.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	daemon.Stdout, daemon.Stderr = out, out
+	assert.NilError(t, daemon.Start())
+	t.Cleanup(func() { daemon.Process.Kill() })
+	address := fmt.Sprintf("127.0.0.1:%d", callers)
+	waitFor(t, "server known", func() bool { return out.contains("configuration") && dials(address) })
+	time.Sleep(time.Second)
+
+	const head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 4\r\n\r\n"
+	var calls sync.WaitGroup
+	call := func(name, text string, want int) {
+		calls.Go(func() {
+			status, err := rawCall(address, text)
+			if err != nil || status != want {
+				t.Errorf("request that %s: status %d, error %v; want %d", name, status, err, want)
+			}
+		})
+	}
+	call("runs", head+"body", http.StatusBadGateway)
+	<-reached
+	call("waits", head+"body", http.StatusServiceUnavailable)
+	call("is being read", head+"bo", http.StatusServiceUnavailable)
+	waitFor(t, "queued", func() bool { return out.contains("queued") })
+	assert.NilError(t, daemon.Process.Signal(syscall.SIGTERM))
+	calls.Wait()
+	assert.Assert(t, daemon.Wait() != nil, "requests had to be ended")
+}
+
+func dials(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
+
+// rawCall sends bytes and returns the status of the response.
+func rawCall(address, text string) (int, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if _, err := io.Copy(conn, strings.NewReader(text)); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -38,7 +38,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	span     trace.Span
-	// readToEnd says that the complete response has been read.
+	// readToEnd says that the last event, or the complete response, has been read.
 	readToEnd bool
 }
 
@@ -147,7 +147,7 @@
 	}
 	if a.response != nil {
 		if a.readToEnd {
-			// The connection can be reused only once the body is drained.
+			// A server must not see that its caller leaves while it ends the response.
 			io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDrainBytes))
 		}
 		a.response.Body.Close()
@@ -158,5 +158,5 @@
 	d.endAttempt(a.backend, failed)
 }
 
-// maxDrainBytes bounds what is read of a body only to reuse its connection.
+// maxDrainBytes bounds what is read of a body after its last event.
 const maxDrainBytes = 4096
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,9 +64,10 @@
 	// running attempts and the queues.
 	attemptCheckInterval = 50 * time.Millisecond
 	dialTimeout          = 500 * time.Millisecond
-	idleTimeout          = 30 * time.Second
-	// maxIdlePerBackend bounds the idle connections to one backend server.
-	maxIdlePerBackend = 256
+	// noIdleConns makes a transport close each connection after one response. A backend
+	// server may send a second copy of a response later; on a connection that is in use again,
+	// nothing tells it from the response to the next request.
+	noIdleConns = -1
 
 	// A request with strikeLimit strikes is refused until strikeExpiry has
 	// passed since the last one. Up to strikeCapacity requests are tracked.
@@ -200,8 +201,7 @@
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerBackend,
-		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: noIdleConns,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -26,9 +25,10 @@
 const (
 	// maxResponseBytes bounds a response that is buffered whole.
 	maxResponseBytes = 8 << 20
-	// maxDrainBytes bounds how much of a body is read only so that its
-	// connection can be reused.
-	maxDrainBytes     = 4096
+	// maxSendDelay is the longest time from the choice of a server until the request is sent:
+	// the confirmation of the list and opening the connection take up to 0.6 s. A permit is
+	// consumed by the choice.
+	maxSendDelay      = time.Second
 	streamBufferBytes = 4096
 	eventStreamType   = "text/event-stream"
 	headerLastEventID = "Last-Event-Id"
@@ -70,6 +70,7 @@
 // startAttempt sends the request once. It returns the response, or the event
 // for the retry machine.
 func (x *exchange) startAttempt() (*Response, retrier.Event) {
+	x.f.Observer.AwaitCurrent(x.ctx)
 	if !x.isAllowed() && !x.reroute() {
 		return nil, retrier.Event{Kind: retrier.Blocked}
 	}
@@ -291,7 +292,7 @@
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { x.recordSent(a, info.Err) },
 	})
-	isAllowed := func() bool { return x.isAllowed() && f.isServing(u) }
+	isAllowed := func() bool { return x.isTimely(a) && x.isAllowed() && f.isServing(u) }
 	a.body = bodychecker.New(x.request.Body, isAllowed)
 	if !isAllowed() {
 		return bodychecker.ErrNotAllowed
@@ -305,6 +306,13 @@
 	return err
 }
 
+// isTimely reports whether what the attempt was chosen by still holds: the process has not
+// been stopped since, and the request's time is not over.
+func (x *exchange) isTimely(a *attempt) bool {
+	now := clocker.Now()
+	return now.Before(x.deadline) && now.Sub(a.sentAt) < maxSendDelay && x.f.Observer.Current()
+}
+
 // isServing reports whether an upstream may be sent a request at this moment.
 func (f *Forwarder) isServing(u *upstream) bool {
 	if f.isDeferred(u) {
@@ -350,11 +358,6 @@
 	f.endHop(a, pathfinder.Answered, 0)
 	f.unregisterAttempt(a.active, failed)
 	if a.response != nil {
-		if a.complete {
-			// A drained body lets the connection be reused. If draining fails,
-			// the connection is closed.
-			_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDrainBytes))
-		}
 		a.response.Body.Close()
 	}
 	a.memory.Close()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -156,6 +156,7 @@
 	if ttl := f.settings.Load().ConfigTTL; ttl > 0 {
 		f.Observer.AwaitConfig(ctx, time.Duration(viewAgeFraction*float64(ttl)), viewPatience)
 	}
+	f.Observer.AwaitCurrent(ctx)
 	config := f.Observer.Config()
 	if config == nil {
 		return nil, &Refusal{Op: "begin", Kind: KindNoConfiguration, Outcome: retrier.NotRun, RetryAfter: jitter(defaultRetryAfter)}
@@ -188,10 +189,18 @@
 		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun, Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Err: err}
 	}
 	x.retryMachine = retrier.New(x.retryInfo(), f.budget)
-	x.ctx, x.cancel = context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
+	x.setContext(ctx)
 	return x, nil
 }
 
+// setContext sets the context of a request, which ends at its deadline or when all requests
+// are ended.
+func (x *exchange) setContext(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(clocker.Now()))
+	stop := context.AfterFunc(x.f.ending, cancel)
+	x.ctx, x.cancel = ctx, func() { stop(); cancel() }
+}
+
 // retryInfo returns what the retry machine needs to know. The sender of a request that came
 // by a peer counts its attempts and its part of the retry budget.
 func (x *exchange) retryInfo() retrier.RequestInfo {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -84,8 +84,8 @@
 	peers int
 	// held holds readings of the store until it is closed, unless it is nil.
 	held chan struct{}
-	// lag is how old the list is that readings return.
-	lag time.Duration
+	// lag is how old the list is that readings return, and delay how long they take.
+	lag, delay time.Duration
 	// detourPeers are the forwarders that take requests from others.
 	detourPeers []DetourPeer
 	// forwarders are those of the entry instances whose strikes reach each other.
@@ -98,11 +98,12 @@
 
 func (p *platformStub) Fetch(context.Context, bool) (observer.Snapshot, error) {
 	p.mu.Lock()
-	held := p.held
+	held, delay := p.held, p.delay
 	p.mu.Unlock()
 	if held != nil {
 		<-held
 	}
+	time.Sleep(delay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,10 +67,12 @@
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel closes a connection (TCP_USER_TIMEOUT).
 	userTimeout = 3 * time.Second
-	// idleTimeout is how long an idle connection to a backend server is kept.
-	idleTimeout = 10 * time.Second
-	// maxIdlePerServer is how many idle connections are kept to one server.
-	maxIdlePerServer = 16
+	// noIdleConns makes a transport close each connection after one response, without asking
+	// the server to do so. A server may send a second copy of a response seconds later; on a
+	// connection that is in use again, nothing tells it from the response to the next request.
+	// With 71 entry instances, each sends a server less than one request in the 10 s for which
+	// connections were kept before.
+	noIdleConns = -1
 
 	// strikeLimit is how many servers a request may crash before it is refused:
 	// the users' documentation allows three.
@@ -157,8 +159,11 @@
 	detourPeers  *pathfinder.Peers
 	// recentRefusals holds the time at which a request with the same content
 	// was last refused.
-	recentRefusals     *simplelru.LRU[quarantiner.Fingerprint, time.Time]
-	wake               chan struct{}
+	recentRefusals *simplelru.LRU[quarantiner.Fingerprint, time.Time]
+	wake           chan struct{}
+	// ending is the context of all requests, which endRequests ends.
+	ending             context.Context
+	endRequests        context.CancelFunc
 	lastTicketID       uint64
 	activeRequests     int
 	keepAlivesDisabled bool
@@ -177,8 +182,7 @@
 		Dependencies: d,
 		transport: &http.Transport{
 			DialContext:         dial,
-			MaxIdleConnsPerHost: maxIdlePerServer,
-			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: noIdleConns,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -200,6 +204,7 @@
 		wake:           make(chan struct{}, 1),
 		budget:         retrier.NewBudget(d.RetryRatio*retryBudgetFraction, d.RetrySlack*retryBudgetFraction),
 	}
+	f.ending, f.endRequests = context.WithCancel(context.Background())
 	f.Configure(d.Settings)
 	return f
 }
@@ -239,6 +244,13 @@
 	f.admittingStopped = true
 }
 
+// EndRequests ends all requests, so that their callers and the peers that handed them over are
+// told what is known of them before the process ends.
+func (f *Forwarder) EndRequests() {
+	f.StopAdmitting()
+	f.endRequests()
+}
+
 // ActiveRequests returns how many requests are in progress.
 func (f *Forwarder) ActiveRequests() int {
 	f.mu.Lock()
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -52,7 +52,7 @@
 }
 
 // decode reads a request with its whole body.
-func (f *Forwarder) decode(_ context.Context, r *http.Request) (any, error) {
+func (f *Forwarder) decode(ctx context.Context, r *http.Request) (any, error) {
 	limit := int64(defaultMaxBodyBytes)
 	if config := f.Observer.Config(); config != nil && config.Limits.BodyBytes > 0 {
 		limit = config.Limits.BodyBytes
@@ -63,6 +63,10 @@
 		if errors.HasType(err, (*http.MaxBytesError)(nil)) {
 			kind = KindTooLarge
 		}
+		if ctx.Err() != nil {
+			// The process ends before the whole request has arrived.
+			return nil, &Refusal{Op: "decode", Kind: KindShuttingDown, Outcome: retrier.NotRun, RetryAfter: jitter(shutdownRetryAfter), Err: err}
+		}
 		return nil, &Refusal{Op: "decode", Kind: kind, Outcome: retrier.NotRun, Err: err}
 	}
 	host := r.Host
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -276,8 +276,8 @@
 	var candidates []router.Candidate
 	byName := make(map[string]*upstream, len(upstreams))
 	for _, u := range f.sample(f.poolFor(key).withFreeSlots(upstreams, works)) {
-		byName[u.name] = u
-		candidates = append(candidates, router.Candidate{Group: u.name, Load: f.cost(u, works[u], a.promptTokens)})
+		byName[u.loadKey()] = u
+		candidates = append(candidates, router.Candidate{Group: u.loadKey(), Load: f.cost(u, works[u], a.promptTokens)})
 	}
 	candidates = f.tracker.FilterEjected(now, candidates)
 	if len(candidates) == 0 {
--- /dev/null
+++ b/internal/forwarder/truncated_test.go
@@ -0,0 +1,150 @@
+package forwarder
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+// truncatedResponses are responses that end too early, by the path that they are for.
+var truncatedResponses = map[string]map[string]string{
+	"/once/": {
+		"shorter than its length": okHead + "Content-Length: 10\r\n\r\nhalf",
+		"chunks without an end":   okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"end inside a chunk":      okHead + "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+		"end inside the header":   okHead,
+	},
+	"/stream/": {
+		"chunks without an end":          streamHead + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + "id: 1\ndata: \n\n" + "\r\n",
+		"end inside an event":            streamHead + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + "id: 1\ndata: \n\nid: 2\n" + "\r\n0\r\n\r\n",
+		"no blank line at the end":       streamHead + "Transfer-Encoding: chunked\r\n\r\nc\r\n" + "id: 1\ndata: \n" + "\r\n0\r\n\r\n",
+		"shorter than its length":        streamHead + "Content-Length: 100\r\n\r\n" + "id: 1\ndata: \n\n",
+		"end inside an undelimited body": streamHead + "\r\n" + "id: 1\ndata: \n\nid: 2\n",
+		"no event in an undelimited one": streamHead + "\r\n",
+	},
+}
+
+// serveRaw serves the same bytes to each request and then closes the connection, with a reset
+// if reset is set.
+func serveRaw(t *testing.T, response string, reset bool) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				fmt.Fprint(conn, response)
+				if reset {
+					// What was sent arrives first.
+					time.Sleep(50 * time.Millisecond)
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestTruncatedResponse guards against a response that ends too early looking complete, with
+// the connection's end or a reset, straight to the server and by a peer. A request that may
+// run only once is not said not to have run.
+func TestTruncatedResponse(t *testing.T) {
+	for path, responses := range truncatedResponses {
+		for name, response := range responses {
+			for _, reset := range []bool{false, true} {
+				for _, byPeer := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s %s reset %t by peer %t", path, name, reset, byPeer), func(t *testing.T) {
+						t.Parallel()
+						f := newRawFixture(t, serveRaw(t, response, reset), byPeer)
+						status, body, err := f.callAt(f.server, "POST", path, "x", "k", "body", "")
+						assert.Assert(t, err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "status %d, %q", status, body)
+					})
+				}
+			}
+		}
+	}
+}
+
+// newRawFixture returns a fixture whose plain server and only group are at that address. If
+// byPeer is set, its server is that of an entry instance which is cut from them.
+func newRawFixture(t *testing.T, address netip.AddrPort, byPeer bool) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.platform.set(func(p *platformStub) {
+		p.instances = []provider.Instance{
+			{ID: "p", Incarnation: "1", Service: "plain", Address: address, Slots: 2},
+			{ID: "head", Incarnation: "1", Service: "engines", Address: address, Slots: 2, Membership: provider.Membership{Group: "m~a", Epoch: 1, State: provider.Serving}},
+			{ID: "member", Incarnation: "1", Service: "engines", Slots: 2, Membership: provider.Membership{Group: "m~a", Epoch: 1, Rank: 1, State: provider.MemberReady}},
+		}
+	})
+	f.applyConfig()
+	if byPeer {
+		cut := &cutFixture{fixture: f}
+		f.takeDetours("sound", f.forwarder)
+		cut.path = newLink(t, f.platform, f.forwarder)
+		cut.cut, cut.server = f.newForwarderOn(cut.path)
+		f.eventually(func() bool { return cut.cut.Observer.Config() != nil })
+		cut.cutOff()
+		f.server = cut.server
+	}
+	return f
+}
+
+// TestSlowStreamIsNotCut guards against a stream whose events come with long but valid pauses
+// being broken off, or an event missing, straight to the servers and by a peer. The pauses are
+// longer than those after which a group counts as stalled.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	const (
+		events = 6
+		pause  = 900 * time.Millisecond
+	)
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		writeHeader(w, r, "text/event-stream")
+		last, _ := strconv.Atoi(r.Header.Get(headerLastEventID))
+		for id := last + 1; id <= events; id++ {
+			writeAndFlush(w, testEvent(id))
+			time.Sleep(pause)
+		}
+	}
+	want := ""
+	for id := 1; id <= events; id++ {
+		want += testEvent(id)
+	}
+	for _, byPeer := range []bool{false, true} {
+		t.Run(fmt.Sprintf("by peer %t", byPeer), func(t *testing.T) {
+			t.Parallel()
+			f := newCutFixture(t, slow, nil)
+			config := testConfig(2)
+			config.Routes[0].Timeout = time.Minute
+			f.apply(config)
+			f.eventually(func() bool { return f.cut.Observer.Config().Version == 2 })
+			server := f.fixture.server
+			if byPeer {
+				f.cutOff()
+				server = f.server
+			}
+			status, body, err := f.callAt(server, "POST", "/stream/", "x", "k", "body", "")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, want)
+		})
+	}
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -49,6 +49,10 @@
 // head returns the instance that receives the upstream's requests.
 func (u *upstream) head() provider.Instance { return u.state().members[0] }
 
+// loadKey returns the name under which the failures of the upstream are counted. A server
+// that has restarted under its ID has another one.
+func (u *upstream) loadKey() string { return u.name + "/" + u.head().Incarnation }
+
 // isPeer reports whether the upstream stands for a peer.
 func (u *upstream) isPeer() bool { return strings.HasPrefix(u.name, peerUpstreamPrefix) }
 
@@ -117,7 +121,7 @@
 		u.lastProgress = now
 	}
 	u.active[a] = struct{}{}
-	f.tracker.Begin(u.name)
+	f.tracker.Begin(u.loadKey())
 	f.permits.use(u.head())
 }
 
@@ -128,10 +132,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(a.upstream.active, a)
-	f.tracker.End(now, a.upstream.name, failed)
+	f.tracker.End(now, a.upstream.loadKey(), failed)
 	f.wakeQueues()
 }
 
+// retainLoads forgets the failures of upstreams that are gone. The caller holds f.mu.
+func (f *Forwarder) retainLoads() {
+	known := make(map[string]bool, len(f.upstreams))
+	for _, u := range f.upstreams {
+		known[u.loadKey()] = true
+	}
+	f.tracker.Retain(func(key string) bool { return known[key] })
+}
+
 // eject keeps new requests off an upstream for the duration d.
 func (f *Forwarder) eject(u *upstream, d time.Duration) {
 	f.mu.Lock()
@@ -145,6 +158,7 @@
 func (f *Forwarder) checkUpstreams(ctx context.Context) {
 	now := clocker.Now()
 	var silent, stalled, busy []*upstream
+	forgotten := false
 	manyPeers := f.Peers.Count() > maxInformedPeers
 	pathDisturbed := f.Observer.PathDisturbed()
 	f.mu.Lock()
@@ -152,6 +166,7 @@
 		if len(u.active) == 0 {
 			if now.After(u.ejectedUntil) && now.Sub(u.lastProgress) > time.Minute {
 				delete(f.upstreams, name)
+				forgotten = true
 			}
 			continue
 		}
@@ -173,6 +188,9 @@
 			stalled = append(stalled, u)
 		}
 	}
+	if forgotten {
+		f.retainLoads()
+	}
 	f.mu.Unlock()
 	for _, u := range silent {
 		f.Observer.Suspect(ctx, u.state().members)
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -121,8 +121,11 @@
 	// staleConfigFraction is the fraction of KeyTTL after which an instance
 	// that cannot reach the store stops advertising itself.
 	staleConfigFraction = 0.5
-	// stopMargin is the part of StopTimeout reserved for the last responses.
-	stopMargin = 700 * time.Millisecond
+	// stopMargin is the part of StopTimeout reserved for the end: lastResponses to tell the
+	// callers whose requests are still in progress what is known of them, and the rest to
+	// write them and to exit.
+	stopMargin    = 700 * time.Millisecond
+	lastResponses = 400 * time.Millisecond
 	// Callers keep the instance's address cached after the shutdown begins. The
 	// instance therefore admits requests until admitFraction of StopTimeout has
 	// passed, then refuses new ones until listenFraction has passed, and only
@@ -349,13 +352,26 @@
 	time.Sleep(time.Duration(listenFraction*float64(n.settings.StopTimeout)) - time.Since(started))
 	drain, cancelDrain := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-time.Since(started))
 	defer cancelDrain()
-	err := callerServer.Shutdown(drain)
+	stop := context.AfterFunc(drain, n.forwarder.EndRequests)
+	err := callerServer.Stop(drain, lastResponses)
 	if idleErr := n.forwarder.AwaitIdle(drain); err == nil {
 		err = idleErr
 	}
+	if !stop() {
+		n.awaitEndOfHops()
+	}
 	n.pool.Close()
 	log.WithFields(log.Fields{logger.FieldEntry: n.settings.ID, "live": n.forwarder.ActiveRequests()}).Info(logger.LineEntryStopped)
 	return err
 }
 
+// awaitEndOfHops waits until the peers whose requests were ended have been told.
+func (n *Node) awaitEndOfHops() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastResponses/2)
+	defer cancel()
+	if err := n.forwarder.AwaitIdle(ctx); err != nil {
+		log.WithError(err).Warn("some requests could not be ended")
+	}
+}
+
 func (n *Node) runResignation(ctx context.Context) { n.orchestrator.Resign(ctx) }
--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -75,56 +75,85 @@
 	assert.NilError(t, err, "the connection was not closed in time")
 }
 
-// TestNoRetryAfterClosedConnection lets a backend server close each reused connection
-// after it has read a request without a body. The Go HTTP transport retries such a
-// request by itself unless it is prevented.
+// TestNoRetryAfterClosedConnection lets a backend server close connections after it has read
+// a request without a body. The Go HTTP transport retries such a request on a connection that
+// is in use again by itself, so that no connection may be.
 func TestNoRetryAfterClosedConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	calls := make(chan string, 16)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go respondOnceThenClose(conn, calls)
-		}
-	}()
-	c := startCluster(t, clusterSpec{entries: 1, config: fmt.Sprintf(
-		"\n[service.raw]\naddresses = %s\n[route.raw]\npath_prefix = /raw/\nservice = raw\n", listener.Addr())})
+	server := &rawServer{calls: make(chan string, 16)}
+	c := server.start(t)
 	status, _, _, err := c.post("entry-0", "/raw/first", "", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, status, 200)
-	assert.Equal(t, <-calls, "/raw/first")
-	status, header, _, err := c.post("entry-0", "/raw/second", "", map[string]string{"Idempotency-Key": "once"})
+	assert.Equal(t, <-server.calls, "1 /raw/first")
+	status, header, _, err := c.post("entry-0", "/raw/lost", "", map[string]string{"Idempotency-Key": "once"})
 	assert.NilError(t, err)
 	assert.Equal(t, status, 502)
 	assert.Equal(t, header.Get("Waxwing-Outcome"), "may_have_run")
-	assert.Equal(t, <-calls, "/raw/second")
+	assert.Equal(t, <-server.calls, "1 /raw/lost")
 	select {
-	case repeated := <-calls:
+	case repeated := <-server.calls:
 		t.Fatalf("%s was sent twice", repeated)
 	case <-time.After(time.Second):
 	}
 }
 
-// respondOnceThenClose responds to the first request of a connection, and closes the
-// connection after it has read the second.
-func respondOnceThenClose(conn net.Conn, calls chan<- string) {
+// TestLateCopyOfResponse guards against a server's second copy of a response that arrives on
+// a connection which is in use again: the next caller must get its own response.
+func TestLateCopyOfResponse(t *testing.T) {
+	server := &rawServer{calls: make(chan string, 16)}
+	c := server.start(t)
+	for _, path := range []string{"/raw/first", "/raw/second", "/raw/third"} {
+		status, _, body, err := c.post("entry-0", path, "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, status, 200)
+		assert.Equal(t, string(body), path)
+	}
+}
+
+// rawServer is a plain service whose responses are the paths of the requests. On a connection
+// that is in use again, it sends a copy of the last response before each response.
+type rawServer struct {
+	// calls receives the requests, each with its number on its connection.
+	calls chan string
+}
+
+func (s *rawServer) start(t *testing.T) *cluster {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go s.run(listener)
+	return startCluster(t, clusterSpec{entries: 1, config: fmt.Sprintf(
+		"\n[service.raw]\naddresses = %s\n[route.raw]\npath_prefix = /raw/\nservice = raw\n", listener.Addr())})
+}
+
+func (s *rawServer) run(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.runConn(conn)
+	}
+}
+
+func (s *rawServer) runConn(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	for n := range 2 {
+	previous := ""
+	for n := 1; ; n++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		io.Copy(io.Discard, request.Body)
-		calls <- request.URL.Path
-		if n == 0 {
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		s.calls <- fmt.Sprintf("%d %s", n, request.URL.Path)
+		if strings.HasSuffix(request.URL.Path, "lost") {
+			return
 		}
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		io.WriteString(conn, previous+response)
+		previous = response
 	}
 }
 
--- a/internal/observer/losses.go
+++ b/internal/observer/losses.go
@@ -34,7 +34,7 @@
 	}
 	for _, l := range message.Found {
 		switch {
-		case !o.tracker.IsLost(l.Instance):
+		case !o.tracker.IsLostIn(l.Instance, l.Incarnation):
 		case o.ownLosses[l.Instance]:
 			changed = o.tracker.LocalizeLoss(l.Instance) || changed
 		default:
@@ -176,7 +176,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var f finding
-	since := o.suspicions.Since(now, in.ID)
+	since := o.suspicions.Since(now, in.ID, in.Incarnation)
 	if e.Peers.Reached > 0 {
 		f.cutFound = o.tracker.ContradictPath(now, in, e.Path)
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -135,9 +135,9 @@
 	// probes found.
 	ownLosses map[string]bool
 	// inquiries holds a value for each inquiry in progress, and testimonies what this
-	// instance has found for its peers, by ID of the backend server.
+	// instance has found for its peers, by incarnation of the backend server.
 	inquiries   chan struct{}
-	testimonies map[string]*testimony
+	testimonies map[messenger.Loss]*testimony
 	// pathCut receives a value when the path is found cut.
 	pathCut  chan struct{}
 	interval time.Duration
@@ -147,6 +147,9 @@
 	storeReachable bool
 	// applied is closed when the next read has been applied.
 	applied chan struct{}
+	// readBeganAt is when the last read that succeeded began.
+	readBeganAt time.Time
+	pauses      pauseWatch
 	// awaitedInVain reports whether a wait for a fresh view has ended without a read.
 	awaitedInVain bool
 	// eraChanged reports whether a later era than the first one was read.
@@ -165,7 +168,7 @@
 		checkedAt:    make(map[string]time.Time),
 		ownLosses:    make(map[string]bool),
 		inquiries:    make(chan struct{}, maxInquiries),
-		testimonies:  make(map[string]*testimony),
+		testimonies:  make(map[messenger.Loss]*testimony),
 		pathCut:      make(chan struct{}, 1),
 		interval:     PollInterval,
 		changed:      make(chan struct{}, 1),
@@ -174,8 +177,9 @@
 	}
 }
 
-// Start runs the poll, recheck and survey loops in the background until ctx ends.
+// Start runs the tick, poll, recheck and survey loops in the background until ctx ends.
 func (o *Observer) Start(ctx context.Context) {
+	go o.pauses.tickLoop(ctx)
 	go o.pollLoop(ctx)
 	go o.recheckLoop(ctx)
 	go o.surveyLoop(ctx)
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -73,6 +73,31 @@
 	assert.Assert(t, !isLost(o))
 }
 
+// TestPeerRetractsEarlierLoss guards against a late retraction, of an earlier incarnation,
+// clearing the loss of the present one.
+func TestPeerRetractsEarlierLoss(t *testing.T) {
+	_, o := newStubObserver(2)
+	o.HandleLosses(messenger.LossesMessage{Losses: lossOfA})
+	o.HandleLosses(messenger.LossesMessage{Found: []messenger.Loss{{Instance: "a", Incarnation: "0"}}})
+	assert.Assert(t, isLost(o))
+}
+
+// TestTestimonyOfRestartedInstance guards against a probe of an earlier incarnation being
+// taken for the answer of the present one.
+func TestTestimonyOfRestartedInstance(t *testing.T) {
+	s, o := newStubObserver(2)
+	list := func(at time.Time, incarnation string) {
+		o.apply(Snapshot{ListedAt: at, Instances: []provider.Instance{{ID: "a", Incarnation: incarnation, Service: "s"}}})
+	}
+	now := clocker.Now()
+	list(now, "1")
+	s.unreachable.Store(true)
+	assert.Equal(t, o.Testify(t.Context(), messenger.Loss{Instance: "a", Incarnation: "1"}), tracker.Silent)
+	s.unreachable.Store(false)
+	list(now.Add(time.Millisecond), "2")
+	assert.Equal(t, o.Testify(t.Context(), messenger.Loss{Instance: "a", Incarnation: "2"}), tracker.Reached)
+}
+
 // TestOwnLossClearedOnlyByOwnProbe covers an instance that is unreachable from
 // this entry instance only. A peer that reaches it must not clear the loss.
 func TestOwnLossClearedOnlyByOwnProbe(t *testing.T) {
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -84,11 +84,15 @@
 	o.mu.Lock()
 	direct := o.readStore
 	o.mu.Unlock()
+	began := clocker.Now()
 	snapshot, err := o.Source.Fetch(ctx, direct)
 	o.setStoreReachable(err == nil, err)
 	o.apply(snapshot)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err == nil {
+		o.readBeganAt = began
+	}
 	close(o.applied)
 	o.applied, o.awaitedInVain = make(chan struct{}), false
 	if err != nil || o.config == nil {
--- a/internal/observer/witness.go
+++ b/internal/observer/witness.go
@@ -120,15 +120,15 @@
 		o.mu.Unlock()
 		return tracker.Unknown
 	}
-	for id, y := range o.testimonies {
+	for incarnation, y := range o.testimonies {
 		if !y.current(now) {
-			delete(o.testimonies, id)
+			delete(o.testimonies, incarnation)
 		}
 	}
-	y, found := o.testimonies[l.Instance]
+	y, found := o.testimonies[l]
 	if !found && len(o.testimonies) < maxTestimonies {
 		y, found = &testimony{done: make(chan struct{}), began: now}, true
-		o.testimonies[l.Instance] = y
+		o.testimonies[l] = y
 		go o.runTestimony(context.WithoutCancel(ctx), y, in)
 	}
 	o.mu.Unlock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,10 +4,11 @@
 // # Usage
 //
 //	s, err := server.Start(address, handler, server.WithTLS(config))
-//	s.Shutdown(ctx)
+//	s.Stop(ctx, lastResponses)
 package server
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -31,6 +32,9 @@
 type Server struct {
 	http.Server
 	listener net.Listener
+	// base is the context of all requests, which endRequests ends.
+	base        context.Context
+	endRequests context.CancelFunc
 }
 
 // Option configures a new Server.
@@ -49,11 +53,13 @@
 		return nil, err
 	}
 	s := &Server{listener: listener, Server: http.Server{
-		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 	}}
+	s.base, s.endRequests = context.WithCancel(context.Background())
+	s.BaseContext = func(net.Listener) context.Context { return s.base }
+	s.Handler = s.endReadsOf(handler)
 	for _, option := range options {
 		option(s)
 	}
@@ -61,6 +67,36 @@
 	return s, nil
 }
 
+// endReadsOf returns a handler that stops reading a request once its context ends, so that its
+// caller can be told.
+func (s *Server) endReadsOf(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		stop := context.AfterFunc(s.base, func() {
+			// It fails only on a connection that is closed, where reading ends too.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		})
+		defer stop()
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Stop closes the listener and waits until all requests have a response, or ctx ends. Then it
+// ends the contexts of the requests and gives their handlers the time to say so to the callers.
+// It returns the error of ctx if any request was ended.
+func (s *Server) Stop(ctx context.Context, lastResponses time.Duration) error {
+	defer s.endRequests()
+	err := s.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	s.endRequests()
+	last, cancel := context.WithTimeout(context.Background(), lastResponses)
+	defer cancel()
+	// The error says only that some handlers did not end either.
+	_ = s.Shutdown(last)
+	return err
+}
+
 func (s *Server) run() {
 	serve := s.Serve
 	if s.TLSConfig != nil {
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -254,7 +254,7 @@
 	n.dispatcher.StopAdmitting()
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
 	defer cancelDrain()
-	err := callerServer.Shutdown(drainCtx)
+	err := callerServer.Stop(drainCtx, shutdownCallTimeout)
 	withdrawCtx, cancelWithdraw := context.WithTimeout(context.Background(), shutdownCallTimeout)
 	defer cancelWithdraw()
 	if withdrawErr := n.discoverer.Withdraw(withdrawCtx); withdrawErr != nil {
--- a/pkg/tracker/losses.go
+++ b/pkg/tracker/losses.go
@@ -114,6 +114,12 @@
 	return lost
 }
 
+// IsLostIn reports whether there is evidence that this incarnation of an instance is lost.
+func (t *Tracker) IsLostIn(id, incarnation string) bool {
+	l, lost := t.losses[id]
+	return lost && l.incarnation == incarnation
+}
+
 // LostSince returns the time of the first evidence that an instance is lost, or that it
 // can't be reached from here, and whether there is any.
 func (t *Tracker) LostSince(id string) (time.Time, bool) {
--- a/pkg/tracker/suspicion.go
+++ b/pkg/tracker/suspicion.go
@@ -95,10 +95,10 @@
 	return Undecided
 }
 
-// Since returns the start of the series of unanswered probes of an instance, or now if
-// there is none.
-func (s *Suspicions) Since(now time.Time, id string) time.Time {
-	if current, found := s.byID[id]; found {
+// Since returns the start of the series of unanswered probes of an incarnation of an
+// instance, or now if there is none.
+func (s *Suspicions) Since(now time.Time, id, incarnation string) time.Time {
+	if current, found := s.byID[id]; found && current.incarnation == incarnation {
 		return current.since
 	}
 	return now
