--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -148,3 +152,43 @@
 		})
 	}
 }
+
+// TestEndOfPeerIsTold guards against a request that waits at a peer being said to may have run
+// when the peer's process ends, and against one that runs there being said not to have.
+func TestEndOfPeerIsTold(t *testing.T) {
+	const slots = 4
+	var reached atomic.Int32
+	f := newCutFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		// The end of the caller is noticed once the body has been read.
+		io.Copy(io.Discard, r.Body)
+		reached.Add(1)
+		<-r.Context().Done()
+	})
+	config := testConfig(2)
+	config.Routes[1].Timeout = 30 * time.Second
+	f.apply(config)
+	f.eventually(func() bool { return f.cut.Observer.Config().Version == 2 })
+	f.cutOff()
+	var calls sync.WaitGroup
+	call := func(want int) {
+		calls.Go(func() {
+			status, _, err := f.callAt(f.server, "POST", "/once/", "x", "k", "body", "")
+			if err != nil || status != want {
+				t.Errorf("status %d, error %v; want %d", status, err, want)
+			}
+		})
+	}
+	for range slots {
+		call(http.StatusBadGateway)
+	}
+	f.eventually(func() bool { return reached.Load() == slots })
+	queued := make(chan struct{})
+	onLogLine(t, logger.LineQueued, func() { close(queued) })
+	call(http.StatusServiceUnavailable)
+	<-queued
+	f.forwarder.EndRequests()
+	ended := time.Now()
+	calls.Wait()
+	assert.Assert(t, time.Since(ended) < 5*time.Second)
+	assert.Equal(t, reached.Load(), int32(slots))
+}
