Observer: one read is asked for after each pause

Cause: while reads fail at once, each request that waits after a pause asked for another read, so that the store got reads without any pause for up to a second.

Change: a read is asked for once after each pause; the next ones follow in the interval that holds while the store does not respond.

Measured: go test -count=3 ./internal/observer -run 'TestPause|TestAwait' passes.

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -150,6 +150,8 @@
 	// readBeganAt is when the last read that succeeded began.
 	readBeganAt time.Time
 	pauses      pauseWatch
+	// refreshedAfter is the end of the last pause after which a read was asked for.
+	refreshedAfter time.Time
 	// awaitedInVain reports whether a wait for a fresh view has ended without a read.
 	awaitedInVain bool
 	// eraChanged reports whether a later era than the first one was read.
--- a/internal/observer/pause.go
+++ b/internal/observer/pause.go
@@ -70,6 +70,7 @@
 	}
 	timer := time.NewTimer(resumePatience)
 	defer timer.Stop()
+	o.refreshAfterPause()
 	for {
 		o.mu.Lock()
 		current, applied := o.current(clocker.Now()), o.applied
@@ -77,7 +78,6 @@
 		if current {
 			return
 		}
-		o.Refresh()
 		select {
 		case <-applied:
 		case <-timer.C:
@@ -87,3 +87,16 @@
 		}
 	}
 }
+
+// refreshAfterPause makes a read follow at once, one after each pause: if it fails, the next
+// ones follow as they do while the store does not respond.
+func (o *Observer) refreshAfterPause() {
+	o.mu.Lock()
+	resumed := o.pauses.tick(clocker.Now())
+	due := o.refreshedAfter.Before(resumed)
+	o.refreshedAfter = resumed
+	o.mu.Unlock()
+	if due {
+		o.Refresh()
+	}
+}
