Relayer: calls to a store that rejects them are spaced by the size of the fleet

Readers and the holder of the lease ask as before, so that its return is known within their interval.

--- a/internal/relayer/fetch.go
+++ b/internal/relayer/fetch.go
@@ -119,7 +119,13 @@
 }
 
 func (s *storeFetch) run(wait, ctx context.Context) {
-	list, config := s.relayer.readList.begin(ctx), s.relayer.readConfig.begin(ctx)
+	// While the store rejects calls, each instance that is no reader would ask it with every
+	// fetch.
+	callers := 0
+	if n := s.relayer.Members.Count(); n > maxDirectMembers {
+		callers = n
+	}
+	list, config := s.relayer.readList.beginSpaced(ctx, callers), s.relayer.readConfig.beginSpaced(ctx, callers)
 	s.done <- awaitBoth(wait, list, config, storeFirst)
 }
 
--- a/internal/relayer/flight.go
+++ b/internal/relayer/flight.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 )
 
 // flight runs a task in the background, at most once at a time, so that a slow task
@@ -19,6 +21,10 @@
 	// lastErr is the error of the last task that has ended, and endedAt when it ended.
 	lastErr error
 	endedAt time.Time
+	// backoff spaces the tasks that are begun by beginSpaced after failures, and callers is
+	// how many entry instances run such tasks.
+	backoff limiter.Backoff
+	callers int
 }
 
 // landing is the result of a task, which is set when done is closed.
@@ -49,10 +55,36 @@
 	return f.current
 }
 
+// beginSpaced is like begin for one of a number of callers of a service. After a failed task
+// it does not run another one for a while, and returns the result of the last one.
+func (f *flight) beginSpaced(ctx context.Context, callers int) *landing {
+	f.mu.Lock()
+	f.callers = callers
+	if f.current == nil && f.isSpacing() {
+		l := &landing{began: f.endedAt, done: make(chan struct{}), err: f.lastErr}
+		close(l.done)
+		f.mu.Unlock()
+		return l
+	}
+	f.mu.Unlock()
+	return f.begin(ctx)
+}
+
+// isSpacing reports whether the next spaced task has to wait after a failed one. The caller
+// holds f.mu.
+func (f *flight) isSpacing() bool {
+	return f.callers > 0 && f.lastErr != nil && !f.backoff.Ready(clocker.Now())
+}
+
 func (f *flight) run(ctx context.Context, l *landing) {
 	l.err = f.task(ctx)
 	f.mu.Lock()
 	f.current, f.lastErr, f.endedAt = nil, l.err, clocker.Now()
+	if l.err != nil {
+		f.backoff.Fail(f.endedAt, f.callers, rand.Float64())
+	} else {
+		f.backoff.Succeed()
+	}
 	f.mu.Unlock()
 	close(l.done)
 }
@@ -70,7 +102,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case f.lastErr != nil && clocker.Since(f.endedAt) <= maxAge:
+	case f.lastErr != nil && (clocker.Since(f.endedAt) <= maxAge || f.isSpacing()):
 		return f.lastErr
 	case f.current != nil && clocker.Since(f.current.began) >= limit:
 		return errSlowStore
