--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -22,8 +22,9 @@
 )
 
 // Demand implements [orchestrator.DemandSource]. It returns the share of the
-// instances that each model needs: by what all entry instances report of its
-// requests, and as configured until there are enough of them. A model gets more
+// instances that each model needs: the mean of the configured share and of the one
+// that all entry instances report, and the configured share until they have enough
+// requests. Measured shares alone follow the swings of a small fleet. A model gets more
 // instances for its share of the work if fewer of them can serve in whole groups.
 func (f *Forwarder) Demand(service string) map[string]float64 {
 	demand := make(map[string]float64)
@@ -35,12 +36,11 @@
 	if !found || s.Engine == nil {
 		return demand
 	}
-	demand = estimator.DemandShares(f.modelReports(config, s), minDemandInstanceTime)
-	if demand == nil {
-		demand = make(map[string]float64)
-		for _, m := range s.Engine.Models {
-			demand[m.Name] = m.Share
-		}
+	for _, m := range s.Engine.Models {
+		demand[m.Name] = m.Share
+	}
+	for name, share := range estimator.DemandShares(f.modelReports(config, s), minDemandInstanceTime) {
+		demand[name] = (demand[name] + share) / 2
 	}
 	domainSize := f.domainSize(service)
 	sum := 0.0
