warmer: heed a new warm-up in the list right after a probe

Cause: a statement in the list within 2.5 s of a probe that stated a warm-up was dropped but remembered. If the server had become cold anew meanwhile, the same statement was no news later, and peers are not sent repeated ones: the instance took the server for warm during the whole warm-up.

Change: the precedence of probes holds only for statements that end a warm-up. Those that prolong one can't end it early.

Tests: go test ./pkg/warmer passes; the new lines of the script failed before.

--- a/pkg/warmer/warmer.go
+++ b/pkg/warmer/warmer.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	// probePrecedence is for how long a server's response to a probe takes precedence over
-	// its entry in the list, which may be up to two seconds old.
+	// probePrecedence is for how long an entry in the list, which may be up to two seconds
+	// old, does not end a warm-up that a server has stated in response to a probe.
 	probePrecedence = 2500 * time.Millisecond
 	// serverRetention is how long a server that is not listed is remembered.
 	serverRetention = 10 * time.Minute
@@ -157,11 +157,13 @@
 	previous := s.statement
 	s.statement = l.Statement
 	switch {
-	case l.Statement == previous || now.Sub(s.probedAt) < probePrecedence:
+	case l.Statement == previous:
 	case l.Statement.Left > 0:
 		// The statement may be older than one that is known, but not newer than its arrival,
 		// so that the latest end is never too early.
 		s.begin(now, max(l.Statement.Left, s.until.Sub(now)))
+	case now.Sub(s.probedAt) < probePrecedence:
+		// The entry may be older than the probe, in which the server was cold.
 	case previous.Left > 0 || !previous.Stated:
 		s.end(now)
 	}
