evacuator: replies confirm what heartbeats have told

Cause: a reply counted as confirmation of the evacuations only if its version was at least the known one. Heartbeats spread the version of the readers' last reading faster than replies do, and each write to the store raises it. An instance that does not read the store was thus never confirmed: it read the store at each fetch, as beside sources of an older build, also in deployments without evacuations; without the store, each request waited for a confirmation that could not come.

Change: a reading of the same era with a lower version confirms the known one as of its time, since what is known is newer.

--- a/internal/relayer/age_test.go
+++ b/internal/relayer/age_test.go
@@ -86,6 +86,8 @@
 type soundStore struct {
 	takes time.Duration
 	reads atomic.Int32
+	// configReads counts the readings of the configuration.
+	configReads atomic.Int32
 }
 
 func (s *soundStore) ReadInstances(context.Context, bool) (InstancesReading, error) {
@@ -96,6 +98,7 @@
 }
 
 func (s *soundStore) ReadConfig(context.Context, bool) (ConfigReading, error) {
+	s.configReads.Add(1)
 	at := clocker.Now()
 	time.Sleep(s.takes)
 	return ConfigReading{At: at, Table: mapper.New(mapper.Config{Version: 1}), Evacuations: &evacuator.Reading{Version: 1}}, nil
--- a/internal/relayer/evacuation_test.go
+++ b/internal/relayer/evacuation_test.go
@@ -116,3 +116,24 @@
 	o.Start(t.Context())
 	untilEvacuated(t, o, "east", true)
 }
+
+// TestHeartbeatsLeaveStoreAlone guards against a leaf that reads the store at each fetch,
+// and holds requests up, because heartbeats tell it of newer readings than its sources do.
+// Each write to the store raises its version, whatever it concerns.
+func TestHeartbeatsLeaveStoreAlone(t *testing.T) {
+	from, store := newSource(t, 0), &soundStore{}
+	l := newLeaf(t, from, store, maxDirectMembers+4, 2*time.Second)
+	for !l.relayer.hasState() {
+		time.Sleep(time.Millisecond)
+	}
+	before := store.configReads.Load()
+	oldest := time.Duration(0)
+	for version, began := uint64(2), time.Now(); time.Since(began) < 3*time.Second; version++ {
+		from.evacuate(version)
+		l.relayer.HearEvacuations(&evacuator.Report{Reading: evacuator.Reading{Version: version + 100}})
+		time.Sleep(20 * time.Millisecond)
+		oldest = max(oldest, l.observer.EvacuationsAge())
+	}
+	assert.Equal(t, store.configReads.Load(), before)
+	assert.Assert(t, oldest < 2*time.Second, "%v", oldest)
+}
--- a/pkg/evacuator/evacuator.go
+++ b/pkg/evacuator/evacuator.go
@@ -40,7 +40,7 @@
 // Report is what one entry instance tells another.
 type Report struct {
 	Reading Reading
-	// Age is the time since the reading was current.
+	// Age is the time since the reading held all changes.
 	Age time.Duration
 	// Kept holds the data centres that count as evacuated, though the reading lacks them,
 	// for the time KeptFor.
@@ -54,7 +54,7 @@
 	// known reports whether there has been a reading.
 	known   bool
 	reading Reading
-	// confirmedAt is a time at which the reading was current, or zero.
+	// confirmedAt is a time up to which the reading holds all changes, or zero.
 	confirmedAt time.Time
 	// kept holds the evacuations of before the era that the reading lacks, each with the time
 	// until which it is kept.
@@ -107,6 +107,10 @@
 // apply applies a reading that arrived now and was current at a time, which may be zero.
 func (e *Evacuator) apply(now, at time.Time, r Reading) bool {
 	if e.known && !e.supersedes(at, r) {
+		if r.Era == e.reading.Era && r.Version > 0 && r.Version < e.reading.Version && at.After(e.confirmedAt) {
+			// The known reading is newer than what was current then.
+			e.confirmedAt = at
+		}
 		return false
 	}
 	before := e.InEffect(now)
@@ -183,7 +187,7 @@
 	return all
 }
 
-// ConfirmedAt returns a time at which the newest known reading was current, or zero.
+// ConfirmedAt returns a time up to which the newest known reading holds all changes, or zero.
 func (e *Evacuator) ConfirmedAt() time.Time { return e.confirmedAt }
 
 // Report returns what a peer is told, or nil if nothing is known.
