forwarder: tests set the handler of returns before the observer starts

Cause: TestServersOfEvacuatedDataCentreReturnCold set it afterwards, which the race detector reports.

Change: the fixture sets it, as hostedrunner does.

Tests: go test -race ./internal/forwarder passes for TestServersOfEvacuated, TestAllServersEvacuated and TestOldEvacuations.

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -282,6 +282,7 @@
 		Observer: o, Codec: testCodec{}, Peers: f.platform, Detours: detourer.NewClient(dialPlain),
 		Tracer: noop.NewTracerProvider().Tracer(""), Scope: tally.NoopScope,
 	})
+	o.OnReturn(forwarder.HandleReturn)
 	o.Start(ctx)
 	forwarder.Start(ctx)
 	server := f.serve(forwarder.Handler())
--- a/internal/forwarder/warmup_test.go
+++ b/internal/forwarder/warmup_test.go
@@ -150,7 +150,6 @@
 // full rate to servers that went cold during the evacuation of their data centre.
 func TestServersOfEvacuatedDataCentreReturnCold(t *testing.T) {
 	f := newFixture(t)
-	f.forwarder.Observer.OnReturn(f.forwarder.HandleReturn)
 	arrivals := f.addPlain("p", 0)
 	f.place("p", "east")
 	f.applyWarmUp(5)
