--- a/pkg/evacuator/evacuator.go
+++ b/pkg/evacuator/evacuator.go
@@ -40,7 +40,7 @@
 // Report is what one entry instance tells another.
 type Report struct {
 	Reading Reading
-	// Age is the time since the reading was current.
+	// Age is the time since the reading held all changes.
 	Age time.Duration
 	// Kept holds the data centres that count as evacuated, though the reading lacks them,
 	// for the time KeptFor.
@@ -54,11 +54,15 @@
 	// known reports whether there has been a reading.
 	known   bool
 	reading Reading
-	// confirmedAt is a time at which the reading was current, or zero.
+	// confirmedAt is a time up to which the reading holds all changes, or zero.
 	confirmedAt time.Time
-	// kept holds the evacuations of before the era that the reading lacks, until keptUntil.
-	kept      map[string]bool
-	keptUntil time.Time
+	// kept holds the evacuations of before the era that the reading lacks, each with the time
+	// until which it is kept.
+	kept map[string]time.Time
+	// keepUntil is the time until which any may be kept: RewriteTimeout after the era was
+	// learned of here. Without it, instances that tell each other what they keep would keep
+	// it forever, or again whenever one of them learns late of the era.
+	keepUntil time.Time
 	// ended holds the data centres whose evacuation has ended in the era.
 	ended map[string]bool
 	// since holds when each evacuation was learned of here.
@@ -67,7 +71,7 @@
 
 // New returns an Evacuator that knows of no evacuation.
 func New() *Evacuator {
-	return &Evacuator{kept: make(map[string]bool), ended: make(map[string]bool), since: make(map[string]time.Time)}
+	return &Evacuator{kept: make(map[string]time.Time), ended: make(map[string]bool), since: make(map[string]time.Time)}
 }
 
 // Observe applies a reading of the store that was current at a time. It reports whether the
@@ -85,16 +89,16 @@
 	if r.Reading.Era != e.reading.Era || len(r.Kept) == 0 {
 		return changed
 	}
-	until := now.Add(min(r.KeptFor, RewriteTimeout))
+	until := now.Add(r.KeptFor)
+	if until.After(e.keepUntil) {
+		until = e.keepUntil
+	}
 	for _, dataCentre := range r.Kept {
-		if e.ended[dataCentre] || e.evacuated(now, dataCentre) {
+		_, kept := e.kept[dataCentre]
+		if kept || e.ended[dataCentre] || e.evacuated(now, dataCentre) || !now.Before(until) {
 			continue
 		}
-		if !now.Before(e.keptUntil) {
-			clear(e.kept)
-			e.keptUntil = until
-		}
-		e.kept[dataCentre], e.since[dataCentre] = true, now
+		e.kept[dataCentre], e.since[dataCentre] = until, now
 		changed = true
 	}
 	return changed
@@ -103,17 +107,23 @@
 // apply applies a reading that arrived now and was current at a time, which may be zero.
 func (e *Evacuator) apply(now, at time.Time, r Reading) bool {
 	if e.known && !e.supersedes(at, r) {
+		if r.Era == e.reading.Era && r.Version > 0 && r.Version < e.reading.Version && at.After(e.confirmedAt) {
+			// The known reading is newer than what was current then.
+			e.confirmedAt = at
+		}
 		return false
 	}
 	before := e.InEffect(now)
+	if !e.known || r.Era > e.reading.Era {
+		e.keepUntil = now.Add(RewriteTimeout)
+	}
 	switch {
 	case e.known && r.Era > e.reading.Era:
 		clear(e.kept)
 		clear(e.ended)
 		for dataCentre := range before {
-			e.kept[dataCentre] = true
+			e.kept[dataCentre] = e.keepUntil
 		}
-		e.keptUntil = now.Add(RewriteTimeout)
 	case e.known:
 		for _, dataCentre := range e.reading.DataCentres {
 			e.ended[dataCentre] = !slices.Contains(r.DataCentres, dataCentre)
@@ -154,11 +164,12 @@
 func (e *Evacuator) Settle(era uint64) {
 	if era == e.reading.Era {
 		clear(e.kept)
+		e.keepUntil = time.Time{}
 	}
 }
 
 func (e *Evacuator) evacuated(now time.Time, dataCentre string) bool {
-	return slices.Contains(e.reading.DataCentres, dataCentre) || e.kept[dataCentre] && now.Before(e.keptUntil)
+	return slices.Contains(e.reading.DataCentres, dataCentre) || now.Before(e.kept[dataCentre])
 }
 
 // InEffect returns the evacuations in effect, by data centre, with the times at which they
@@ -176,7 +187,7 @@
 	return all
 }
 
-// ConfirmedAt returns a time at which the newest known reading was current, or zero.
+// ConfirmedAt returns a time up to which the newest known reading holds all changes, or zero.
 func (e *Evacuator) ConfirmedAt() time.Time { return e.confirmedAt }
 
 // Report returns what a peer is told, or nil if nothing is known.
@@ -185,8 +196,10 @@
 		return nil
 	}
 	r := &Report{Reading: e.reading, Age: now.Sub(e.confirmedAt)}
-	if now.Before(e.keptUntil) && len(e.kept) > 0 {
-		r.Kept, r.KeptFor = slices.Sorted(maps.Keys(e.kept)), e.keptUntil.Sub(now)
+	for _, dataCentre := range slices.Sorted(maps.Keys(e.kept)) {
+		if left := e.kept[dataCentre].Sub(now); left > 0 {
+			r.Kept, r.KeptFor = append(r.Kept, dataCentre), max(r.KeptFor, left)
+		}
 	}
 	return r
 }
