observer: ignore a tick that is older than the last one

A caller of Current reads the clock before it has the lock of pauseWatch. If it is descheduled between the two, its tick moved the last tick back, and the next one found a pause that never was: all requests of that instance then waited for another read.

go test ./internal/observer: TestLateTickIsNoPause fails without the change and passes with it.

--- a/internal/observer/pause.go
+++ b/internal/observer/pause.go
@@ -35,7 +35,10 @@
 	if !w.tickedAt.IsZero() && now.Sub(w.tickedAt) >= minPause {
 		w.resumedAt = now
 	}
-	w.tickedAt = now
+	// Callers read the clock before they get the lock, so now may be before the last tick.
+	if now.After(w.tickedAt) {
+		w.tickedAt = now
+	}
 	return w.resumedAt
 }
 
--- a/internal/observer/pause_test.go
+++ b/internal/observer/pause_test.go
@@ -45,3 +45,15 @@
 	go o.pauses.tickLoop(ctx)
 	assert.Assert(t, o.Current())
 }
+
+// TestLateTickIsNoPause guards against a pause that is found where there was none: a caller
+// that read the clock and waited for its turn must not move the last tick back.
+func TestLateTickIsNoPause(t *testing.T) {
+	start := clocker.Now()
+	var w pauseWatch
+	for at := time.Duration(0); at <= minPause; at += pauseTick {
+		assert.Assert(t, w.tick(start.Add(at)).IsZero())
+	}
+	w.tick(start)
+	assert.Assert(t, w.tick(start.Add(minPause+pauseTick)).IsZero())
+}
