scheduler: end the loan of an instance that has restarted

An instance that was lent and restarted under its ID stayed in Scheduler.lent for the rest of the term, since only lost, leaving, evacuated and unlisted instances were removed. Its domain lent nothing again, and it counted as a load to come and as a part of a forming group. The same held for an instance lent to a model that was removed from the configuration; that one loaded nothing any more.

--- a/pkg/scheduler/form.go
+++ b/pkg/scheduler/form.go
@@ -142,8 +142,10 @@
 	model := s.lastModel(in)
 	l, loading := s.updateLoad(now, in)
 	state := in.Membership.State
-	if v.Tracker.Evacuated(in) {
+	if !s.loanHolds(v, in) {
 		delete(s.lent, in.ID)
+	}
+	if v.Tracker.Evacuated(in) {
 		return
 	}
 	switch {
--- a/pkg/scheduler/lend.go
+++ b/pkg/scheduler/lend.go
@@ -181,6 +181,13 @@
 // lentModel returns the model that an instance was lent to and has yet to load, or "".
 func (s *Scheduler) lentModel(in provider.Instance) string { return s.lent[in.ID].model(in) }
 
+// loanHolds reports whether an instance can still load the model that it was lent to: it has
+// not restarted since, and the model is configured.
+func (s *Scheduler) loanHolds(v View, in provider.Instance) bool {
+	_, found := v.Engine.Model(s.lentModel(in))
+	return found && !v.Tracker.Evacuated(in)
+}
+
 // pendingLoans counts the instances that are lent and have yet to load.
 func (s *Scheduler) pendingLoans(v View) int {
 	sum := 0
