apportioner: give each model with arrivals its first group in small deployments

The first group of a model was counted with the instances that are usually out of service, so that in a deployment of 10 instances a group of 8 (usable share 0.75) needed 10.7: the model wanted none, and empty instances loaded the other model only.

go test ./pkg/apportioner: TestSmallDeployment found groups [0 3] without the change; all tests of the package pass with it.

--- a/pkg/apportioner/load.go
+++ b/pkg/apportioner/load.go
@@ -110,7 +110,7 @@
 
 // minimum returns the groups that each model keeps in any case: those for minFraction
 // of its work, or of its proportional part if the instances are too few for all, and
-// at least one while it has arrivals and there are instances.
+// at least one while it has arrivals and there are instances for its members.
 func minimum(instances float64, loads []load) []int {
 	needed := 0.0
 	for _, l := range loads {
@@ -118,13 +118,22 @@
 	}
 	counts := make([]int, len(loads))
 	rest := instances
+	// The first group takes its members only: in a small deployment, the instances that may
+	// be out of service besides are not there.
 	for i, l := range loads {
-		if l.mean == 0 {
+		if size := float64(l.model.Size); l.mean > 0 && size <= rest {
+			counts[i] = 1
+			rest -= size
+		}
+	}
+	for i, l := range loads {
+		if counts[i] == 0 {
 			continue
 		}
-		counts[i] = max(1, int(minFraction*l.mean*min(1, instances/needed)))
-		counts[i] = min(counts[i], int(rest/l.instances))
-		rest -= float64(counts[i]) * l.instances
+		least := int(minFraction * l.mean * min(1, instances/needed))
+		more := max(0, min(least-1, int(rest/l.instances)))
+		counts[i] += more
+		rest -= float64(more) * l.instances
 	}
 	return counts
 }
--- a/pkg/apportioner/script_test.go
+++ b/pkg/apportioner/script_test.go
@@ -186,3 +186,16 @@
 		assert.Assert(t, rest < 8 && lost <= best+8*next, "offered %v: lost %v, best %v", offered, lost, best)
 	}
 }
+
+// TestSmallDeployment guards against a model with arrivals that gets no group because the
+// instances that are usually out of service count as needed for its only one.
+func TestSmallDeployment(t *testing.T) {
+	for _, sizes := range [][2]int{{8, 2}, {2, 8}} {
+		loads := make([]load, 0, len(sizes))
+		for _, size := range sizes {
+			loads = append(loads, newLoad(Model{Size: size, UsableShare: 0.75}, average{offered: 5, arrived: 5, correction: 1}))
+		}
+		counts := divide(10, loads)
+		assert.Assert(t, counts[0] >= 1 && counts[1] >= 1, "sizes %v: groups %v", sizes, counts)
+	}
+}
