scheduler: let lent groups drain for 10 s

A group that ends for another model had 6 s to finish its requests, as one with a member that stops; after that its members left, and streams of up to 8 s broke. Nothing forces these members to leave. If one is about to stop, 6 s apply as before.

go test ./pkg/scheduler: testdata/lending_long_streams has the members leave at 10.9 s without the change. TestScripts and TestChurn pass with it; what it gains at size is not measured.

--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -42,6 +42,10 @@
 	// drainTimeout is how long a closing group may take to finish its requests;
 	// after that the members leave regardless.
 	drainTimeout = 6 * time.Second
+	// lendingDrainTimeout replaces it for a group that ends for another model. Nothing forces its
+	// members to leave, and their streams would break: the users' streams take up to 8 s, and
+	// requests arrive for 2 s after the close, until all entry instances have seen it.
+	lendingDrainTimeout = 10 * time.Second
 	// joinTimeoutMargin is added to twice the load time to get the join timeout.
 	joinTimeoutMargin = 8 * time.Second
 	// extraLoads is how many concurrent loads are allowed beyond the number that
@@ -311,13 +315,17 @@
 }
 
 // drain closes a group so that its head finishes the running requests, and
-// dissolves it when the head has finished or drainTimeout has passed.
+// dissolves it when the head has finished or the timeout has passed.
 func (s *Scheduler) drain(now time.Time, v View, g *group, head provider.Instance) []Order {
 	if g.drainingSince.IsZero() {
 		g.drainingSince = now
 	}
+	timeout := drainTimeout
+	if g.lentTo != "" && !s.hasLeavingMember(v, g) {
+		timeout = lendingDrainTimeout
+	}
 	state := head.Membership.State
-	if now.Sub(g.drainingSince) > drainTimeout || state != provider.Serving && state != provider.Closing {
+	if now.Sub(g.drainingSince) > timeout || state != provider.Serving && state != provider.Closing {
 		g.brokenSince = now
 		return s.dissolve(now, v, g)
 	}
