forwarder: forget pools that the configuration does not have

A pool is a service and the model that the caller names. Each made-up name left a pool behind for the life of the process, and every report of the load and every check of the queues went over all of them. Those that the configuration does not have go 10 s after their last use.

go test ./internal/forwarder -run 'UnknownPools|Demand': TestUnknownPoolsAreForgotten fails without the change; all pass with it.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -39,6 +39,9 @@
 	// shutdownRetryAfter is the Retry-After of an entry instance that shuts
 	// down; another one can serve the request at once.
 	shutdownRetryAfter = 50 * time.Millisecond
+	// unknownPoolTTL is how long a pool that the configuration does not have is kept after its
+	// last use. Callers choose the model, so each name that one makes up is a pool.
+	unknownPoolTTL = 10 * time.Second
 	// retryJitter spreads the retries of callers over time, as a fraction of
 	// the delay.
 	retryJitter = 0.5
@@ -143,9 +146,20 @@
 		p = &pool{queue: limiter.NewQueue(queueLength), waiting: make(map[uint64]waiter), meter: estimator.NewPoolMeter(demandWindow)}
 		f.pools[key] = p
 	}
+	p.usedAt = clocker.Now()
 	return p
 }
 
+// isForgettable reports whether a pool can be forgotten: nothing waits for it, it has not been
+// used lately, and the configuration does not have it.
+func (p *pool) isForgettable(now time.Time, config *mapper.RouteTable, key poolKey) bool {
+	if p.queue.Len() > 0 || len(p.waiting) > 0 || now.Sub(p.usedAt) < unknownPoolTTL {
+		return false
+	}
+	name, found := reportName(config, key)
+	return !found || name != key.String()
+}
+
 // notify ends the wait of a queued request. A nil refusal admits it.
 func (p *pool) notify(ticket uint64, refusal *Refusal) {
 	if w, found := p.waiting[ticket]; found {
@@ -164,9 +178,13 @@
 	f.mu.Lock()
 	f.budget.SetReserve(f.settings.Load().RetrySlack * retryBudgetFraction / float64(max(1, f.Peers.Count())))
 	var waiting []poolKey
+	now := clocker.Now()
 	for key, p := range f.pools {
-		if p.queue.Len() > 0 {
+		switch {
+		case p.queue.Len() > 0:
 			waiting = append(waiting, key)
+		case p.isForgettable(now, config, key):
+			delete(f.pools, key)
 		}
 	}
 	f.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -374,6 +374,8 @@
 	workload estimator.Workload
 	// meter counts the requests that arrived here.
 	meter *estimator.PoolMeter
+	// usedAt is when the pool was last looked up.
+	usedAt time.Time
 }
 
 // waiter is a queued request.
