forwarder: count a request once that waits before it is handed over

A request that waited at one entry instance, because its path to the servers was cut, and was then handed to a peer counted towards the demand at both, until the peers' upstreams had failed it. The envelope of a hop gains a field that says that the sender counts it. Older builds ignore the field and count as before.

go test ./internal/forwarder -run 'HandedOver|Demand', go test ./internal/detourer: TestDemandOfHandedOverRequest fails without the change; all pass with it.

--- a/internal/detourer/envelope.go
+++ b/internal/detourer/envelope.go
@@ -30,6 +30,8 @@
 	LastEventID string
 	// Excluded holds the upstreams that have failed this request.
 	Excluded []string
+	// Counted says that the sender counts the request towards the demand.
+	Counted bool
 }
 
 // Names of the fields of an envelope.
@@ -44,6 +46,7 @@
 	fieldElapsed     = "elapsed"
 	fieldLastEventID = "last_event_id"
 	fieldExcluded    = "excluded"
+	fieldCounted     = "counted"
 )
 
 // encodedRequest is the two frames of an envelope, with the body apart.
@@ -74,6 +77,7 @@
 	if len(e.Excluded) > 0 {
 		fields[fieldExcluded] = e.Excluded
 	}
+	fields.setBool(fieldCounted, e.Counted)
 	head, err := fields.encode(op, e.Header)
 	if err != nil {
 		return nil, err
@@ -100,6 +104,7 @@
 		Path:        fields.text(fieldPath),
 		LastEventID: fields.text(fieldLastEventID),
 		Excluded:    fields.texts(fieldExcluded),
+		Counted:     fields.boolean(fieldCounted),
 		Header:      header,
 	}
 	if e.Remaining, err = fields.duration(fieldRemaining); err != nil {
--- a/internal/forwarder/demand_test.go
+++ b/internal/forwarder/demand_test.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -74,3 +76,24 @@
 	f.forwarder.UpdatePeerPools("peer", nil)
 	assert.Equal(t, f.forwarder.Demand("engines")["n"], 0.5)
 }
+
+// TestDemandOfHandedOverRequest guards against a request that counts twice because it waited
+// at one entry instance before it was handed to another.
+func TestDemandOfHandedOverRequest(t *testing.T) {
+	f := newCutFixture(t, nil, nil)
+	f.cutOff()
+	for i, observed := range []bool{true, false} {
+		x, refusal := f.cut.begin(t.Context(), &Request{
+			RequestMetadata: RequestMetadata{ID: strconv.Itoa(i), Key: "k", Model: "m", PromptTokens: 100}, Host: "h", Method: "POST",
+			Target: "/stream/", Path: "/stream/", Body: []byte{byte(i)}, Arrived: clocker.Now(),
+			Header: http.Header{"Id": {strconv.Itoa(i)}, "Key": {"k"}, "Model": {"m"}},
+		})
+		assert.Assert(t, refusal == nil)
+		f.cut.countActive(1)
+		x.observed = observed
+		_, _ = x.startDetour()
+		x.close()
+		arrived := f.forwarder.LocalPools()["engines/m"].Arrived
+		assert.Equal(t, arrived > 0, !observed, "observed %t, arrived %d", observed, arrived)
+	}
+}
--- a/internal/forwarder/detour.go
+++ b/internal/forwarder/detour.go
@@ -168,7 +168,7 @@
 		ID: x.request.ID, Sender: f.Entry, Host: x.request.Host, Method: x.request.Method,
 		Target: x.request.Target, Path: x.request.Path, Header: x.request.Header, Body: x.request.Body,
 		Remaining: x.deadline.Sub(now) - hopMargin, Elapsed: now.Sub(x.request.Arrived),
-		LastEventID: x.lastEventID, Excluded: excluded,
+		LastEventID: x.lastEventID, Excluded: excluded, Counted: x.observed,
 	}
 	response, head, err := f.Detours.Do(a.ctx, a.hop.peer.Address, envelope)
 	if isUnreachable(err) && clocker.Since(now) < staleConnTime {
--- a/internal/forwarder/detour_server.go
+++ b/internal/forwarder/detour_server.go
@@ -25,6 +25,8 @@
 	LastEventID string
 	// Excluded names the upstreams that have failed the request.
 	Excluded []string
+	// Counted says that the sender counts the request towards the demand.
+	Counted bool
 }
 
 // ServeDetour makes one attempt at a request that a peer has handed over, in the queue and
@@ -49,7 +51,7 @@
 		Header:          e.Header,
 		Body:            e.Body,
 		Arrived:         began.Add(-e.Elapsed),
-		Detour:          &Detour{Sender: e.Sender, Remaining: e.Remaining, LastEventID: e.LastEventID, Excluded: e.Excluded},
+		Detour:          &Detour{Sender: e.Sender, Remaining: e.Remaining, LastEventID: e.LastEventID, Excluded: e.Excluded, Counted: e.Counted},
 	})
 	if err != nil {
 		f.refuseDetour(e, w, err)
--- a/internal/forwarder/pools.go
+++ b/internal/forwarder/pools.go
@@ -102,10 +102,10 @@
 }
 
 // recordArrival counts a request towards the demand for its pool. A request that a caller
-// repeats after a refusal has been counted before, and one that came by a peer after an
-// attempt has been counted there.
+// repeats after a refusal has been counted before, and one that came by a peer after it
+// waited or was attempted there has been counted there.
 func (f *Forwarder) recordArrival(now time.Time, x *exchange) {
-	if d := x.request.Detour; d != nil && (d.LastEventID != "" || len(d.Excluded) > 0) {
+	if d := x.request.Detour; d != nil && (d.Counted || d.LastEventID != "" || len(d.Excluded) > 0) {
 		return
 	}
 	var cost time.Duration
