--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -42,6 +42,10 @@
 	// drainTimeout is how long a closing group may take to finish its requests;
 	// after that the members leave regardless.
 	drainTimeout = 6 * time.Second
+	// lendingDrainTimeout replaces it for a group that ends for another model. Nothing forces its
+	// members to leave, and their streams would break: the users' streams take up to 8 s, and
+	// requests arrive for 2 s after the close, until all entry instances have seen it.
+	lendingDrainTimeout = 10 * time.Second
 	// joinTimeoutMargin is added to twice the load time to get the join timeout.
 	joinTimeoutMargin = 8 * time.Second
 	// extraLoads is how many concurrent loads are allowed beyond the number that
@@ -81,6 +85,9 @@
 	drainingSince time.Time
 	// lentTo is the model that the members load once the group has drained, or "".
 	lentTo string
+	// loaned says that the members have been marked in Scheduler.lent. That happens once, since
+	// some may have loaded the model before the last one has left.
+	loaned bool
 	// brokenSince is when the group was first found to be broken, or zero.
 	brokenSince time.Time
 	// evacuated reports whether the head is in an evacuated data centre, so that the group
@@ -308,13 +315,17 @@
 }
 
 // drain closes a group so that its head finishes the running requests, and
-// dissolves it when the head has finished or drainTimeout has passed.
+// dissolves it when the head has finished or the timeout has passed.
 func (s *Scheduler) drain(now time.Time, v View, g *group, head provider.Instance) []Order {
 	if g.drainingSince.IsZero() {
 		g.drainingSince = now
 	}
+	timeout := drainTimeout
+	if g.lentTo != "" && !s.hasLeavingMember(v, g) {
+		timeout = lendingDrainTimeout
+	}
 	state := head.Membership.State
-	if now.Sub(g.drainingSince) > drainTimeout || state != provider.Serving && state != provider.Closing {
+	if now.Sub(g.drainingSince) > timeout || state != provider.Serving && state != provider.Closing {
 		g.brokenSince = now
 		return s.dissolve(now, v, g)
 	}
@@ -333,7 +344,7 @@
 	for _, member := range g.members {
 		in, present := s.currentInstance(v, member)
 		s.lastModels[member.ID] = lastModel{member.Incarnation, g.model.Name}
-		if g.lentTo != "" {
+		if g.lentTo != "" && !g.loaned {
 			s.lent[member.ID] = loan{lastModel{member.Incarnation, g.lentTo}, member.FabricDomain}
 		}
 		if !present || s.recentlyLeft(now, member.ID, g.name) || !s.inGroup(in, g) {
@@ -344,6 +355,7 @@
 		waiting = waiting || !v.Tracker.IsLost(in.ID)
 		orders = append(orders, s.throttle(now, s.newOrder(Leave, in, g))...)
 	}
+	g.loaned = true
 	if !waiting {
 		delete(s.groups, g.name)
 	}
