Forwarder: prompts that a group still holds save prefill time

Cause: a group that runs a request with the same beginning of a prompt need not read that beginning again, but the choice of a group ignored it.

Change: pkg/prefixer tracks by run of a group which beginnings the running requests of this entry instance have, from their first event on, with bounded memory. The cost of a group and the predicted first event subtract the prefill time of the saved tokens; the reported unread tokens leave them out. A group without a usable free slot saves nothing, and the group that saves most is compared even if the sample lacks it. Beginnings of fewer than 128 tokens are not tracked and change no choice. The codec reads the lengths of parts into PromptPrefix; PromptParts, which the quarantine gets, is as before. Counter predicted_saved_tokens. No message changes. Design note docs/design/prompt-reuse.md, GLOSSARY, ARCHITECTURE, OPERATIONS.

The expected output of platform/testdata/metadata gains the new field; the values that were there are unchanged.

Result: go test ./internal/forwarder ./platform ./pkg/prefixer passes. No load run was made.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -271,7 +271,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	return &attempt{ctx: ctx, sentAt: clocker.Now(), memory: x.f.responses.Open(), active: &activeAttempt{
 		cancel: cancel, canRetry: x.canRetry, promptTokens: x.request.PromptTokens,
-		parts: x.request.PromptParts,
+		parts: x.request.PromptParts, prefix: x.request.PromptPrefix,
 	}}
 }
 
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
+	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -43,6 +44,9 @@
 			m.PromptParts = append(m.PromptParts, quarantiner.Part(id))
 		}
 	}
+	if tokens, err := strconv.Atoi(h.Get("Prefix")); err == nil {
+		m.PromptPrefix = []prefixer.Part{{ID: 1, Tokens: tokens}}
+	}
 	return m
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -38,6 +38,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
+	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
@@ -164,6 +165,7 @@
 	tracker     *router.LoadTracker
 	screener    *screener.Screener
 	warmUps     warmUps
+	prefixes    *prefixer.Prefixer
 	upstreams   map[string]*upstream
 	peerLoads   *estimator.ReportTable[estimator.Work]
 	peerPools   *estimator.ReportTable[estimator.PoolReport]
@@ -207,6 +209,7 @@
 		responses:      bounder.NewBudget(responseMemory(d.MemoryBytes)),
 		screener:       screener.New(),
 		warmUps:        warmUps{warmer: warmer.New(clocker.Now(), d.Entry)},
+		prefixes:       prefixer.New(),
 		random:         random,
 		detourPeers:    pathfinder.NewPeers(random),
 		tracker:        router.NewLoadTracker(),
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -37,7 +37,9 @@
 	// counts the requests that were refused for one.
 	blockedParts tally.Gauge
 	partRefusals tally.Counter
-	queueTime    tally.Histogram
+	// savedTokens counts the prompt tokens that servers need not read again, as predicted.
+	savedTokens tally.Counter
+	queueTime   tally.Histogram
 	// hopTime is the time to the head of a response that a hop by a peer adds.
 	hopTime tally.Histogram
 	// firstEventTime and requestTime run from a request's arrival to its first
@@ -58,6 +60,7 @@
 		peerStrikes:    scope.Tagged(map[string]string{"source": "peer"}).Counter("strikes"),
 		blockedParts:   scope.Gauge("blocked_parts"),
 		partRefusals:   scope.Counter("part_refusals"),
+		savedTokens:    scope.Counter("predicted_saved_tokens"),
 		queueTime:      scope.Histogram("queue_time", latencyBuckets),
 		hopTime:        scope.Histogram("hop_time", hopTimeBuckets),
 		firstEventTime: scope.Histogram("first_event_time", latencyBuckets),
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -187,8 +187,9 @@
 
 // cost ranks an upstream with work w for a request. It is the time to the first token in
 // milliseconds for a group, and the number of running requests for a plain
-// server; remote upstreams have a penalty added.
-func (f *Forwarder) cost(u *upstream, w estimator.Work, promptTokens int) float64 {
+// server; remote upstreams have a penalty added. A group that holds the first saved tokens of
+// the prompt need not read them.
+func (f *Forwarder) cost(u *upstream, w estimator.Work, promptTokens, saved int) float64 {
 	remote := u.head().DataCentre != f.settings.Load().DataCentre
 	if u.state().group == nil {
 		if remote {
@@ -196,7 +197,7 @@
 		}
 		return float64(w.Running)
 	}
-	first := u.state().estimate.TimeToFirstToken(w, promptTokens) + time.Duration(w.Running)*runningPenalty
+	first := timeToFirstToken(u, w, promptTokens, saved) + time.Duration(w.Running)*runningPenalty
 	if remote {
 		first += remoteDelayPenalty
 	}
@@ -295,9 +296,11 @@
 	}
 	var candidates []router.Candidate
 	byName := make(map[string]*upstream, len(upstreams))
-	for _, u := range f.sample(f.poolFor(key).withFreeSlots(upstreams, works)) {
+	p := f.poolFor(key)
+	saved := f.savedTokens(p, upstreams, works, a)
+	for _, u := range withBestSaving(f.sample(p.withFreeSlots(upstreams, works)), upstreams, works, saved) {
 		byName[u.loadKey()] = u
-		candidates = append(candidates, router.Candidate{Group: u.loadKey(), Load: f.cost(u, works[u], a.promptTokens)})
+		candidates = append(candidates, router.Candidate{Group: u.loadKey(), Load: f.cost(u, works[u], a.promptTokens, saved[u])})
 	}
 	candidates = f.tracker.FilterEjected(now, candidates)
 	if len(candidates) == 0 {
@@ -318,8 +321,10 @@
 	u := byName[candidates[best].Group]
 	chosen := choice{upstream: u, running: works[u].Running}
 	if u.state().group != nil {
-		chosen.firstEvent = u.state().estimate.TimeToFirstToken(works[u], a.promptTokens)
+		chosen.firstEvent = timeToFirstToken(u, works[u], a.promptTokens, saved[u])
 	}
+	a.savedTokens = saved[u]
+	f.metrics.savedTokens.Inc(int64(a.savedTokens))
 	f.registerAttempt(now, u, a)
 	return chosen, true
 }
--- a/internal/forwarder/replacement.go
+++ b/internal/forwarder/replacement.go
@@ -179,6 +179,7 @@
 	switch err {
 	case nil:
 		a.active.upstream.lastProgress = clocker.Now()
+		x.f.holdPrefix(a.active)
 		a.active.streaming = true
 		action = x.replacer.Step(retrier.Progressed, false)
 	case io.EOF:
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -9,6 +9,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
+	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 )
 
@@ -30,6 +31,9 @@
 	LengthHint int
 	// PromptParts are the parts of the prompt that other requests may share, in order.
 	PromptParts []quarantiner.Part
+	// PromptPrefix is the beginning of the prompt that other requests may share: all parts
+	// up to the first invalid one, with their lengths.
+	PromptPrefix []prefixer.Part
 }
 
 // OutboundMetadata is what a codec writes into the headers of a request to a
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
+	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
@@ -74,6 +75,14 @@
 	promptTokens int
 	// parts are the parts of the prompt.
 	parts []quarantiner.Part
+	// prefix is the beginning of the prompt, of which the group need not read savedTokens
+	// tokens, as predicted.
+	prefix      []prefixer.Part
+	savedTokens int
+	// prefixGroup is the run of the group in which the attempt began, and held what the
+	// attempt holds there.
+	prefixGroup prefixer.Group
+	held        prefixer.Run
 	// allowance permits the attempt if its server is cold.
 	allowance warmer.Allowance
 }
@@ -124,6 +133,7 @@
 		u.lastProgress = now
 	}
 	u.active[a] = struct{}{}
+	a.prefixGroup = u.prefixGroup()
 	f.tracker.Begin(u.loadKey())
 	f.permits.use(u.head())
 	a.allowance = f.warmUps.warmer.Use(now, limitKey(u.head()))
@@ -136,6 +146,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(a.upstream.active, a)
+	f.releasePrefix(a)
 	f.tracker.End(now, a.upstream.loadKey(), failed)
 	f.wakeQueues()
 }
@@ -223,7 +234,7 @@
 	w := estimator.Work{Running: len(u.active)}
 	for a := range u.active {
 		if !a.streaming {
-			w.UnreadTokens += a.promptTokens
+			w.UnreadTokens += a.promptTokens - a.savedTokens
 		}
 	}
 	return w
