--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -235,20 +235,26 @@
 		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
 	}
 	n.observer.OnReturn(n.forwarder.HandleReturn)
-	n.orchestrator = orchestrator.New(orchestrator.Dependencies{
-		Holder:      holderName(s.ID, epoch),
-		FirstStart:  s.FirstStart,
+	n.orchestrator = n.newOrchestrator(store)
+	return n, nil
+}
+
+// newOrchestrator returns the control loop. Where the load is known, it divides the instances
+// among the models.
+func (n *Node) newOrchestrator(store provider.Table) *orchestrator.Orchestrator {
+	return orchestrator.New(orchestrator.Dependencies{
+		Holder:      holderName(n.settings.ID, n.process.Epoch),
+		FirstStart:  n.settings.FirstStart,
 		Table:       store,
 		Observer:    n.observer,
-		OrderSender: p.OrderSender,
+		OrderSender: n.platform.OrderSender,
 		Demand:      n.forwarder,
 		Loads:       n.forwarder,
 		IdleChecker: n.forwarder,
-		Scope:       scope,
+		Scope:       n.scope,
 		Eligible:    n.relayer.IsReader,
 		HolderEnded: n.holderEnded,
 	})
-	return n, nil
 }
 
 // stateTTL returns the shortest time within which a change of the platform's state must be
