--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -51,17 +51,10 @@
 	now := clocker.Now()
 	free := f.freeSlots(x.config, x.pool)
 	if free == 0 {
-		if until, all := f.deferredUntil(x.config, x.pool); all && until.After(x.queueUntil) {
-			if x.request.Detour == nil {
-				f.recordArrival(now, x)
-			}
-			return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
+		if refusal := f.refuseInVain(now, x); refusal != nil {
+			return refusal
 		}
 	}
-	if free == 0 && f.Observer.AllEvacuated(x.pool.service) {
-		// None that is known can become available but by the operator.
-		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(evacuatedRetryAfter), Route: x.route.Name, Service: x.pool.service, Model: x.pool.model}
-	}
 	if x.nextPath(x.config, func() int { return free }) == pathfinder.ByPeer {
 		return nil
 	}
@@ -112,6 +105,22 @@
 	return &Refusal{Op: "admit", Kind: KindDeadlineExceeded, Outcome: retrier.NotRun, Err: ctx.Err()}
 }
 
+// refuseInVain returns the refusal of a request that would wait in vain, because its servers
+// want none for too long or are all in evacuated data centres, or nil.
+func (f *Forwarder) refuseInVain(now time.Time, x *exchange) *Refusal {
+	if until, all := f.deferredUntil(x.config, x.pool); all && until.After(x.queueUntil) {
+		if x.request.Detour == nil {
+			f.recordArrival(now, x)
+		}
+		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: until.Sub(now)}
+	}
+	if f.Observer.AllEvacuated(x.pool.service) {
+		// None that is known can become available but by the operator.
+		return &Refusal{Op: "admit", Kind: KindNoServer, Outcome: retrier.NotRun, RetryAfter: jitter(evacuatedRetryAfter), Route: x.route.Name, Service: x.pool.service, Model: x.pool.model}
+	}
+	return nil
+}
+
 // newTicket returns the request's place in a queue. The caller holds f.mu.
 func (x *exchange) newTicket(now time.Time) limiter.Ticket {
 	x.f.lastTicketID++
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -218,9 +218,6 @@
 	}, store, n.pool, n.peers)
 	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay(), MaxAge: relayer.StateMaxAge(s.stateTTL())})
 	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
-	if p.LeavingSource != nil {
-		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
-	}
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
 		Entry:    s.ID,
@@ -231,10 +228,7 @@
 		Tracer:   n.traces.Tracer("waxwingmount"),
 		Scope:    scope,
 	})
-	if p.WarmupSource != nil {
-		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
-	}
-	n.observer.OnReturn(n.forwarder.HandleReturn)
+	n.setHandlers(p)
 	n.orchestrator = orchestrator.New(orchestrator.Dependencies{
 		Holder:      holderName(s.ID, epoch),
 		FirstStart:  s.FirstStart,
@@ -251,6 +245,18 @@
 	return n, nil
 }
 
+// setHandlers sets who is told of what backend servers say of themselves, and of the end of
+// evacuations.
+func (n *Node) setHandlers(p Platform) {
+	if p.LeavingSource != nil {
+		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
+	}
+	if p.WarmupSource != nil {
+		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
+	}
+	n.observer.OnReturn(n.forwarder.HandleReturn)
+}
+
 // stateTTL returns the shortest time within which a change of the platform's state must be
 // in force here, or zero if there is none.
 func (s Settings) stateTTL() time.Duration {
