--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -139,7 +139,9 @@
 			config := testConfig(2)
 			config.Routes[0].Timeout = time.Minute
 			f.apply(config)
-			f.eventually(func() bool { return f.cut.Observer.Config().Version == 2 })
+			f.eventually(func() bool {
+				return f.cut.Observer.Config().Version == 2 && f.forwarder.Observer.Config().Version == 2
+			})
 			server := f.fixture.server
 			if byPeer {
 				f.cutOff()
