--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -32,19 +32,20 @@
 )
 
 func main() {
-	path, hosted, check := "", false, false
+	path, hosted, check, lend := "", false, false, false
 	flaggy.SetName("waxwingd")
 	flaggy.SetDescription("Runs one entry instance of waxwingmount.")
 	flaggy.String(&path, "s", "settings", "The INI file with this instance's settings.")
 	flaggy.Bool(&hosted, "", "hosted", "Run on the users' platform with the settings that it provides.")
+	flaggy.Bool(&lend, "", "lend", "With --hosted: lend instances from models with room to models that lack it.")
 	flaggy.Bool(&check, "c", "check", "Check the settings and exit.")
 	flaggy.SetVersion(version())
 	flaggy.Parse()
-	action := start
+	action := func() error { return start(path, hosted, lend) }
 	if check {
-		action = checkSettings
+		action = func() error { return checkSettings(path, hosted) }
 	}
-	if err := action(path, hosted); err != nil {
+	if err := action(); err != nil {
 		log.SetHandler(json.New(os.Stderr))
 		log.WithError(err).Error("entry instance failed")
 		os.Exit(1)
@@ -84,7 +85,7 @@
 // It is less than the part of the stop timeout that is left after the shutdown.
 const logFlushTimeout = 300 * time.Millisecond
 
-func start(path string, hosted bool) error {
+func start(path string, hosted, lend bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logContext, stopWriter := context.WithCancel(context.Background())
@@ -96,7 +97,7 @@
 	if hosted {
 		hangups := make(chan os.Signal, 1)
 		signal.Notify(hangups, syscall.SIGHUP)
-		return runHosted(ctx, writer, hangups)
+		return runHosted(ctx, writer, hangups, withLending(lend))
 	}
 	return run(ctx, writer, path)
 }
@@ -128,11 +129,22 @@
 	gcPercent = 200
 )
 
-func runHosted(ctx context.Context, writer *logger.Writer, hangups <-chan os.Signal) error {
+// hostedOption changes the settings that the platform provides.
+type hostedOption func(*hostedrunner.Settings)
+
+// withLending sets whether instances are lent from one model to another.
+func withLending(lend bool) hostedOption {
+	return func(s *hostedrunner.Settings) { s.Lend = lend }
+}
+
+func runHosted(ctx context.Context, writer *logger.Writer, hangups <-chan os.Signal, options ...hostedOption) error {
 	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
 	}
+	for _, option := range options {
+		option(&settings.Hosted)
+	}
 	process := hostedrunner.Process{Process: logger.NewProcess(settings.Hosted.ID), LinesDropped: writer.Dropped}
 	log.SetHandler(process.WrapHandler(json.New(writer)))
 	if settings.Hosted.MemoryBytes > 0 {
--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -19,12 +19,14 @@
 	// minDemandInstanceTime is how much work the fleet must have been offered before the
 	// demand is measured.
 	minDemandInstanceTime = 3 * time.Second
+	// configuredShareRequests is how many requests in demandWindow the configured share
+	// counts for beside the measured one: few requests swing from second to second.
+	configuredShareRequests = 1700
 )
 
 // Demand implements [orchestrator.DemandSource]. It returns the share of the
-// instances that each model needs: the mean of the configured share and of the one
-// that all entry instances report, and the configured share until they have enough
-// requests. Measured shares alone follow the swings of a small fleet. A model gets more
+// instances that each model needs: the configured share, and the more requests all entry
+// instances report, the more the share of the work in them. A model gets more
 // instances for its share of the work if fewer of them can serve in whole groups.
 func (f *Forwarder) Demand(service string) map[string]float64 {
 	demand := make(map[string]float64)
@@ -39,8 +41,14 @@
 	for _, m := range s.Engine.Models {
 		demand[m.Name] = m.Share
 	}
-	for name, share := range estimator.DemandShares(f.modelReports(config, s), minDemandInstanceTime) {
-		demand[name] = (demand[name] + share) / 2
+	reports := f.modelReports(config, s)
+	arrived := 0.0
+	for _, r := range reports {
+		arrived += float64(r.Arrived) / estimator.Milli
+	}
+	weight := arrived / (arrived + configuredShareRequests)
+	for name, share := range estimator.DemandShares(reports, minDemandInstanceTime) {
+		demand[name] += weight * (share - demand[name])
 	}
 	domainSize := f.domainSize(service)
 	sum := 0.0
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -79,6 +79,8 @@
 	// RetryRatio and RetrySlack limit the retries of all entry instances together.
 	RetryRatio float64
 	RetrySlack float64
+	// Lend says that instances are lent from models with room to models that lack it.
+	Lend bool
 	// AddressTTL is the longest time that callers cache a response of the
 	// directory.
 	AddressTTL time.Duration
@@ -239,22 +241,25 @@
 	return n, nil
 }
 
-// newOrchestrator returns the control loop. Where the load is known, it divides the instances
+// newOrchestrator returns the control loop. Where instances may be lent, the load divides them
 // among the models.
 func (n *Node) newOrchestrator(store provider.Table) *orchestrator.Orchestrator {
-	return orchestrator.New(orchestrator.Dependencies{
+	d := orchestrator.Dependencies{
 		Holder:      holderName(n.settings.ID, n.process.Epoch),
 		FirstStart:  n.settings.FirstStart,
 		Table:       store,
 		Observer:    n.observer,
 		OrderSender: n.platform.OrderSender,
 		Demand:      n.forwarder,
-		Loads:       n.forwarder,
 		IdleChecker: n.forwarder,
 		Scope:       n.scope,
 		Eligible:    n.relayer.IsReader,
 		HolderEnded: n.holderEnded,
-	})
+	}
+	if n.settings.Lend {
+		d.Loads = n.forwarder
+	}
+	return orchestrator.New(d)
 }
 
 // stateTTL returns the shortest time within which a change of the platform's state must be
