limiter: one of ten starts for a class that is overtaken for long

Cause: classes of a queue are strict, so a class waits until it expires while a more urgent one has a backlog, and is refused on arrival once that backlog is longer than its own time.

Change: where requests have an objective (new field Ticket.Objective, set by the forwarder from the route), a class whose request has waited for more than half of what it may gets one of every ten starts. The expected start of a request counts these. Queues without objectives keep the strict order.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -126,6 +126,7 @@
 		Deadline:          x.deadline,
 		StartBy:           x.queueUntil,
 		ObjectiveStartBy:  x.objectiveStartBy,
+		Objective:         x.route.Objective,
 		PreviouslyRefused: x.f.previouslyRefused(now, x.fingerprint),
 	}
 }
--- a/pkg/limiter/queue.go
+++ b/pkg/limiter/queue.go
@@ -7,7 +7,8 @@
 //	decision := queue.Offer(now, ticket, free)
 //	for _, ticket := range queue.Dequeue(now, free) { start(ticket) }
 //
-// Priority classes are served in order. Within a class, requests that can still
+// Priority classes are served in order; a class whose requests have an objective and are
+// overtaken for long gets one of every ten starts. Within a class, requests that can still
 // meet their latency objective go first, so that an overloaded system serves some
 // requests in time instead of all of them late. Among those, organisations are
 // served by weighted fair queueing, regardless of how many requests each sends. A
@@ -52,6 +53,8 @@
 	// objective; the zero time means that there is none. Requests that can still
 	// meet it are served before those that cannot.
 	ObjectiveStartBy time.Time
+	// Objective is the request's latency objective; zero means that there is none.
+	Objective time.Duration
 	// PreviouslyRefused reports whether the request has been refused before. Such
 	// requests are served before others that cannot meet their objective.
 	PreviouslyRefused bool
@@ -90,11 +93,14 @@
 	virtualTime   float64
 	startRate     startRate
 	durations     durationEstimator
+	// overtaking is the number of starts since an overtaken class had one.
+	overtaking int
 }
 
-// queuedTicket is a waiting ticket with its virtual start time.
+// queuedTicket is a waiting ticket with its arrival and its virtual start time.
 type queuedTicket struct {
 	ticket       Ticket
+	arrived      time.Time
 	virtualStart float64
 }
 
@@ -117,19 +123,21 @@
 		q.startRate.record(now, 1)
 		return Decision{Verdict: Admitted}
 	}
-	wait := q.startRate.timeToStart(q.ahead(now, t) + 1)
-	if now.Add(wait).After(q.latestStart(t)) {
+	ahead, inClass := q.ahead(now, t)
+	wait := q.startRate.timeToStart(ahead + 1)
+	start := q.expectedStart(now, queuedTicket{ticket: t, arrived: now}, ahead+1, inClass+1)
+	if start.After(q.latestStart(t)) {
 		return Decision{Verdict: Refused, RetryAfter: clampRetryAfter(wait)}
 	}
 	if len(q.waiting) < q.capacity {
-		q.push(t)
+		q.push(now, t)
 		return Decision{Verdict: Queued}
 	}
 	evicted, found := q.evict(now, t)
 	if !found {
 		return Decision{Verdict: Refused, RetryAfter: clampRetryAfter(wait)}
 	}
-	q.push(t)
+	q.push(now, t)
 	return Decision{Verdict: Queued, Evicted: &evicted, RetryAfter: clampRetryAfter(wait)}
 }
 
@@ -137,13 +145,7 @@
 func (q *Queue) Dequeue(now time.Time, free int) []Ticket {
 	var started []Ticket
 	for len(started) < free && len(q.waiting) > 0 {
-		best := 0
-		for i := range q.waiting {
-			if servedBefore(now, q.waiting[i], q.waiting[best]) {
-				best = i
-			}
-		}
-		w := q.remove(best)
+		w := q.remove(q.next(now))
 		q.virtualTime = max(q.virtualTime, w.virtualStart)
 		started = append(started, w.ticket)
 	}
@@ -165,11 +167,13 @@
 		return 0
 	})
 	var expired []Ticket
-	kept := q.waiting[:0]
+	kept, inClass := q.waiting[:0], make(map[int]int)
 	for _, w := range q.waiting {
-		start := now.Add(q.startRate.timeToStart(len(kept)))
+		class := w.ticket.Priority
+		start := q.expectedStart(now, w, len(kept), inClass[class])
 		if start.Before(q.latestStart(w.ticket)) {
 			kept = append(kept, w)
+			inClass[class]++
 		} else {
 			expired = append(expired, w.ticket)
 		}
@@ -209,8 +213,8 @@
 	return clampRetryAfter(q.startRate.timeToStart(len(q.waiting) + 1))
 }
 
-func (q *Queue) push(t Ticket) {
-	q.waiting = append(q.waiting, queuedTicket{ticket: t, virtualStart: q.charge(t)})
+func (q *Queue) push(now time.Time, t Ticket) {
+	q.waiting = append(q.waiting, queuedTicket{ticket: t, arrived: now, virtualStart: q.charge(t)})
 }
 
 // charge adds a request to the organisation's virtual finish time and returns the
@@ -225,16 +229,20 @@
 	return start
 }
 
-// ahead returns the number of waiting requests that would be served before t.
-func (q *Queue) ahead(now time.Time, t Ticket) int {
+// ahead returns the number of waiting requests that would be served before t, and of those
+// of its priority class.
+func (q *Queue) ahead(now time.Time, t Ticket) (all, inClass int) {
 	next := queuedTicket{ticket: t, virtualStart: max(q.virtualTime, q.virtualFinish[t.Organisation])}
-	count := 0
 	for _, w := range q.waiting {
-		if !servedBefore(now, next, w) {
-			count++
+		if servedBefore(now, next, w) {
+			continue
+		}
+		all++
+		if w.ticket.Priority == t.Priority {
+			inClass++
 		}
 	}
-	return count
+	return all, inClass
 }
 
 // evict removes and returns the waiting request that would be served last, if t
