--- a/pkg/mapper/priority.go
+++ b/pkg/mapper/priority.go
@@ -41,3 +41,22 @@
 	}
 	return min(position, classes-1)
 }
+
+// rankedServices returns the services of which the routes differ in priority.
+func (c Config) rankedServices() map[string]bool {
+	first := make(map[string]int)
+	ranked := make(map[string]bool)
+	for _, r := range c.Routes {
+		for _, target := range r.Targets {
+			if priority, found := first[target.Service]; !found {
+				first[target.Service] = r.Priority
+			} else if priority != r.Priority {
+				ranked[target.Service] = true
+			}
+		}
+	}
+	return ranked
+}
+
+// Ranked reports whether the routes of a service differ in priority.
+func (t *RouteTable) Ranked(service string) bool { return t.ranked[service] }
