--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -357,9 +357,11 @@
 
 // urgency returns the place of the request among those that wait at its server. Entry
 // instances order only their own requests, and where there are many the servers' queues are
-// where requests of different instances meet. Plain servers don't order requests.
+// where requests of different instances meet. Plain servers don't order requests. Where all
+// routes have one rank no order is stated: late requests would then wait until they are given
+// up, and their callers come back.
 func (x *exchange) urgency(now time.Time) limiter.Urgency {
-	if x.pool.model == "" {
+	if x.pool.model == "" || !x.config.Ranked(x.pool.service) {
 		return 0
 	}
 	timeliness := limiter.InTime
--- a/pkg/mapper/priority_test.go
+++ b/pkg/mapper/priority_test.go
@@ -25,3 +25,14 @@
 	}
 	assert.Equal(t, last, 3)
 }
+
+// The order at the servers must not be stated where all routes of a service have one rank.
+func TestRankedServices(t *testing.T) {
+	table := New(Config{Routes: []Route{
+		{Priority: 1, Targets: []Target{{Service: "same"}, {Service: "mixed"}}},
+		{Priority: 1, Targets: []Target{{Service: "same"}}},
+		{Priority: 0, Targets: []Target{{Service: "mixed"}}},
+	}})
+	assert.Assert(t, !table.Ranked("same"))
+	assert.Assert(t, table.Ranked("mixed"))
+}
--- a/pkg/mapper/route_table.go
+++ b/pkg/mapper/route_table.go
@@ -15,6 +15,8 @@
 	organisationsByKey map[string]Organisation
 	// priorities are those that requests can have, sorted.
 	priorities []int
+	// ranked holds the services of which the routes differ in priority.
+	ranked map[string]bool
 }
 
 // routeKey selects a route.
@@ -43,6 +45,7 @@
 		}
 	}
 	t.priorities = config.priorities()
+	t.ranked = config.rankedServices()
 	return t
 }
 
