--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 )
 
@@ -93,3 +95,37 @@
 func (m *metrics) recordHopTaken(served bool) {
 	m.scope.Tagged(map[string]string{"served": strconv.FormatBool(served)}).Counter("hops_taken").Inc(1)
 }
+
+// UpdatePoolGauges updates the gauges of what the fleet knows of the requests to each pool.
+func (f *Forwarder) UpdatePoolGauges() {
+	config, now := f.Observer.Config(), clocker.Now()
+	if config == nil {
+		return
+	}
+	for _, service := range config.Services {
+		models := []string{""}
+		if service.Engine != nil {
+			models = models[:0]
+			for _, m := range service.Engine.Models {
+				models = append(models, m.Name)
+			}
+		}
+		for _, model := range models {
+			f.mu.Lock()
+			report := f.fleetPool(now, config, poolKey{service: service.Name, model: model})
+			f.mu.Unlock()
+			scope := f.metrics.scope.Tagged(map[string]string{"service": service.Name, "model": model})
+			scope.Gauge("pool_offered").Update(report.Offered.Seconds() / demandWindow.Seconds())
+			scope.Gauge("pool_arrived").Update(float64(report.Arrived) / estimator.Milli / demandWindow.Seconds())
+			scope.Gauge("pool_missed").Update(report.MissedShare())
+			for rank := range estimator.Ranks {
+				scope := scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)})
+				scope.Gauge("pool_waiting").Update(float64(report.Waiting[rank]))
+				scope.Gauge("pool_late").Update(float64(report.Late[rank]))
+			}
+		}
+	}
+	f.mu.Lock()
+	f.metrics.scope.Gauge("pool_reporters").Update(float64(f.reporters(now)))
+	f.mu.Unlock()
+}
--- a/internal/hostedrunner/metrics.go
+++ b/internal/hostedrunner/metrics.go
@@ -23,6 +23,7 @@
 		n.scope.Gauge("live_requests").Update(float64(n.forwarder.ActiveRequests()))
 		n.scope.Gauge("entry_instances").Update(float64(n.discoverer.Count()))
 		n.scope.Gauge("peer_connections").Update(float64(n.pool.Connections()))
+		n.forwarder.UpdatePoolGauges()
 		n.scope.Gauge("log_lines_dropped").Update(float64(n.process.LinesDropped()))
 	})
 }
