Estimator: one constant for the share of instances that is unavailable

Cause: the forwarder's demand and the division of instances had the same figure and comment each. Change: estimator.UnavailableShare serves both. Result: tests of estimator, orchestrator and the demand pass unchanged.

--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -13,9 +13,6 @@
 	// demandWindow is how long a request counts towards the demand: about the
 	// time to load a model's weights.
 	demandWindow = 10 * time.Second
-	// unavailableShare is the fraction of the instances that are assumed to be
-	// lost, or to load weights, at any time.
-	unavailableShare = 0.1
 	// minDemandInstanceTime is how much work the fleet must have been offered before the
 	// demand is measured.
 	minDemandInstanceTime = 3 * time.Second
@@ -53,7 +50,7 @@
 	domainSize := f.domainSize(service)
 	sum := 0.0
 	for _, m := range s.Engine.Models {
-		demand[m.Name] /= estimator.UsableShare(domainSize, m.Size, unavailableShare)
+		demand[m.Name] /= estimator.UsableShare(domainSize, m.Size, estimator.UnavailableShare)
 		sum += demand[m.Name]
 	}
 	if sum > 0 {
--- a/internal/orchestrator/divide.go
+++ b/internal/orchestrator/divide.go
@@ -7,10 +7,6 @@
 	"github.com/waxwingmount/waxwingmount/pkg/scheduler"
 )
 
-// unavailableShare is the fraction of the instances that are assumed to be lost, or to
-// load weights, at any time.
-const unavailableShare = 0.1
-
 // divide sets the division of a service's instances among its models in the view, if
 // there is a source of loads. The caller holds the lock.
 func (o *Orchestrator) divide(s *scheduler.Scheduler, view *scheduler.View, loads map[string]estimator.ModelLoad) {
@@ -37,7 +33,7 @@
 	for i := range in.Models {
 		m, load := &in.Models[i], loads[in.Models[i].Name]
 		m.Offered, m.Arrived, m.Missed = load.Offered, load.Arrived, load.Missed
-		m.UsableShare = estimator.UsableShare(domainSize, m.Size, unavailableShare)
+		m.UsableShare = estimator.UsableShare(domainSize, m.Size, estimator.UnavailableShare)
 	}
 	result := a.Divide(clocker.Now(), in)
 	view.Wanted, view.Moves = result.Wanted, result.Moves
--- a/pkg/estimator/usable_share.go
+++ b/pkg/estimator/usable_share.go
@@ -1,5 +1,9 @@
 package estimator
 
+// UnavailableShare is the fraction of the instances that are assumed to be lost, or to load
+// weights, at any time.
+const UnavailableShare = 0.1
+
 // UsableShare returns the fraction of the instances of a fabric domain that can
 // serve in whole replica groups within the domain. Each of the domain's
 // instances is unavailable with the given probability, independently of the
