--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -42,8 +42,8 @@
 	// been read.
 	keyTTLMargin = 800 * time.Millisecond
 	// viewAgeFraction is the fraction of ConfigTTL, LeavingTTL and EvacuationTTL from which
-	// the configuration, the list of servers or the evacuations are confirmed again before a request is sent by
-	// it, and viewPatience how long the request waits for that.
+	// the configuration, the list of servers or the evacuations are confirmed again before a
+	// request is sent by them, and viewPatience how long the request waits for that.
 	viewAgeFraction = 0.75
 	viewPatience    = 200 * time.Millisecond
 )
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -75,8 +75,7 @@
 	// noIdleConns makes a transport close each connection after one response, without asking
 	// the server to do so. A server may send a second copy of a response seconds later; on a
 	// connection that is in use again, nothing tells it from the response to the next request.
-	// With 71 entry instances, each sends a server less than one request in the 10 s for which
-	// connections were kept before.
+	// The price is a round trip for each request (docs/CAPACITY.md).
 	noIdleConns = -1
 
 	// strikeLimit is how many servers a request may crash before it is refused:
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -153,6 +153,7 @@
 	for _, d := range destinations {
 		u := f.upstreamFor(now, d)
 		if d.warmUp.PerSecond > 0 {
+			// The loop may not have applied yet the list that names the server.
 			f.warmUps.warmer.Observe(now, listed(d.members[0], d.warmUp))
 		}
 		switch verdict, _ := f.screen(now, u); verdict {
--- a/internal/forwarder/warmup.go
+++ b/internal/forwarder/warmup.go
@@ -18,8 +18,9 @@
 // of their heartbeats.
 const entriesInterval = 250 * time.Millisecond
 
-// warmUps is what an entry instance knows of cold servers. The forwarder's lock guards it.
+// warmUps is what an entry instance knows of cold servers.
 type warmUps struct {
+	// warmer is guarded by the forwarder's lock. Only the loop uses the other fields.
 	warmer *warmer.Warmer
 	// limited reports whether the last configuration limits the cold servers of a service.
 	limited bool
--- a/pkg/limiter/urgency.go
+++ b/pkg/limiter/urgency.go
@@ -6,7 +6,7 @@
 // send to; the lowest is served first. The zero value states no order.
 type Urgency int
 
-// MaxUrgency is the urgency of the requests that are served last.
+// MaxUrgency is the largest urgency: servers know ten.
 const MaxUrgency Urgency = 10
 
 // rankUrgencies is how many rank classes of requests have urgencies of their own.
