Forwarder: one generic type for what entry instances report to each other

Change: Reports[T], Forwarder.Works and Forwarder.Pools; ReportTable.DataCentre, which only tests called, is DataCentreExcept without peers. Ruled out: a change of the messages.

--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -108,7 +108,7 @@
 // reporters returns how many entry instances report on their pools, this one included. The
 // caller holds f.mu.
 func (f *Forwarder) reporters(now time.Time) int {
-	return 1 + max(0, f.peerPools.Remote(now, estimator.AllPools).Reporters)
+	return 1 + max(0, f.Pools.table.Remote(now, estimator.AllPools).Reporters)
 }
 
 // domainSize returns the number of instances of a service in its largest fabric
--- a/internal/forwarder/demand_test.go
+++ b/internal/forwarder/demand_test.go
@@ -48,7 +48,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, status, http.StatusServiceUnavailable)
 	}
-	report := f.forwarder.LocalPools()["engines/m"]
+	report := f.forwarder.Pools.Local()["engines/m"]
 	assert.Assert(t, report.Offered > 0)
 	assert.Assert(t, report.Arrived > estimator.Milli/2 && report.Arrived <= estimator.Milli, "%+v", report)
 	assert.Assert(t, report.Missed > estimator.Milli/2 && report.Missed <= estimator.Milli, "%+v", report)
@@ -66,7 +66,7 @@
 	f.apply(config)
 	f.platform.set(func(p *platformStub) { p.peers = 3 })
 	offered := 40 * time.Second
-	f.forwarder.UpdatePeerPools("peer", map[string]estimator.PoolReport{
+	f.forwarder.Pools.SetPeer("peer", map[string]estimator.PoolReport{
 		estimator.AllPools: {Reporters: 1}, "engines/n": {Offered: offered, Arrived: 100 * estimator.Milli, Missed: 25 * estimator.Milli},
 	})
 	// The fleet needs one model only, the configuration both alike: 100 requests move the share
@@ -76,13 +76,13 @@
 		"m": {}, "n": {Offered: 8, Arrived: 20, Missed: 0.25},
 	})
 	for arrived, want := range map[int]float64{1700: 0.75, 1e6: 0.999} {
-		f.forwarder.UpdatePeerPools("peer", map[string]estimator.PoolReport{
+		f.forwarder.Pools.SetPeer("peer", map[string]estimator.PoolReport{
 			"engines/n": {Offered: offered, Arrived: arrived * estimator.Milli},
 		})
 		got := f.forwarder.Demand("engines")["n"]
 		assert.Assert(t, math.Abs(got-want) < 0.001, "%d requests: %f", arrived, got)
 	}
-	f.forwarder.UpdatePeerPools("peer", nil)
+	f.forwarder.Pools.SetPeer("peer", nil)
 	assert.Equal(t, f.forwarder.Demand("engines")["n"], 0.5)
 }
 
@@ -102,7 +102,7 @@
 		x.observed = observed
 		_, _ = x.startDetour()
 		x.close()
-		arrived := f.forwarder.LocalPools()["engines/m"].Arrived
+		arrived := f.forwarder.Pools.Local()["engines/m"].Arrived
 		assert.Equal(t, arrived > 0, !observed, "observed %t, arrived %d", observed, arrived)
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -158,6 +158,10 @@
 	permits   *permits
 	// responses is the memory that the responses in progress may take together.
 	responses *bounder.Budget
+	// Works holds the work in progress, by the name of the upstream that runs it, and Pools
+	// what is known of the requests to each pool.
+	Works *Reports[estimator.Work]
+	Pools *Reports[estimator.PoolReport]
 
 	mu          sync.Mutex
 	random      *rand.Rand
@@ -166,8 +170,6 @@
 	warmUps     warmUps
 	prefixes    *prefixer.Prefixer
 	upstreams   map[string]*upstream
-	peerLoads   *estimator.ReportTable[estimator.Work]
-	peerPools   *estimator.ReportTable[estimator.PoolReport]
 	pools       map[poolKey]*pool
 	quarantine  *quarantiner.Quarantine
 	parts       *quarantiner.PartQuarantine
@@ -213,8 +215,6 @@
 		detourPeers:    pathfinder.NewPeers(random),
 		tracker:        router.NewLoadTracker(),
 		upstreams:      make(map[string]*upstream),
-		peerLoads:      estimator.NewReportTable[estimator.Work](),
-		peerPools:      estimator.NewReportTable[estimator.PoolReport](),
 		pools:          make(map[poolKey]*pool),
 		quarantine:     quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
 		parts:          quarantiner.NewPartQuarantine(partLimits),
@@ -222,6 +222,8 @@
 		wake:           make(chan struct{}, 1),
 		budget:         retrier.NewBudget(d.RetryRatio*retryBudgetFraction, d.RetrySlack*retryBudgetFraction),
 	}
+	f.Works = &Reports[estimator.Work]{mu: &f.mu, table: estimator.NewReportTable[estimator.Work](), local: f.localWork}
+	f.Pools = &Reports[estimator.PoolReport]{mu: &f.mu, table: estimator.NewReportTable[estimator.PoolReport](), local: f.localPools}
 	f.ending, f.endRequests = context.WithCancel(context.Background())
 	f.Configure(d.Settings)
 	return f
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -44,12 +44,11 @@
 	if !f.settings.Load().FirstStart || f.lastTicketID > 0 {
 		return false
 	}
-	return f.peerLoads.Empty()
+	return f.Works.table.Empty()
 }
 
-// LocalLoad returns the work that this entry instance has in progress, by
-// upstream name.
-func (f *Forwarder) LocalLoad() map[string]estimator.Work {
+// localWork returns the work that this entry instance has in progress, by upstream name.
+func (f *Forwarder) localWork() map[string]estimator.Work {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	works := make(map[string]estimator.Work)
@@ -61,54 +60,10 @@
 	return works
 }
 
-// UpdatePeerLoad records the work that a peer in this data centre has in
-// progress.
-func (f *Forwarder) UpdatePeerLoad(peer string, works map[string]estimator.Work) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peerLoads.SetPeer(clocker.Now(), peer, works)
-}
-
-// UpdateRemoteLoad records the work that another data centre has in progress.
-func (f *Forwarder) UpdateRemoteLoad(dataCentre string, works map[string]estimator.Work) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peerLoads.SetDataCentre(clocker.Now(), dataCentre, works)
-}
-
-// DataCentreLoad returns the work that this data centre has in progress, which
-// is reported to the other data centres.
-func (f *Forwarder) DataCentreLoad() map[string]estimator.Work {
-	own := f.LocalLoad()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peerLoads.DataCentre(clocker.Now(), own)
-}
-
-// CollectedLoad returns the work in progress of this data centre without that of one peer,
-// and of all other data centres.
-func (f *Forwarder) CollectedLoad(peer string) (works, remote map[string]estimator.Work) {
-	own := f.LocalLoad()
-	now := clocker.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peerLoads.DataCentreExcept(now, own, []string{peer}), f.peerLoads.DataCentres(now)
-}
-
-// ReportedLoad returns the work in progress of this entry instance and of the peers that
-// report to it directly, without that of the other collectors.
-func (f *Forwarder) ReportedLoad(collectors []string) map[string]estimator.Work {
-	own := f.LocalLoad()
-	now := clocker.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peerLoads.DataCentreExcept(now, own, collectors)
-}
-
 // totalWork returns the work that all entry instances have in progress at an
 // upstream, as far as it is known here.
 func (f *Forwarder) totalWork(now time.Time, u *upstream) estimator.Work {
-	sum, others := u.activeWork(), f.peerLoads.Remote(now, u.name)
+	sum, others := u.activeWork(), f.Works.table.Remote(now, u.name)
 	sum.Running += others.Running
 	sum.UnreadTokens += others.UnreadTokens
 	return sum
--- a/internal/forwarder/pick_test.go
+++ b/internal/forwarder/pick_test.go
@@ -22,7 +22,7 @@
 	f.addGroup("a", func(w http.ResponseWriter, r *http.Request) {
 		writeHeader(w, r, "text/event-stream")
 		writeAndFlush(w, testEvent(1))
-		running <- f.forwarder.LocalLoad()
+		running <- f.forwarder.Works.Local()
 		f.platform.kill("a-member")
 		<-r.Context().Done()
 	})
@@ -58,7 +58,7 @@
 	}
 	config, pool := f.forwarder.Observer.Config(), poolKey{service: "engines", model: "m"}
 	for range 40 {
-		f.forwarder.UpdatePeerLoad("peer", full)
+		f.forwarder.Works.SetPeer("peer", full)
 		_, cancel := context.WithCancelCause(context.Background())
 		a := &activeAttempt{cancel: cancel, promptTokens: 100}
 		chosen, found := f.forwarder.pick(config, pool, a, nil)
@@ -66,6 +66,6 @@
 		assert.Equal(t, chosen.upstream.name, "m~h")
 		f.forwarder.unregisterAttempt(a, false)
 	}
-	f.forwarder.UpdatePeerLoad("peer", full)
+	f.forwarder.Works.SetPeer("peer", full)
 	assert.Equal(t, f.forwarder.freeSlots(config, pool), testEngine.Slots)
 }
--- a/internal/forwarder/pools.go
+++ b/internal/forwarder/pools.go
@@ -24,8 +24,8 @@
 	return key.String(), found
 }
 
-// LocalPools returns this entry instance's reports on the requests to each pool.
-func (f *Forwarder) LocalPools() map[string]estimator.PoolReport {
+// localPools returns this entry instance's reports on the requests to each pool.
+func (f *Forwarder) localPools() map[string]estimator.PoolReport {
 	config, now := f.Observer.Config(), clocker.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -55,41 +55,6 @@
 	return r
 }
 
-// UpdatePeerPools records the reports of a peer in this data centre.
-func (f *Forwarder) UpdatePeerPools(peer string, reports map[string]estimator.PoolReport) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peerPools.SetPeer(clocker.Now(), peer, reports)
-}
-
-// UpdateRemotePools records the reports of another data centre.
-func (f *Forwarder) UpdateRemotePools(dataCentre string, reports map[string]estimator.PoolReport) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peerPools.SetDataCentre(clocker.Now(), dataCentre, reports)
-}
-
-// DataCentrePools returns the reports of this data centre, which are passed on to the other
-// data centres.
-func (f *Forwarder) DataCentrePools() map[string]estimator.PoolReport { return f.ReportedPools(nil) }
-
-// ReportedPools returns the reports of this data centre without those of some collectors.
-func (f *Forwarder) ReportedPools(collectors []string) map[string]estimator.PoolReport {
-	own := f.LocalPools()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peerPools.DataCentreExcept(clocker.Now(), own, collectors)
-}
-
-// CollectedPools returns the reports of this data centre without those of one peer, and
-// those of all other data centres.
-func (f *Forwarder) CollectedPools(peer string) (reports, remote map[string]estimator.PoolReport) {
-	reports = f.ReportedPools([]string{peer})
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return reports, f.peerPools.DataCentres(clocker.Now())
-}
-
 // fleetPool returns what all entry instances that report know of the requests to a pool.
 // The caller holds f.mu.
 func (f *Forwarder) fleetPool(now time.Time, config *mapper.RouteTable, key poolKey) estimator.PoolReport {
@@ -98,7 +63,7 @@
 	if !found {
 		return own
 	}
-	return own.Plus(f.peerPools.Remote(now, name))
+	return own.Plus(f.Pools.table.Remote(now, name))
 }
 
 // recordArrival counts a request towards the demand for its pool. A request that a caller
--- a/internal/forwarder/prefixes_test.go
+++ b/internal/forwarder/prefixes_test.go
@@ -77,7 +77,7 @@
 			}
 			counts := make(map[string]int)
 			for range 20 {
-				f.forwarder.UpdatePeerLoad("peer", map[string]estimator.Work{other: {Running: 1 + test.moreAtOther}, holder: test.atHolder})
+				f.forwarder.Works.SetPeer("peer", map[string]estimator.Work{other: {Running: 1 + test.moreAtOther}, holder: test.atHolder})
 				a, chosen := f.start(config, 1500)
 				f.forwarder.unregisterAttempt(a, false)
 				atHolder := chosen.upstream.name == holder
--- a/internal/hostedrunner/loads.go
+++ b/internal/hostedrunner/loads.go
@@ -112,7 +112,7 @@
 // sendDirectly sends this instance's own load to peers, unless neither the work in flight
 // nor the queues have changed.
 func (l *loads) sendDirectly(ctx context.Context, recipients []gossiper.Member) {
-	works, pools := l.node.forwarder.LocalLoad(), l.node.forwarder.LocalPools()
+	works, pools := l.node.forwarder.Works.Local(), l.node.forwarder.Pools.Local()
 	same := maps.Equal(works, l.last) && estimator.SameQueues(pools, l.lastPools)
 	if same && clocker.Since(l.sentAt) < unchangedLoadInterval {
 		return
@@ -132,8 +132,8 @@
 		names = append(names, collectorPrefix+m.ID)
 	}
 	l.node.peers.send(ctx, others, messenger.MethodLoad, &messenger.LoadMessage{
-		From: collectorPrefix + l.node.settings.ID, Works: l.node.forwarder.ReportedLoad(names),
-		Pools: l.node.forwarder.ReportedPools(names), Limits: l.node.forwarder.ServerLimits(),
+		From: collectorPrefix + l.node.settings.ID, Works: l.node.forwarder.Works.DataCentreExcept(names...),
+		Pools: l.node.forwarder.Pools.DataCentreExcept(names...), Limits: l.node.forwarder.ServerLimits(),
 	})
 }
 
@@ -141,7 +141,7 @@
 // from its reply. It reports false if no collector replied.
 func (l *loads) collect(ctx context.Context, collectors []gossiper.Member) bool {
 	message := &messenger.LoadMessage{
-		From: l.node.settings.ID, Works: l.node.forwarder.LocalLoad(), Pools: l.node.forwarder.LocalPools(),
+		From: l.node.settings.ID, Works: l.node.forwarder.Works.Local(), Pools: l.node.forwarder.Pools.Local(),
 		Limits:     l.node.forwarder.ServerLimits(),
 		WantRemote: clocker.Since(l.remoteAt) >= remoteCollectInterval,
 	}
@@ -153,12 +153,12 @@
 		}
 		l.collectedAt.Store(clocker.Now().UnixNano())
 		l.node.forwarder.MergeServerLimits(reply.Limits)
-		l.node.forwarder.UpdatePeerLoad(collectedPeers, reply.Works)
-		l.node.forwarder.UpdatePeerPools(collectedPeers, reply.Pools)
+		l.node.forwarder.Works.SetPeer(collectedPeers, reply.Works)
+		l.node.forwarder.Pools.SetPeer(collectedPeers, reply.Pools)
 		if message.WantRemote {
 			l.remoteAt = clocker.Now()
-			l.node.forwarder.UpdateRemoteLoad(remoteDataCentres, reply.Remote)
-			l.node.forwarder.UpdateRemotePools(remoteDataCentres, reply.RemotePools)
+			l.node.forwarder.Works.SetDataCentre(remoteDataCentres, reply.Remote)
+			l.node.forwarder.Pools.SetDataCentre(remoteDataCentres, reply.RemotePools)
 		}
 		return true
 	}
@@ -190,8 +190,8 @@
 			continue
 		}
 		l.node.peers.send(ctx, remoteRecipients(all, self.DataCentre), messenger.MethodLoad, &messenger.LoadMessage{
-			From: self.ID, DataCentre: self.DataCentre, Works: l.node.forwarder.DataCentreLoad(),
-			Pools: l.node.forwarder.DataCentrePools(), Limits: l.node.forwarder.ServerLimits(),
+			From: self.ID, DataCentre: self.DataCentre, Works: l.node.forwarder.Works.DataCentreExcept(),
+			Pools: l.node.forwarder.Pools.DataCentreExcept(), Limits: l.node.forwarder.ServerLimits(),
 		})
 	}
 }
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -214,11 +214,11 @@
 	case s.node.loads.collected():
 		// The collector's replies contain the message.
 	case arguments.DataCentre != "":
-		s.node.forwarder.UpdateRemoteLoad(arguments.DataCentre, arguments.Works)
-		s.node.forwarder.UpdateRemotePools(arguments.DataCentre, arguments.Pools)
+		s.node.forwarder.Works.SetDataCentre(arguments.DataCentre, arguments.Works)
+		s.node.forwarder.Pools.SetDataCentre(arguments.DataCentre, arguments.Pools)
 	default:
-		s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
-		s.node.forwarder.UpdatePeerPools(arguments.From, arguments.Pools)
+		s.node.forwarder.Works.SetPeer(arguments.From, arguments.Works)
+		s.node.forwarder.Pools.SetPeer(arguments.From, arguments.Pools)
 	}
 	return nil
 }
@@ -226,13 +226,14 @@
 // Collect stores the load of a peer of this data centre and returns that of the others.
 func (s *peerService) Collect(arguments messenger.LoadMessage, reply *messenger.CollectReply) error {
 	s.node.forwarder.MergeServerLimits(arguments.Limits)
-	s.node.forwarder.UpdatePeerLoad(arguments.From, arguments.Works)
-	s.node.forwarder.UpdatePeerPools(arguments.From, arguments.Pools)
-	works, remote := s.node.forwarder.CollectedLoad(arguments.From)
-	pools, remotePools := s.node.forwarder.CollectedPools(arguments.From)
-	*reply = messenger.CollectReply{Works: works, Pools: pools, Limits: s.node.forwarder.ServerLimits()}
+	works, pools := s.node.forwarder.Works, s.node.forwarder.Pools
+	works.SetPeer(arguments.From, arguments.Works)
+	pools.SetPeer(arguments.From, arguments.Pools)
+	*reply = messenger.CollectReply{
+		Works: works.DataCentreExcept(arguments.From), Pools: pools.DataCentreExcept(arguments.From), Limits: s.node.forwarder.ServerLimits(),
+	}
 	if arguments.WantRemote {
-		reply.Remote, reply.RemotePools = remote, remotePools
+		reply.Remote, reply.RemotePools = works.DataCentres(), pools.DataCentres()
 	}
 	return nil
 }
--- a/pkg/estimator/report_table.go
+++ b/pkg/estimator/report_table.go
@@ -127,13 +127,8 @@
 	return t.peers.sum(now, name).plus(t.dataCentres.sum(now, name))
 }
 
-// DataCentre returns the sums over this data centre: this instance's own values and what
-// its peers report.
-func (t *ReportTable[T]) DataCentre(now time.Time, own map[string]T) map[string]T {
-	return t.DataCentreExcept(now, own, nil)
-}
-
-// DataCentreExcept is like DataCentre, without what some of the peers report.
+// DataCentreExcept returns the sums over this data centre: this instance's own values and
+// what its peers report, without some of them.
 func (t *ReportTable[T]) DataCentreExcept(now time.Time, own map[string]T, peers []string) map[string]T {
 	t.peers.expire(now)
 	sum := maps.Clone(t.peers.sums)
--- a/pkg/estimator/report_table_test.go
+++ b/pkg/estimator/report_table_test.go
@@ -15,7 +15,7 @@
 	table.SetPeer(now, "peer", map[string]Work{"g": {Running: 2, UnreadTokens: 100}})
 	table.SetDataCentre(now, "there", map[string]Work{"g": {Running: 3}})
 	assert.Equal(t, table.Remote(now, "g"), Work{Running: 5, UnreadTokens: 100})
-	assert.DeepEqual(t, table.DataCentre(now, map[string]Work{"g": {Running: 1}, "h": {Running: 1}}), map[string]Work{"g": {Running: 3, UnreadTokens: 100}, "h": {Running: 1}})
+	assert.DeepEqual(t, table.DataCentreExcept(now, map[string]Work{"g": {Running: 1}, "h": {Running: 1}}, nil), map[string]Work{"g": {Running: 3, UnreadTokens: 100}, "h": {Running: 1}})
 	assert.Equal(t, table.Remote(now.Add(peerTTL+1), "g"), Work{Running: 3})
 	assert.Equal(t, table.Remote(now.Add(dataCentreTTL+1), "g"), Work{})
 	assert.Assert(t, table.Empty())
@@ -61,7 +61,7 @@
 	for e := range own {
 		for dataCentre := range fleetDataCentres {
 			if dataCentre != e%fleetDataCentres {
-				f.tables[e].SetDataCentre(now, strconv.Itoa(dataCentre), f.tables[dataCentre].DataCentre(now, own[dataCentre]))
+				f.tables[e].SetDataCentre(now, strconv.Itoa(dataCentre), f.tables[dataCentre].DataCentreExcept(now, own[dataCentre], nil))
 			}
 		}
 	}
