Forwarder: say on what evidence an attempt is excused, and when a retry is denied

Cause: a log line said that an attempt was excused, but not which earlier one, on what evidence, how old that was, and whether the server was heard of afterwards; and nothing said among how many instances the retry slack is divided or that the budget ended a request.

Change: no decision. Lines 'try excused', 'excused server goes on', 'retry denied', 'retry reserve changed'; counters excuses, excuses_refuted, retries_denied; 'charged' in 'request sent'.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -358,7 +358,7 @@
 	}
 	log.WithFields(log.Fields{
 		logger.FieldRequest: x.request.ID, logger.FieldUpstream: u.name, logger.FieldInstance: u.head().ID, "try": len(x.triedUpstreams),
-		"delivered": x.deliveredEvents, "running": running, "predicted_ms": x.predictedFirstEvent.Milliseconds(),
+		"delivered": x.deliveredEvents, "running": running, "charged": x.retryMachine.Charged(), "predicted_ms": x.predictedFirstEvent.Milliseconds(),
 		"list_age_ms": x.f.Observer.ListAge().Milliseconds(), "config_version": x.config.Version,
 	}).Info(logger.LineSent)
 }
@@ -382,6 +382,7 @@
 	event.Delivered = x.deliveredEvents
 	action := x.retryMachine.Step(now, event)
 	if action.Kind == retrier.Respond {
+		x.noteRetryDenied()
 		return action
 	}
 	switch {
@@ -395,6 +396,15 @@
 	return action
 }
 
+// noteRetryDenied logs and counts that the request ends because the retry budget is used up.
+func (x *exchange) noteRetryDenied() {
+	if !x.retryMachine.RetryDenied() {
+		return
+	}
+	x.f.metrics.recordRetryDenied(x.pool.service)
+	log.WithFields(log.Fields{logger.FieldRequest: x.request.ID, logger.FieldService: x.pool.service, "delivered": x.deliveredEvents}).Info(logger.LineRetryDenied)
+}
+
 // run carries out the actions of the retry machine until there is a response or
 // the request is given up.
 func (x *exchange) run(event retrier.Event) (*Response, error) {
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -10,7 +9,6 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
-	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -21,9 +19,6 @@
 	// long.
 	crashCheckInterval = 200 * time.Millisecond
 	maxCrashChecks     = 5
-	// excuseDelay is how long ago an attempt must have broken to be excused by
-	// the loss of its server: two rechecks of the lost instances.
-	excuseDelay = time.Second
 )
 
 // excludeUpstream excludes an upstream that failed this request from its
@@ -64,65 +59,6 @@
 	}
 }
 
-// brokenAttempt is an attempt that broke, and the head that ran it.
-type brokenAttempt struct {
-	head provider.Instance
-	at   time.Time
-}
-
-// excuseEarlier records an attempt that broke at an upstream, and reports whether an
-// earlier one no longer counts against the maximum. An attempt that was replaced is
-// recorded already.
-func (x *exchange) excuseEarlier(u *upstream) bool {
-	now := clocker.Now()
-	x.f.mu.Lock()
-	defer x.f.mu.Unlock()
-	if x.counted == u {
-		x.counted = nil
-		return false
-	}
-	excused := x.takeBroken(x.excusableAttempt(now))
-	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
-	return excused
-}
-
-// excuseCutOff reports whether one of the broken attempts no longer counts against the
-// maximum, because its server is cut off from here.
-func (x *exchange) excuseCutOff() bool {
-	x.f.mu.Lock()
-	defer x.f.mu.Unlock()
-	return x.takeBroken(slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool { return x.f.isCutOff(b.head) }))
-}
-
-// isCutOff reports whether a server can't be reached over a path that is cut, and is not
-// known to be lost itself.
-func (f *Forwarder) isCutOff(in provider.Instance) bool {
-	return f.Observer.PathCut() && f.Observer.AnyLostOrRestarted([]provider.Instance{in}) && !f.Observer.LostForAllOrRestarted(in)
-}
-
-// takeBroken forgets the broken attempt with that index, and reports whether there is one.
-// The caller holds f.mu.
-func (x *exchange) takeBroken(i int) bool {
-	if i >= 0 {
-		x.brokenAttempts = slices.Delete(x.brokenAttempts, i, i+1)
-	}
-	return i >= 0
-}
-
-// excusableAttempt returns the index of a broken attempt that need not count against
-// the maximum, because its server is cut off from here, or because it broke at least
-// excuseDelay ago and its server is lost or has restarted, or -1. A server that was marked
-// lost only just now may respond again. The caller holds f.mu.
-func (x *exchange) excusableAttempt(now time.Time) int {
-	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
-		if x.counted != nil && x.counted.head().ID == b.head.ID {
-			// The attempt that is being replaced goes on.
-			return false
-		}
-		return x.f.isCutOff(b.head) || now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
-	})
-}
-
 // canRetry reports whether the request would get another attempt if the current one
 // broke now. The caller holds f.mu.
 func (x *exchange) canRetry(now time.Time) bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -163,18 +163,20 @@
 	Works *Reports[estimator.Work]
 	Pools *Reports[estimator.PoolReport]
 
-	mu          sync.Mutex
-	random      *rand.Rand
-	tracker     *router.LoadTracker
-	screener    *screener.Screener
-	warmUps     warmUps
-	prefixes    *prefixer.Prefixer
-	upstreams   map[string]*upstream
-	pools       map[poolKey]*pool
-	quarantine  *quarantiner.Quarantine
-	parts       *quarantiner.PartQuarantine
-	budget      *retrier.Budget
-	detourPeers *pathfinder.Peers
+	mu         sync.Mutex
+	random     *rand.Rand
+	tracker    *router.LoadTracker
+	screener   *screener.Screener
+	warmUps    warmUps
+	prefixes   *prefixer.Prefixer
+	upstreams  map[string]*upstream
+	pools      map[poolKey]*pool
+	quarantine *quarantiner.Quarantine
+	parts      *quarantiner.PartQuarantine
+	budget     *retrier.Budget
+	// budgetEntries is the number of entry instances among which the slack was divided last.
+	budgetEntries int
+	detourPeers   *pathfinder.Peers
 	// recentRefusals holds the time at which a request with the same content
 	// was last refused.
 	recentRefusals *simplelru.LRU[quarantiner.Fingerprint, time.Time]
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
+	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 )
@@ -96,6 +97,17 @@
 	m.scope.Tagged(map[string]string{"served": strconv.FormatBool(served)}).Counter("hops_taken").Inc(1)
 }
 
+// recordExcuse counts an attempt that does not count against its route's maximum, or one of
+// which the server turned out to go on.
+func (m *metrics) recordExcuse(counter string, evidence observer.EndKind) {
+	m.scope.Tagged(map[string]string{"evidence": evidence.String()}).Counter(counter).Inc(1)
+}
+
+// recordRetryDenied counts a retry that the retry budget does not allow.
+func (m *metrics) recordRetryDenied(service string) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("retries_denied").Inc(1)
+}
+
 // UpdatePoolGauges updates the gauges of what the fleet knows of the requests to each pool.
 func (f *Forwarder) UpdatePoolGauges() {
 	config, now := f.Observer.Config(), clocker.Now()
--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -8,6 +8,10 @@
 	LineSent              = "request sent"
 	LineAttemptFailed     = "try broke"
 	LineAttemptSuspected  = "try suspected"
+	LineAttemptExcused    = "try excused"
+	LineExcuseRefuted     = "excused server goes on"
+	LineRetryDenied       = "retry denied"
+	LineRetryReserve      = "retry reserve changed"
 	LineRefused           = "request refused"
 	LineEnded             = "request ended"
 	LineHopBegun          = "request handed to a peer"
@@ -74,6 +78,8 @@
 	// FieldServers counts the servers of a pool by the verdict on them.
 	FieldServers = "servers"
 	FieldError   = "error"
+	// FieldEvidence says why an attempt does not count against its route's maximum.
+	FieldEvidence = "evidence"
 
 	// Fields of LinePeerClock: the uptime of a peer, and the uptime that the
 	// process itself had halfway through the call to the peer.
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -149,7 +149,9 @@
 	mayHaveRun bool
 	// charged reports whether the last attempt was charged to the budget.
 	charged bool
-	done    bool
+	// denied reports whether the budget allowed no other attempt.
+	denied bool
+	done   bool
 }
 
 // New returns the state machine of a request whose retries are charged to budget.
@@ -163,6 +165,12 @@
 // Attempts returns the number of attempts that count towards MaxAttempts.
 func (m *Machine) Attempts() int { return m.attempts }
 
+// Charged reports whether the last attempt was charged to the retry budget.
+func (m *Machine) Charged() bool { return m.charged }
+
+// RetryDenied reports whether the request ended because the retry budget was used up.
+func (m *Machine) RetryDenied() bool { return m.denied }
+
 // Step handles an event and returns the next action.
 func (m *Machine) Step(now time.Time, event Event) Action {
 	switch event.Kind {
@@ -346,6 +354,7 @@
 	}
 	m.verdictBy = time.Time{}
 	if !m.budget.Withdraw() {
+		m.denied = true
 		return m.respond(m.failure())
 	}
 	m.charged = true
