--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -279,10 +279,15 @@
 // newForwarderOn is like newForwarder for an entry instance that sees the platform in its
 // own way.
 func (f *fixture) newForwarderOn(view platformView) (*Forwarder, *httptest.Server) {
+	return f.newForwarderWith(view, Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, MemoryBytes: testMemoryBytes})
+}
+
+// newForwarderWith is like newForwarderOn with other settings.
+func (f *fixture) newForwarderWith(view platformView, settings Settings) (*Forwarder, *httptest.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := observer.New(observer.Dependencies{Source: view, Prober: view, Announcer: view, Scope: tally.NoopScope})
 	forwarder := New(Dependencies{
-		Settings: Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, MemoryBytes: testMemoryBytes},
+		Settings: settings,
 		Observer: o, Codec: testCodec{}, Peers: f.platform, Detours: detourer.NewClient(dialPlain),
 		Tracer: noop.NewTracerProvider().Tracer(""), Scope: tally.NoopScope,
 	})
