Forwarder: retries stay within the fleet's budget across restarts, cuts and services

Cause: an entry instance had its part of the slack again with each process, whatever the one before had spent in the same window; the part was the slack divided by the peers believed to live, the whole of it for a process that knew nobody yet; and one balance served all services, while the rule counts each by itself. Ruled out: arrivals that are not charged (the tests below count arrivals at the servers).

Change: retrier.Budget counts requests and retries over a sliding window, by service. The ratio part is paid by the instance's own requests of that window, so its sum over the fleet needs no knowledge of the fleet. The number among which the slack is divided (pkg/enumerator, taken out of pkg/warmer, which had it already) counts silent instances for a minute and leaving ones for a window, and is never less than the settings name. The ratio is used whole (before: 0.85 of it). budget_window_s is read.

The fixture of the forwarder's tests sets a short window: its tests begin right after a start, when a real instance has had no requests that pay for retries.

--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -214,7 +214,7 @@
 		d.queues[model] = queue
 	}
 	queue.SetCapacity(config.Admission.QueueLength)
-	d.budget.SetRatio(config.Admission.RetryRatio)
+	d.budget.SetLimits(retrier.Limits{Ratio: config.Admission.RetryRatio, Reserve: retryReserve})
 	return queue
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -75,7 +75,7 @@
 	strikeExpiry   = time.Hour
 	strikeCapacity = 10_000
 
-	// retryReserve bounds a burst of retries.
+	// retryReserve is the number of retries in a window that need no requests.
 	retryReserve = 64
 )
 
@@ -134,7 +134,7 @@
 		queues:      make(map[string]*limiter.Queue),
 		rates:       make(map[string]*rateLimit),
 		quarantine:  quarantiner.New(strikeLimit, strikeExpiry, strikeCapacity),
-		budget:      retrier.NewBudget(0, retryReserve),
+		budget:      retrier.NewBudget(retrier.Limits{Reserve: retryReserve}, time.Time{}),
 		monitors:    make(map[*attemptMonitor]struct{}),
 		waiters:     make(map[uint64]chan admissionResult),
 	}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -186,7 +186,6 @@
 		return
 	}
 	f.mu.Lock()
-	f.updateRetryReserve()
 	var waiting []poolKey
 	now := clocker.Now()
 	for key, p := range f.pools {
@@ -203,18 +202,6 @@
 	}
 }
 
-// updateRetryReserve applies the number of live entry instances to the retry budget. The
-// caller holds f.mu.
-func (f *Forwarder) updateRetryReserve() {
-	entries := max(1, f.Peers.Count())
-	reserve := f.settings.Load().RetrySlack * retryBudgetFraction / float64(entries)
-	f.budget.SetReserve(reserve)
-	if entries != f.budgetEntries {
-		f.budgetEntries = entries
-		log.WithFields(log.Fields{"entries": entries, "reserve": reserve}).Info(logger.LineRetryReserve)
-	}
-}
-
 func (f *Forwarder) startQueued(config *mapper.RouteTable, key poolKey) {
 	now := clocker.Now()
 	shared, own := f.freeSlotsByUse(config, key)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -194,7 +194,7 @@
 	if err := f.blockedPart(r.PromptParts); err != nil {
 		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun, Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Err: err}
 	}
-	x.retryMachine = retrier.New(x.retryInfo(), f.budget)
+	x.retryMachine = retrier.New(x.retryInfo(), f.retryBudgets.of(clocker.Now(), x.pool.service))
 	x.setContext(ctx)
 	return x, nil
 }
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/detourer"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
@@ -31,7 +32,6 @@
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
-	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 // testCodec reads and writes metadata in headers with short names.
@@ -143,10 +143,10 @@
 }
 
 // Entries returns this entry instance and the other ones.
-func (p *platformStub) Entries() []warmer.Entry {
-	entries := []warmer.Entry{{ID: ""}}
+func (p *platformStub) Entries() []enumerator.Entry {
+	entries := []enumerator.Entry{{ID: ""}}
 	for i := range p.Count() - 1 {
-		entries = append(entries, warmer.Entry{ID: "entry-" + strconv.Itoa(i)})
+		entries = append(entries, enumerator.Entry{ID: "entry-" + strconv.Itoa(i)})
 	}
 	return entries
 }
@@ -221,6 +221,8 @@
 const (
 	testKeyTTL       = 3 * time.Second
 	testRouteTimeout = 3 * time.Second
+	// testRetryWindow is short, so that a forwarder has its retry reserve when a test begins.
+	testRetryWindow = 100 * time.Millisecond
 	// testMemoryBytes is the memory of the smallest processes that the users run.
 	testMemoryBytes = 184 << 20
 )
@@ -279,7 +281,9 @@
 // newForwarderOn is like newForwarder for an entry instance that sees the platform in its
 // own way.
 func (f *fixture) newForwarderOn(view platformView) (*Forwarder, *httptest.Server) {
-	return f.newForwarderWith(view, Settings{KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, MemoryBytes: testMemoryBytes})
+	return f.newForwarderWith(view, Settings{
+		KeyTTL: testKeyTTL, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: testRetryWindow, MemoryBytes: testMemoryBytes,
+	})
 }
 
 // newForwarderWith is like newForwarderOn with other settings.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -34,13 +34,13 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
+	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
-	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 	"github.com/waxwingmount/waxwingmount/pkg/screener"
 	"github.com/waxwingmount/waxwingmount/pkg/warmer"
@@ -61,7 +61,7 @@
 	// DetourPeers returns the peers to which requests may be handed.
 	DetourPeers() []DetourPeer
 	// Entries returns the live entry instances, this one included.
-	Entries() []warmer.Entry
+	Entries() []enumerator.Entry
 }
 
 const (
@@ -94,10 +94,6 @@
 
 	// queueLength is how many requests may wait for one pool.
 	queueLength = 256
-	// retryBudgetFraction is the fraction of the shared retry budget that is
-	// used, because an entry instance learns late how many instances share the
-	// budget.
-	retryBudgetFraction = 0.85
 )
 
 // Settings are the configurable values of a Forwarder.
@@ -117,10 +113,12 @@
 	// EvacuationTTL is the time within which an evacuated data centre must get no more
 	// requests, or zero if there is none.
 	EvacuationTTL time.Duration
-	// RetryRatio and RetrySlack bound the retries of all entry instances
-	// together.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the retries of all entry instances together, for each
+	// service: in any RetryWindow, the ratio of the requests for it and the slack beside them.
+	// RetryWindow can't be changed by Configure.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// WarmUpOverage and WarmUpSlack bound the requests that a cold backend server may get
 	// in any one second: its rate times the overage plus the slack.
 	WarmUpOverage float64
@@ -163,20 +161,18 @@
 	Works *Reports[estimator.Work]
 	Pools *Reports[estimator.PoolReport]
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	tracker    *router.LoadTracker
-	screener   *screener.Screener
-	warmUps    warmUps
-	prefixes   *prefixer.Prefixer
-	upstreams  map[string]*upstream
-	pools      map[poolKey]*pool
-	quarantine *quarantiner.Quarantine
-	parts      *quarantiner.PartQuarantine
-	budget     *retrier.Budget
-	// budgetEntries is the number of entry instances among which the slack was divided last.
-	budgetEntries int
-	detourPeers   *pathfinder.Peers
+	mu           sync.Mutex
+	random       *rand.Rand
+	tracker      *router.LoadTracker
+	screener     *screener.Screener
+	warmUps      warmUps
+	prefixes     *prefixer.Prefixer
+	upstreams    map[string]*upstream
+	pools        map[poolKey]*pool
+	quarantine   *quarantiner.Quarantine
+	parts        *quarantiner.PartQuarantine
+	retryBudgets retryBudgets
+	detourPeers  *pathfinder.Peers
 	// recentRefusals holds the time at which a request with the same content
 	// was last refused.
 	recentRefusals *simplelru.LRU[quarantiner.Fingerprint, time.Time]
@@ -222,7 +218,7 @@
 		parts:          quarantiner.NewPartQuarantine(partLimits),
 		recentRefusals: recentRefusals,
 		wake:           make(chan struct{}, 1),
-		budget:         retrier.NewBudget(d.RetryRatio*retryBudgetFraction, d.RetrySlack*retryBudgetFraction),
+		retryBudgets:   newRetryBudgets(clocker.Now(), d.Entry, d.Settings),
 	}
 	f.Works = &Reports[estimator.Work]{mu: &f.mu, table: estimator.NewReportTable[estimator.Work](), local: f.localWork}
 	f.Pools = &Reports[estimator.PoolReport]{mu: &f.mu, table: estimator.NewReportTable[estimator.PoolReport](), local: f.localPools}
@@ -245,7 +241,7 @@
 	f.settings.Store(&s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget.SetRatio(s.RetryRatio * retryBudgetFraction)
+	f.retryBudgets.configure(&s)
 }
 
 // Start starts the background loop, which runs until ctx ends.
@@ -329,6 +325,7 @@
 		f.requestPermits(ctx)
 		f.judgeParts(ctx)
 		f.updateWarmUpEntries()
+		f.updateRetryBudgets()
 		f.checkUpstreams(ctx)
 		f.startQueuedInAllPools()
 	}
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -76,9 +76,11 @@
 	EvacuationTTL time.Duration
 	// StopTimeout limits the duration of a graceful shutdown.
 	StopTimeout time.Duration
-	// RetryRatio and RetrySlack limit the retries of all entry instances together.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack limit the retries of all entry instances together in any
+	// RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// Lend says that instances are lent from models with room to models that lack it.
 	Lend bool
 	// AddressTTL is the longest time that callers cache a response of the
@@ -321,7 +323,7 @@
 // forwarderSettings returns the settings of the forwarder.
 func (s Settings) forwarderSettings() forwarder.Settings {
 	return forwarder.Settings{
-		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		DataCentre: s.DataCentre, FirstStart: s.FirstStart, KeyTTL: s.KeyTTL, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		MemoryBytes: s.MemoryBytes, ConfigTTL: s.ConfigTTL, LeavingTTL: s.LeavingTTL, WarmUpOverage: s.WarmUpOverage, WarmUpSlack: s.WarmUpSlack,
 		FewestEntries: s.fewestEntries(), EvacuationTTL: s.EvacuationTTL,
 	}
--- a/internal/hostedrunner/peers.go
+++ b/internal/hostedrunner/peers.go
@@ -15,11 +15,11 @@
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/pacer"
 	"github.com/waxwingmount/waxwingmount/pkg/assigner"
+	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
-	"github.com/waxwingmount/waxwingmount/pkg/warmer"
 )
 
 const (
@@ -68,10 +68,10 @@
 func (p *peers) Count() int { return p.node.discoverer.Count() }
 
 // Entries implements [forwarder.Peers].
-func (p *peers) Entries() []warmer.Entry {
-	var entries []warmer.Entry
+func (p *peers) Entries() []enumerator.Entry {
+	var entries []enumerator.Entry
 	for _, m := range p.node.discoverer.Live() {
-		entries = append(entries, warmer.Entry{ID: m.ID, Leaving: m.Leaving})
+		entries = append(entries, enumerator.Entry{ID: m.ID, Leaving: m.Leaving})
 	}
 	return entries
 }
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -1,42 +1,122 @@
 package retrier
 
-// Budget limits retries to a ratio of the requests, so that a failure does not
-// multiply the load. It is not safe for concurrent use.
-type Budget struct {
-	ratio   float64
-	reserve float64
-	balance float64
+import "time"
+
+// Limits bound the retries of one entry instance for one service. Those of a fleet stay within
+// a ratio of its requests and a number beside it if the reserves of its entry instances add up
+// to half of that number: an entry instance may spend its reserve, end, and the processes after
+// it may spend what has grown since, which is no more than one reserve in a window.
+type Limits struct {
+	// Ratio is the number of retries allowed per request.
+	Ratio float64
+	// Reserve is the number of retries allowed in a window beside those that requests pay for.
+	Reserve float64
+	// Window is the time over which requests and retries are counted. Zero means
+	// [DefaultWindow].
+	Window time.Duration
 }
 
-// NewBudget returns a budget that allows ratio retries per request on average, and
-// bursts of up to reserve retries.
-func NewBudget(ratio, reserve float64) *Budget {
-	return &Budget{ratio: ratio, reserve: reserve, balance: reserve}
+// DefaultWindow is the window of a budget whose Limits do not set one.
+const DefaultWindow = 10 * time.Second
+
+// budgetSlots is the number of parts of a window by which requests and retries are counted.
+const budgetSlots = 40
+
+// Budget limits retries, so that a failure does not multiply the load: in no window are there
+// more than the requests of that window and the reserve allow. The reserve grows during the
+// first window after the start of the process, since the one before it may have spent the same
+// until it ended. It is not safe for concurrent use.
+type Budget struct {
+	limits    Limits
+	startedAt time.Time
+	// epoch is the beginning of the first slot.
+	epoch time.Time
+	// slots is a ring of one window and the slot that is not over, and slot the number of the
+	// latter since the epoch.
+	slots [budgetSlots + 1]budgetSlot
+	slot  int64
 }
 
-// SetRatio sets the number of retries allowed per request.
-func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
+// budgetSlot counts the requests and the retries in one part of a window.
+type budgetSlot struct{ requests, retries int }
+
+// NewBudget returns a budget of a process that started at a time. The zero time means that its
+// reserve need not grow, because it is not a part of an allowance of a fleet.
+func NewBudget(limits Limits, startedAt time.Time) *Budget {
+	if limits.Window <= 0 {
+		limits.Window = DefaultWindow
+	}
+	return &Budget{limits: limits, startedAt: startedAt}
+}
 
-// SetReserve sets the maximum burst of retries.
-func (b *Budget) SetReserve(reserve float64) {
-	b.reserve = reserve
-	b.balance = min(b.balance, reserve)
+// SetLimits replaces the limits but for the window, which stays as it is.
+func (b *Budget) SetLimits(limits Limits) {
+	limits.Window = b.limits.Window
+	b.limits = limits
 }
 
-// Deposit adds the retries allowed for one new request.
-func (b *Budget) Deposit() { b.balance = min(b.balance+b.ratio, b.reserve) }
+// Deposit counts a new request.
+func (b *Budget) Deposit(now time.Time) { b.at(now).requests++ }
 
-// Available reports whether a retry is left.
-func (b *Budget) Available() bool { return b.balance >= 1 }
+// Available reports whether a retry is allowed.
+func (b *Budget) Available(now time.Time) bool { return b.Left(now) >= 1 }
 
-// Refund returns a retry that was withdrawn and not made.
-func (b *Budget) Refund() { b.balance = min(b.balance+1, b.reserve) }
+// Left returns the number of retries that are allowed now.
+func (b *Budget) Left(now time.Time) float64 {
+	b.at(now)
+	requests, retries := 0, 0
+	for _, s := range b.slots {
+		requests, retries = requests+s.requests, retries+s.retries
+	}
+	// Only whole slots within the window count as requests, and all that touch it as retries.
+	requests -= b.slots[(b.slot+1)%int64(len(b.slots))].requests
+	return b.limits.Ratio*float64(requests) + b.reserve(now) - float64(retries)
+}
 
-// Withdraw takes one retry from the budget. It returns false if none is left.
-func (b *Budget) Withdraw() bool {
-	if !b.Available() {
+// reserve returns the part of the reserve that has grown so far.
+func (b *Budget) reserve(now time.Time) float64 {
+	if b.startedAt.IsZero() {
+		return b.limits.Reserve
+	}
+	return b.limits.Reserve * min(1, float64(now.Sub(b.startedAt))/float64(b.limits.Window))
+}
+
+// Withdraw counts a retry. It returns false if none is allowed.
+func (b *Budget) Withdraw(now time.Time) bool {
+	if !b.Available(now) {
 		return false
 	}
-	b.balance--
+	b.at(now).retries++
 	return true
 }
+
+// Refund takes back a retry that was counted at a time and not made.
+func (b *Budget) Refund(withdrawnAt time.Time) {
+	slot := b.slotAt(withdrawnAt)
+	if b.slot-slot >= int64(len(b.slots)) {
+		return
+	}
+	if s := &b.slots[slot%int64(len(b.slots))]; s.retries > 0 {
+		s.retries--
+	}
+}
+
+// at returns the slot of a time, and forgets those that are older than a window.
+func (b *Budget) at(now time.Time) *budgetSlot {
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	for next := b.slotAt(now); b.slot < next; {
+		if next-b.slot > int64(len(b.slots)) {
+			b.slot = next - int64(len(b.slots))
+		}
+		b.slot++
+		b.slots[b.slot%int64(len(b.slots))] = budgetSlot{}
+	}
+	return &b.slots[b.slot%int64(len(b.slots))]
+}
+
+// slotAt returns the number of the slot of a time. A time before the epoch is in the first one.
+func (b *Budget) slotAt(at time.Time) int64 {
+	return max(0, int64(at.Sub(b.epoch)/(b.limits.Window/budgetSlots)))
+}
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -147,8 +147,8 @@
 	verdictBy time.Time
 	// mayHaveRun reports whether a backend server may have started the request.
 	mayHaveRun bool
-	// charged reports whether the last attempt was charged to the budget.
-	charged bool
+	// chargedAt is when the last attempt was charged to the budget, or zero if it was not.
+	chargedAt time.Time
 	// denied reports whether the budget allowed no other attempt.
 	denied bool
 	done   bool
@@ -166,7 +166,7 @@
 func (m *Machine) Attempts() int { return m.attempts }
 
 // Charged reports whether the last attempt was charged to the retry budget.
-func (m *Machine) Charged() bool { return m.charged }
+func (m *Machine) Charged() bool { return !m.chargedAt.IsZero() }
 
 // RetryDenied reports whether the request ended because the retry budget was used up.
 func (m *Machine) RetryDenied() bool { return m.denied }
@@ -176,7 +176,7 @@
 	switch event.Kind {
 	case Started:
 		if !m.request.CountedElsewhere {
-			m.budget.Deposit()
+			m.budget.Deposit(now)
 		}
 		return m.attempt(0)
 	case Finished:
@@ -211,16 +211,16 @@
 	if refund {
 		attempts--
 	}
-	return m.request.Idempotent && now.Before(m.request.Deadline) && attempts < m.request.MaxAttempts && m.budget.Available()
+	return m.request.Idempotent && now.Before(m.request.Deadline) && attempts < m.request.MaxAttempts && m.budget.Available(now)
 }
 
 // RevertRetry takes back a retry that ended before anything was sent to a backend server,
 // while the attempt before it, with that count of attempts, goes on.
 func (m *Machine) RevertRetry(attempts int) {
 	m.attempts = attempts
-	if m.charged {
-		m.budget.Refund()
-		m.charged = false
+	if m.Charged() {
+		m.budget.Refund(m.chargedAt)
+		m.chargedAt = time.Time{}
 	}
 }
 
@@ -348,15 +348,15 @@
 	if event.RefundAttempt {
 		m.attempts = max(0, m.attempts-1)
 	}
-	m.charged = false
+	m.chargedAt = time.Time{}
 	if m.attempts >= m.request.MaxAttempts {
 		return m.awaitVerdict(now, event)
 	}
 	m.verdictBy = time.Time{}
-	if !m.budget.Withdraw() {
+	if !m.budget.Withdraw(now) {
 		m.denied = true
 		return m.respond(m.failure())
 	}
-	m.charged = true
+	m.chargedAt = now
 	return m.attempt(event.Delivered)
 }
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -39,7 +39,7 @@
 					ResumeWait:  time.Duration(resume) * time.Millisecond,
 					VerdictWait: time.Duration(verdict) * time.Millisecond,
 					MaxAttempts: attempts,
-				}, NewBudget(0, float64(reserve)))
+				}, NewBudget(Limits{Reserve: float64(reserve)}, time.Time{}))
 				return ""
 			}
 			if d.Cmd == "revert" {
--- a/pkg/warmer/allowance.go
+++ b/pkg/warmer/allowance.go
@@ -89,6 +89,6 @@
 
 func (w *Warmer) ensureRank(name string, s *server) {
 	if !s.ranked {
-		s.rank, s.ranked = w.fleet.rank(name), true
+		s.rank, s.ranked = w.rank(name), true
 	}
 }
--- a/pkg/warmer/fleet.go
+++ b/pkg/warmer/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/pkg/assigner"
+	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 )
 
 const (
@@ -15,77 +16,23 @@
 )
 
 // Entry is a live entry instance.
-type Entry struct {
-	ID string
-	// Leaving means that it shuts down; once it is silent, it does not count.
-	Leaving bool
-}
-
-// fleet is the set of entry instances that may send requests.
-type fleet struct {
-	self    string
-	entries map[string]*entry
-	// fewest is the least number of entry instances that there are.
-	fewest int
-}
-
-type entry struct {
-	leaving bool
-	// silentSince is zero while the entry instance is live.
-	silentSince time.Time
-}
+type Entry = enumerator.Entry
 
-func newFleet(self string) fleet {
-	return fleet{self: self, entries: map[string]*entry{self: {}}, fewest: 1}
-}
-
-// size returns the number of entry instances among which a rate is divided.
-func (f *fleet) size() int { return max(f.fewest, len(f.entries)) }
-
-// update applies the live entry instances. It reports whether the set has changed.
-func (f *fleet) update(now time.Time, live []Entry, fewest int) bool {
-	changed := f.fewest != fewest
-	f.fewest = fewest
-	seen := map[string]bool{f.self: true}
-	for _, l := range live {
-		seen[l.ID] = true
-		if _, known := f.entries[l.ID]; !known {
-			changed = true
-		}
-		f.entries[l.ID] = &entry{leaving: l.Leaving}
-	}
-	for id, e := range f.entries {
-		if seen[id] {
-			continue
-		}
-		if e.silentSince.IsZero() {
-			e.silentSince = now
-		}
-		if e.leaving || now.Sub(e.silentSince) > entryRetention {
-			delete(f.entries, id)
-			changed = true
-		}
-	}
-	return changed
+// newFleet returns the entry instances that may send requests. One that says that it shuts
+// down does not count once it is silent.
+func newFleet(self string) *enumerator.Enumerator {
+	return enumerator.New(self, enumerator.Settings{Retention: entryRetention})
 }
 
 // rank returns how many entry instances have a higher weight for a server than this one.
-func (f *fleet) rank(server string) int {
-	return assigner.Rank(server, f.self, func(yield func(string) bool) {
-		for id := range f.entries {
-			if !yield(id) {
-				return
-			}
-		}
-	})
-}
+func (w *Warmer) rank(server string) int { return assigner.Rank(server, w.self, w.fleet.IDs()) }
 
 // part returns how many requests a second this entry instance may send to a server whose
 // rank is known. One that knows fewer entry instances than there are is probably cut off and
 // has restarted, so that its part is as small as possible.
 func (w *Warmer) part(now time.Time, s *server) int {
-	part := divide(s.rate(now), w.fleet.size(), s.rank)
-	if len(w.fleet.entries) < w.fleet.fewest {
+	part := divide(s.rate(now), w.fleet.Size(), s.rank)
+	if !w.fleet.Complete() {
 		return min(part, 1)
 	}
 	return part
@@ -102,7 +49,7 @@
 			outside[s] = w.part(now, s) == 0
 		}
 	}
-	if !w.fleet.update(now, live, fewest) {
+	if !w.fleet.Update(now, live, fewest) {
 		return
 	}
 	for name, s := range w.servers {
--- a/pkg/warmer/warmer.go
+++ b/pkg/warmer/warmer.go
@@ -23,6 +23,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 )
 
 const (
@@ -86,7 +88,8 @@
 // Warmer holds what one entry instance knows of cold servers. It is not safe for
 // concurrent use.
 type Warmer struct {
-	fleet fleet
+	self  string
+	fleet *enumerator.Enumerator
 	// allowedFrom is when the first request may be sent to a cold server: the process
 	// before this one may have used its part of the rate until it ended.
 	allowedFrom time.Time
@@ -117,7 +120,7 @@
 
 // New returns a Warmer of a process that starts now and knows no server.
 func New(now time.Time, self string) *Warmer {
-	return &Warmer{fleet: newFleet(self), allowedFrom: now.Add(window), servers: make(map[string]*server)}
+	return &Warmer{self: self, fleet: newFleet(self), allowedFrom: now.Add(window), servers: make(map[string]*server)}
 }
 
 // Update applies a list of servers. With idle, the system has had no request since its
