Grouper: an odd row of the groups is ignored instead of ending all entry instances

What callers saw (own interface): one row of another writer among those of the groups made the decoding of all groups fail, so that entry instances stopped following them; a row with no members ended each process that read it (index out of range in Group.Head).

Cause: Decode failed as a whole; the content of a row was not checked against its key or for members. Ruled out: deep nesting itself (the decoder returns an error).

Its version is kept, so that the holder of the lease can replace it. Only an odd fence still fails, since nothing may be ordered without it.

--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -274,6 +274,9 @@
 		log.WithError(err).Error("groups cannot be decoded")
 		return
 	}
+	for _, invalid := range snapshot.Invalid {
+		log.WithError(invalid).Warn("ignoring invalid row of the groups")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snapshot.Fence <= s.Groups().Fence {
--- a/pkg/grouper/snapshot.go
+++ b/pkg/grouper/snapshot.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
@@ -20,6 +22,11 @@
 	scanPrefix = "groups/"
 )
 
+var (
+	errOtherID   = errors.New("the row is that of another group")
+	errNoMembers = errors.New("the group has no members")
+)
+
 // assignment is the value of an instance's assignment row.
 type assignment struct {
 	Group string `json:"group"`
@@ -37,6 +44,10 @@
 	// Fence is the highest fence of any change.
 	Fence uint64
 
+	// Invalid holds what is wrong with the rows that can't be decoded. Such a row counts as
+	// none.
+	Invalid []error
+
 	versions    map[string]provider.Version
 	assignments map[string]string
 }
@@ -67,7 +78,7 @@
 }
 
 // Decode builds a snapshot from rows that were read together. It fails with
-// KindCorrupt if a row cannot be decoded.
+// KindCorrupt if the fence cannot be decoded.
 func Decode(rows []provider.Row) (Snapshot, error) {
 	s := Snapshot{
 		Groups:      make(map[string]Group),
@@ -75,9 +86,15 @@
 		assignments: make(map[string]string),
 	}
 	for _, row := range rows {
-		if err := s.addRow(row); err != nil {
-			return Snapshot{}, faulter.New("decode "+row.Key, KindCorrupt, err)
+		err := s.addRow(row)
+		if err == nil {
+			continue
+		}
+		err = faulter.New("decode "+row.Key, KindCorrupt, err)
+		if row.Key == fenceKey {
+			return Snapshot{}, err
 		}
+		s.Invalid = append(s.Invalid, err)
 	}
 	return s, nil
 }
@@ -94,14 +111,24 @@
 		return err
 	case strings.HasPrefix(row.Key, groupPrefix):
 		var g Group
-		err := json.Unmarshal(row.Value, &g)
+		if err := json.Unmarshal(row.Value, &g); err != nil {
+			return err
+		}
+		if g.ID != strings.TrimPrefix(row.Key, groupPrefix) {
+			return errOtherID
+		}
+		if len(g.Members) == 0 {
+			return errNoMembers
+		}
 		s.Groups[g.ID] = g
-		return err
+		return nil
 	case strings.HasPrefix(row.Key, assignmentPrefix):
 		var value assignment
-		err := json.Unmarshal(row.Value, &value)
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			return err
+		}
 		s.assignments[strings.TrimPrefix(row.Key, assignmentPrefix)] = value.Group
-		return err
+		return nil
 	}
 	return nil
 }
