Platform: entries of backend servers with numbers out of range are ignored

Cause: only the type of a number was checked. Ruled out by cases of TestForeignEntries that passed before: nesting 100,000 deep, ports out of range, numbers beyond 64 bits.

Change: at most 2^20 slots, and ranks from 0 to 2^16; the forwarder bounds the slots too, as an entry may come by a peer of an earlier release.

--- a/internal/forwarder/pick_test.go
+++ b/internal/forwarder/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"testing"
 
@@ -69,3 +70,17 @@
 	f.forwarder.Works.SetPeer("peer", full)
 	assert.Equal(t, f.forwarder.freeSlots(config, pool), testEngine.Slots)
 }
+
+// TestServersWithManySlots guards against requests that wait for ever because entries with
+// numbers that are too large make the sum of the free slots negative.
+func TestServersWithManySlots(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"a", "b", "c"} {
+		f.addServer(id, "plain", answer)
+	}
+	f.platform.set(func(p *platformStub) { p.instances[0].Slots, p.instances[1].Slots = math.MaxInt, math.MaxInt })
+	f.applyConfig()
+	status, _, err := f.call("GET", "/safe/", "r")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -115,7 +115,7 @@
 		u = &upstream{name: d.name, active: make(map[*activeAttempt]struct{}), lastProgress: now}
 		f.upstreams[d.name] = u
 	}
-	state := &upstreamState{members: d.members, group: d.group, slots: d.members[0].Slots, probeAfter: plainServerProbeAfter}
+	state := &upstreamState{members: d.members, group: d.group, slots: min(d.members[0].Slots, provider.MaxSlots), probeAfter: plainServerProbeAfter}
 	if d.group != nil {
 		model, _ := d.engine.Model(d.group.Model)
 		state.estimate = estimator.Group{Engine: d.engine, Pace: model.Pace, Spread: d.group.Spread()}
--- a/pkg/provider/instance.go
+++ b/pkg/provider/instance.go
@@ -39,6 +39,14 @@
 	State MemberState `json:"state,omitempty"`
 }
 
+// MaxSlots and MaxRank are the largest number of requests that an instance may state to run at
+// once, and the highest rank in a group that it may state. An entry with a larger number names
+// no instance.
+const (
+	MaxSlots = 1 << 20
+	MaxRank  = 1 << 16
+)
+
 // Instance is a backend server instance as listed by the platform.
 type Instance struct {
 	ID string `json:"id"`
