Dispatcher: a stream that has begun goes on only with a stream

What callers saw (own interface): a stream broke off, the next backend server answered with an error, and its text was read as further events, up to a [DONE] in it that ended the stream as if it were complete.

Cause: any response but a 5xx of a group counted as the start of an attempt, whatever the caller had been sent before.

Change: once a stream of events has begun, a response that is none (status 200 and its content type) is a broken attempt.

Evidence: TestErrorOfNextServerStaysOutOfStream (own interface) failed in 5 of 7 cases before (404, 429, 206, no stream, no type), and passes.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
+const eventStreamType = "text/event-stream"
+
 // attempt is one transmission of a request to one backend server.
 type attempt struct {
 	backend backend
@@ -96,6 +99,11 @@
 	return retrier.Started, nil
 }
 
+// isEventStream reports whether the response is a stream of events.
+func (a *attempt) isEventStream() bool {
+	return a.response.StatusCode == http.StatusOK && strings.HasPrefix(a.response.Header.Get("Content-Type"), eventStreamType)
+}
+
 func (d *Dispatcher) backendRequest(a *attempt, r Request, resumeFrom int) (*http.Request, error) {
 	target, err := url.Parse("http://" + a.backend.address.String() + r.Path)
 	if err != nil {
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -49,6 +49,9 @@
 	current *attempt
 	status  int
 	reader  *bufio.Reader
+	// begun says that a backend server has begun a stream of events, which only another one
+	// can continue.
+	begun bool
 	// deliveredEvents counts the events that Next has returned.
 	deliveredEvents int
 	// restarted says that a Buffered stream was restarted from its first event.
@@ -302,6 +305,13 @@
 		log.WithFields(log.Fields{"request": s.request.ID, "backend": b.name, "event": kind.String()}).WithError(err).Debug("attempt failed")
 		return kind, false
 	}
+	if s.begun && !a.isEventStream() {
+		s.lastErr = errors.Newf("stream could not be continued: status %d", a.response.StatusCode)
+		s.avoidBackend(b)
+		s.dispatcher.finishAttempt(a, true)
+		return retrier.Interrupted, false
+	}
+	s.begun = s.begun || a.isEventStream()
 	s.current = a
 	s.status = a.response.StatusCode
 	s.reader = bufio.NewReaderSize(a.response.Body, streamBufferBytes)
