Forwarder: a resumed stream does not go on with a text that is no event

What callers saw: a stream broke off, and the server at which it resumed sent an error, or the whole head of one, as the content of its stream: the text stood in the middle of the caller's stream, which then ended as complete.

Change: the first event of a resumed stream must have a field of an event.

--- a/internal/forwarder/late_copy_test.go
+++ b/internal/forwarder/late_copy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -138,3 +139,64 @@
 	assert.NilError(t, err)
 	return response.StatusCode, body.String()
 }
+
+// refusalCopier refuses requests with the ID warm. On a connection that is in use again, it
+// sends a copy of its last refusal before the response. The first server that runs another
+// request begins a stream and breaks it off; the next one completes it.
+type refusalCopier struct {
+	mu   sync.Mutex
+	runs int
+}
+
+func (s *refusalCopier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	const refusal = "HTTP/1.1 503 Busy\r\nProof: p\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for refused := ""; err == nil; r, err = http.ReadRequest(buffered.Reader) {
+		io.Copy(io.Discard, r.Body)
+		fmt.Fprint(conn, refused)
+		if r.Header.Get("Id") == "warm" {
+			refused = refusal
+			fmt.Fprint(conn, refusal)
+			continue
+		}
+		s.mu.Lock()
+		s.runs++
+		first := s.runs == 1
+		s.mu.Unlock()
+		head := "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nProof: p\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s"
+		if first {
+			fmt.Fprintf(conn, head, 1000, testEvent(1))
+			return
+		}
+		fmt.Fprintf(conn, head, len(testEvent(2)), testEvent(2))
+	}
+}
+
+// TestLateCopyOfRefusalInResumedStream guards against a stream that is cut, or that runs at a
+// third server, because the server at which it resumes sends an earlier refusal once more.
+func TestLateCopyOfRefusalInResumedStream(t *testing.T) {
+	for _, byPeer := range []bool{false, true} {
+		t.Run(fmt.Sprintf("by peer %t", byPeer), func(t *testing.T) {
+			servers := &refusalCopier{}
+			f := newCutFixture(t, servers.ServeHTTP, nil)
+			server := f.fixture.server
+			if byPeer {
+				f.cutOff()
+				server = f.server
+			}
+			status, _, err := f.callAt(server, "POST", "/stream/", "warm", "k", "body", "")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			status, body, err := f.callAt(server, "POST", "/stream/", "r", "k", "body", "")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, testEvent(1)+testEvent(2))
+			assert.Equal(t, servers.runs, 2)
+		})
+	}
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -27,7 +28,14 @@
 	pathCheckTime = 30 * time.Millisecond
 )
 
-var idFieldPrefix = []byte("id:")
+var (
+	idFieldPrefix = []byte("id:")
+	// eventFields are the fields that an event may have. A line that begins with a colon is a
+	// comment.
+	eventFields = []string{"", "data", "event", "id", "retry"}
+
+	errNoEvent = errors.New("the stream goes on with a text that is no event")
+)
 
 // readEvent reads one whole event, including the blank line that ends it. It
 // returns io.EOF at the end of a complete stream, and io.ErrUnexpectedEOF
@@ -83,6 +91,17 @@
 	return ""
 }
 
+// isEvent reports whether a text has any field of an event.
+func isEvent(text []byte) bool {
+	for line := range bytes.SplitSeq(text, []byte("\n")) {
+		line = bytes.TrimRight(line, "\r")
+		if field, _, _ := bytes.Cut(line, []byte(":")); len(line) > 0 && slices.Contains(eventFields, string(field)) {
+			return true
+		}
+	}
+	return false
+}
+
 // receiveStream waits for the first event of a response. On a resumed stream,
 // it is the event after the last one that was sent to the caller.
 func (x *exchange) receiveStream(a *attempt) (*Response, retrier.Event) {
@@ -92,6 +111,10 @@
 		// A server that crashes after the header ends the connection in the same way.
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil && x.deliveredEvents > 0 && !isEvent(event) {
+		// A server's error may come in the place of the rest.
+		err = errNoEvent
+	}
 	err = x.endWait(a, err)
 	if err == io.EOF {
 		a.complete = true
