Forwarder: the retry reserve is whole at the first start; requests count from their arrival

Cause: at the first start the reserve was withheld for what an earlier process may have spent, though there was none; and requests that wait in the queue paid for retries only once they were admitted, though the rule counts them from their sending.

Change: FirstStart means the whole reserve at once; the forwarder deposits a request when it arrives.

--- a/internal/forwarder/budget.go
+++ b/internal/forwarder/budget.go
@@ -27,7 +27,8 @@
 // retryBudgets holds the retry budgets of one entry instance, by service. The slack is divided
 // among the entry instances. The forwarder's lock guards it.
 type retryBudgets struct {
-	limits    retrier.Limits
+	limits retrier.Limits
+	// startedAt is when the process started, or zero if no process has run before.
 	startedAt time.Time
 	fleet     *enumerator.Enumerator
 	services  map[string]*serviceBudget
@@ -45,9 +46,14 @@
 	if window <= 0 {
 		window = retrier.DefaultWindow
 	}
+	startedAt := now
+	if s.FirstStart {
+		// No process before this one can have spent anything.
+		startedAt = time.Time{}
+	}
 	return retryBudgets{
 		limits:    retrier.Limits{Window: window},
-		startedAt: now,
+		startedAt: startedAt,
 		fleet:     enumerator.New(self, enumerator.Settings{Retention: retryEntryRetention, LeavingRetention: window}),
 		services:  make(map[string]*serviceBudget),
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -194,7 +194,11 @@
 	if err := f.blockedPart(r.PromptParts); err != nil {
 		return nil, &Refusal{Op: "begin", Kind: KindQuarantined, Outcome: retrier.NotRun, Route: x.route.Name, Service: x.pool.service, Model: x.pool.model, Err: err}
 	}
-	x.retryMachine = retrier.New(x.retryInfo(), f.retryBudgets.of(clocker.Now(), x.pool.service))
+	budget := f.retryBudgets.of(clocker.Now(), x.pool.service)
+	if r.Detour == nil {
+		budget.Deposit(clocker.Now())
+	}
+	x.retryMachine = retrier.New(x.retryInfo(), budget)
 	x.setContext(ctx)
 	return x, nil
 }
@@ -217,9 +221,10 @@
 		ResumeWait:  resumeWait,
 		VerdictWait: verdictWait,
 		MaxAttempts: max(1, x.route.MaxAttempts),
+		Deposited:   true,
 	}
 	if x.request.Detour != nil {
-		info.MaxAttempts, info.CountedElsewhere, info.VerdictWait = 1, true, 0
+		info.MaxAttempts, info.VerdictWait = 1, 0
 	}
 	return info
 }
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -41,7 +41,7 @@
 type budgetSlot struct{ requests, retries int }
 
 // NewBudget returns a budget of a process that started at a time. The zero time means that its
-// reserve need not grow, because it is not a part of an allowance of a fleet.
+// reserve need not grow, because no process before it can have spent any.
 func NewBudget(limits Limits, startedAt time.Time) *Budget {
 	if limits.Window <= 0 {
 		limits.Window = DefaultWindow
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -47,12 +47,12 @@
 	// MaxAttempts is the maximum number of attempts; 0 or less means
 	// [DefaultMaxAttempts].
 	MaxAttempts int
-	// VerdictWait is how long a request whose attempts are used up, and of which the caller
-	// has received a part, waits for the word that one of them does not count.
+	// VerdictWait is how long a request whose attempts are used up waits for the word that one
+	// of them does not count.
 	VerdictWait time.Duration
-	// CountedElsewhere reports whether the request was deposited in the retry budget of
-	// another entry instance, from which it came.
-	CountedElsewhere bool
+	// Deposited reports whether the request was deposited in a retry budget before, at its
+	// arrival here or at the entry instance from which it came.
+	Deposited bool
 }
 
 // EventKind is the kind of an [Event].
@@ -175,7 +175,7 @@
 func (m *Machine) Step(now time.Time, event Event) Action {
 	switch event.Kind {
 	case Started:
-		if !m.request.CountedElsewhere {
+		if !m.request.Deposited {
 			m.budget.Deposit(now)
 		}
 		return m.attempt(0)
