Forwarder: an attempt is excused only once its server's silence is confirmed

What callers and operators saw: requests ran on three backend servers where their route allows two (BUDGET). A request whose first server had lost it may run at another one; here that was concluded of servers that went on.

Also, a loss for all excused an attempt by the time since the attempt broke, not since the loss was found, so that a loss found at the second break excused the first. The class: a belief about others that stems from one's own state, used as a proof.

Change: a restart in the list is proof. A loss or a cut is confirmed first: a probe with 500 ms, which counts only if the process noticed its end in time; a loss must have lasted for 1 s besides. A request whose attempts are used up waits for that word for up to 600 ms, also if its caller has received nothing while a verdict is pending.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -384,7 +384,7 @@
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
 	now := clocker.Now()
-	event.Delivered = x.deliveredEvents
+	event.Delivered, event.VerdictPending = x.deliveredEvents, x.awaitsVerdict()
 	action := x.retryMachine.Step(now, event)
 	if action.Kind == retrier.Respond {
 		x.noteRetryDenied()
@@ -423,7 +423,7 @@
 			return nil, x.refusal(action)
 		case retrier.Wait:
 			x.wait(action.Delay)
-			event = retrier.Event{Kind: retrier.WaitElapsed, RefundAttempt: action.AwaitsVerdict && x.excuseCutOff()}
+			event = retrier.Event{Kind: retrier.WaitElapsed, RefundAttempt: action.AwaitsVerdict && x.excuseEnded()}
 		case retrier.Attempt:
 			response, next := x.startAttempt()
 			if response != nil {
--- a/internal/forwarder/excuse.go
+++ b/internal/forwarder/excuse.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// excuseDelay is how long ago an attempt must have broken to be excused by
-	// the loss of its server: two rechecks of the lost instances.
+	// excuseDelay is how long a server must have been lost for an attempt at it to be excused:
+	// two rechecks of the lost instances, and longer than a sound server falls silent.
 	excuseDelay = time.Second
 	// An excuse is checked excuseChecks times, each after excuseCheckInterval.
 	excuseChecks        = 3
@@ -38,24 +38,57 @@
 		x.counted = nil
 		return false
 	}
-	excused := x.takeBroken(now, x.excusableAttempt(now))
+	excused := x.takeBroken(now, x.excusableAttempt())
 	x.brokenAttempts = append(x.brokenAttempts, brokenAttempt{head: u.head(), at: now})
 	return excused
 }
 
-// excuseCutOff reports whether one of the broken attempts no longer counts against the
-// maximum, because its server is cut off from here.
-func (x *exchange) excuseCutOff() bool {
+// excuseEnded reports whether one of the broken attempts no longer counts against the maximum
+// by now.
+func (x *exchange) excuseEnded() bool {
 	now := clocker.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	return x.takeBroken(now, slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool { return x.f.isCutOff(b.head) }))
+	return x.takeBroken(now, x.excusableAttempt())
 }
 
-// isCutOff reports whether a server can't be reached over a path that is cut, and is not
-// known to be lost itself.
-func (f *Forwarder) isCutOff(in provider.Instance) bool {
-	return f.Observer.PathCut() && f.Observer.AnyLostOrRestarted([]provider.Instance{in}) && !f.Observer.LostForAllOrRestarted(in)
+// hasEnded reports whether the requests at a server have ended with it, or can't be reached
+// from here any more. A loss and a cut are beliefs, which a slow entry instance comes to
+// wrongly, so they are confirmed first.
+func (f *Forwarder) hasEnded(in provider.Instance) bool {
+	evidence := f.Observer.EndEvidence(in)
+	if evidence.Kind == observer.Restarted {
+		return true
+	}
+	if !mayHaveEnded(evidence) || !f.Observer.Silent(in) {
+		return false
+	}
+	return evidence.Kind == observer.CutOff || evidence.Age >= excuseDelay
+}
+
+// mayHaveEnded reports whether it will soon be known if the requests at a server have ended.
+func mayHaveEnded(e observer.EndEvidence) bool {
+	switch e.Kind {
+	case observer.NotEnded:
+		return false
+	case observer.LostForAll:
+		return e.Age >= excuseDelay-verdictWait
+	}
+	return true
+}
+
+// awaitsVerdict reports whether one of the broken attempts may soon be known not to count. The
+// caller holds f.mu.
+func (x *exchange) awaitsVerdict() bool {
+	return slices.ContainsFunc(x.brokenAttempts, func(b brokenAttempt) bool {
+		return !x.isReplaced(b) && mayHaveEnded(x.f.Observer.EndEvidence(b.head))
+	})
+}
+
+// isReplaced reports whether a broken attempt is the one that is being replaced, and so goes
+// on.
+func (x *exchange) isReplaced(b brokenAttempt) bool {
+	return x.counted != nil && x.counted.head().ID == b.head.ID
 }
 
 // takeBroken forgets the broken attempt with that index, and reports whether there is one.
@@ -71,18 +104,10 @@
 	return true
 }
 
-// excusableAttempt returns the index of a broken attempt that need not count against
-// the maximum, because its server is cut off from here, or because it broke at least
-// excuseDelay ago and its server is lost or has restarted, or -1. A server that was marked
-// lost only just now may respond again. The caller holds f.mu.
-func (x *exchange) excusableAttempt(now time.Time) int {
-	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool {
-		if x.counted != nil && x.counted.head().ID == b.head.ID {
-			// The attempt that is being replaced goes on.
-			return false
-		}
-		return x.f.isCutOff(b.head) || now.Sub(b.at) >= excuseDelay && x.f.Observer.LostForAllOrRestarted(b.head)
-	})
+// excusableAttempt returns the index of a broken attempt that need not count against the
+// maximum, because its server has ended or is cut off from here, or -1. The caller holds f.mu.
+func (x *exchange) excusableAttempt() int {
+	return slices.IndexFunc(x.brokenAttempts, func(b brokenAttempt) bool { return !x.isReplaced(b) && x.f.hasEnded(b.head) })
 }
 
 // excuse says that an attempt no longer counts, and on what evidence.
--- a/internal/forwarder/excuse_test.go
+++ b/internal/forwarder/excuse_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 // TestLossFoundLateDoesNotExcuseAttempt guards against a request on more servers than its
@@ -42,3 +45,55 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, reached.Load(), int32(2))
 }
+
+// slowView is the platform as an entry instance sees it that has so little processor time that
+// responses to probes take it a while. Its peers reach all servers.
+type slowView struct {
+	*platformStub
+	delay atomic.Int64
+}
+
+// Probe returns the response after the delay, or an error if the time for it is shorter.
+func (v *slowView) Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error {
+	delay := time.Duration(v.delay.Load())
+	time.Sleep(min(delay, timeout))
+	if delay > timeout {
+		return context.DeadlineExceeded
+	}
+	return v.platformStub.Probe(ctx, in, timeout)
+}
+
+// AskWitnesses returns that a peer reaches the server.
+func (v *slowView) AskWitnesses(context.Context, provider.Instance, int) []tracker.Testimony {
+	return []tracker.Testimony{tracker.Reached}
+}
+
+// TestSlowInstanceDoesNotExcuseAttempt guards against a request on more servers than its route
+// allows because an entry instance that is slow holds its path to the servers for cut, and so
+// the servers of broken attempts for cut off.
+func TestSlowInstanceDoesNotExcuseAttempt(t *testing.T) {
+	f := newFixture(t)
+	f.takeDetours("sound", f.forwarder)
+	view := &slowView{platformStub: f.platform}
+	slow, server := f.newForwarderOn(view)
+	var reached atomic.Int32
+	for _, name := range []string{"a", "b", "c"} {
+		f.addGroup(name, func(w http.ResponseWriter, r *http.Request) {
+			writeHeader(w, r, "text/event-stream")
+			writeAndFlush(w, testEvent(nextID(r)))
+			if reached.Add(1) == 1 {
+				view.delay.Store(int64(200 * time.Millisecond))
+				for !slow.Observer.PathCut() && r.Context().Err() == nil {
+					slow.Observer.Suspect(f.t.Context(), f.platform.allInstances())
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			resetConnection(w)
+		})
+	}
+	f.applyConfig()
+	f.eventually(func() bool { return slow.Observer.Config() != nil && len(slow.Observer.Groups("engines", "m")) == 3 })
+	_, _, err := f.callAt(server, "POST", "/stream/", "r", "k", "body", "")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, reached.Load(), int32(2))
+}
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -62,7 +62,7 @@
 // canRetry reports whether the request would get another attempt if the current one
 // broke now. The caller holds f.mu.
 func (x *exchange) canRetry(now time.Time) bool {
-	return x.retryMachine.CanRetry(now, x.excusableAttempt(now) >= 0)
+	return x.retryMachine.CanRetry(now, x.excusableAttempt() >= 0)
 }
 
 // crashEvidence describes an attempt that the server broke.
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -147,6 +147,8 @@
 	// instance has found for its peers, by incarnation of the backend server.
 	inquiries   chan struct{}
 	testimonies map[messenger.Loss]*testimony
+	// confirmations holds the probes that confirm the silence of instances.
+	confirmations map[messenger.Loss]confirmation
 	// pathCut receives a value when the path is found cut.
 	pathCut  chan struct{}
 	interval time.Duration
@@ -175,18 +177,19 @@
 // New returns an Observer with an empty view.
 func New(d Dependencies) *Observer {
 	return &Observer{
-		Dependencies: d,
-		tracker:      tracker.New(),
-		suspicions:   tracker.NewSuspicions(),
-		checkedAt:    make(map[string]time.Time),
-		ownLosses:    make(map[string]bool),
-		inquiries:    make(chan struct{}, maxInquiries),
-		testimonies:  make(map[messenger.Loss]*testimony),
-		pathCut:      make(chan struct{}, 1),
-		interval:     PollInterval,
-		changed:      make(chan struct{}, 1),
-		refresh:      make(chan struct{}, 1),
-		applied:      make(chan struct{}),
+		Dependencies:  d,
+		tracker:       tracker.New(),
+		suspicions:    tracker.NewSuspicions(),
+		checkedAt:     make(map[string]time.Time),
+		ownLosses:     make(map[string]bool),
+		inquiries:     make(chan struct{}, maxInquiries),
+		testimonies:   make(map[messenger.Loss]*testimony),
+		confirmations: make(map[messenger.Loss]confirmation),
+		pathCut:       make(chan struct{}, 1),
+		interval:      PollInterval,
+		changed:       make(chan struct{}, 1),
+		refresh:       make(chan struct{}, 1),
+		applied:       make(chan struct{}),
 	}
 }
 
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -97,6 +97,9 @@
 	// RefundAttempt reports whether a failed attempt does not count towards
 	// MaxAttempts because its backend server is lost.
 	RefundAttempt bool
+	// VerdictPending reports whether it may soon be known that a failed attempt does not
+	// count.
+	VerdictPending bool
 	// AvailableAt is the earliest time at which a backend server takes requests again,
 	// or zero if that is not known. It is used with NoBackend.
 	AvailableAt time.Time
@@ -328,12 +331,13 @@
 const verdictInterval = 50 * time.Millisecond
 
 // awaitVerdict waits until one of the attempts is known not to count. A request of which the
-// caller has received nothing ends at once, because the caller can send it again.
+// caller has received nothing ends at once unless a verdict is pending, because the caller can
+// send it again.
 func (m *Machine) awaitVerdict(now time.Time, event Event) Action {
 	if m.verdictBy.IsZero() {
 		m.verdictBy = now.Add(m.request.VerdictWait)
 	}
-	if event.Delivered == 0 || !now.Before(m.verdictBy) {
+	if event.Delivered == 0 && !event.VerdictPending || !now.Before(m.verdictBy) {
 		return m.respond(m.failure())
 	}
 	return Action{Kind: Wait, Delay: min(verdictInterval, m.verdictBy.Sub(now)), AwaitsVerdict: true}
--- a/pkg/retrier/script_test.go
+++ b/pkg/retrier/script_test.go
@@ -51,6 +51,7 @@
 			event := Event{Kind: eventNamed(d.Cmd)}
 			ms := 0
 			event.NothingSent, event.RefundAttempt = d.HasArg("nothing_sent"), d.HasArg("refund_attempt")
+			event.VerdictPending = d.HasArg("pending")
 			d.MaybeScanArgs(t, "delivered", &event.Delivered)
 			d.MaybeScanArgs(t, "at", &ms)
 			if d.HasArg("available_at") {
