Forwarder: another run in the list excuses an attempt only if it is a later one

An entry that names another run of a server that goes on (an older copy, an odd entry of another writer) made its attempt not count.

Cause: any other incarnation than that of the attempt counted as a restart.

Change: only an incarnation that is known to be later is proof; others go by the loss and its confirmation.

Evidence: TestEarlierRunDoesNotExcuseAttempt failed in 3 of 3 cases before (3 servers of 2) and passes. Limit: a foreign entry with a later start time still counts.

--- a/internal/forwarder/excuse_test.go
+++ b/internal/forwarder/excuse_test.go
@@ -46,6 +46,53 @@
 	assert.Equal(t, reached.Load(), int32(2))
 }
 
+// TestEarlierRunDoesNotExcuseAttempt guards against a request on more servers than its route
+// allows because an entry of another writer, or an older one, names another run of a server
+// that goes on.
+func TestEarlierRunDoesNotExcuseAttempt(t *testing.T) {
+	for name, incarnation := range map[string]string{"earlier": "0", "unknown": "", "no number": "odd"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var reached atomic.Int32
+			var first atomic.Value
+			for _, group := range []string{"a", "b", "c"} {
+				f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
+					n := int(reached.Add(1))
+					writeHeader(w, r, "text/event-stream")
+					writeAndFlush(w, testEvent(n))
+					switch n {
+					case 1:
+						first.Store(group + "-head")
+					case 2:
+						f.renameRun(first.Load().(string), incarnation)
+					}
+					resetConnection(w)
+				})
+			}
+			f.applyConfig()
+			_, _, err := f.call("POST", "/stream/", "r")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, reached.Load(), int32(2))
+		})
+	}
+}
+
+// renameRun gives the entry of a server another incarnation and waits until it is read.
+func (f *fixture) renameRun(id, incarnation string) {
+	f.platform.set(func(p *platformStub) {
+		for i := range p.instances {
+			if p.instances[i].ID == id {
+				p.instances[i].Incarnation = incarnation
+			}
+		}
+	})
+	f.eventually(func() bool {
+		current := provider.Instance{}
+		f.forwarder.Observer.WithTracker(func(t *tracker.Tracker) { current, _ = t.Instance(id) })
+		return current.Incarnation == incarnation
+	})
+}
+
 // slowView is the platform as an entry instance sees it that has so little processor time that
 // responses to probes take it a while. Its peers reach all servers.
 type slowView struct {
--- a/internal/observer/evidence.go
+++ b/internal/observer/evidence.go
@@ -5,6 +5,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
+	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
 //go:generate stringer -type=EndKind -linecomment -output=endkind_string.go
@@ -16,7 +17,7 @@
 const (
 	// NotEnded means that nothing speaks against the instance.
 	NotEnded EndKind = iota // none
-	// Restarted means that the list has another incarnation of the instance.
+	// Restarted means that the list has a later incarnation of the instance.
 	Restarted // restarted
 	// LostForAll means that the instance is lost for all entry instances.
 	LostForAll // lost
@@ -43,7 +44,7 @@
 	}
 	_, cut := o.tracker.PathCut()
 	switch {
-	case o.restarted(in):
+	case o.startedLater(in):
 		return EndEvidence{Kind: Restarted, FoundHere: true}
 	case o.tracker.LostForAll(in.ID):
 		evidence.Kind = LostForAll
@@ -54,3 +55,11 @@
 	}
 	return evidence
 }
+
+// startedLater reports whether a later run of an instance than this one is listed. Another
+// one that is not known to be later may come from an older copy or from another writer. The
+// caller holds o.mu.
+func (o *Observer) startedLater(in provider.Instance) bool {
+	now, listed := o.tracker.Instance(in.ID)
+	return listed && tracker.KnownLater(now.Incarnation, in.Incarnation)
+}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -277,6 +277,14 @@
 	return known, true
 }
 
+// KnownLater reports whether an incarnation of an instance is known to be later than another
+// one: both are numbers.
+func KnownLater(incarnation, other string) bool {
+	a, errA := strconv.ParseInt(incarnation, 10, 64)
+	b, errB := strconv.ParseInt(other, 10, 64)
+	return errA == nil && errB == nil && a > b
+}
+
 // startedLater reports whether an incarnation of an instance is later than another
 // one. Incarnations are compared as numbers; those that are none have no order and
 // count as later if they differ.
