--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -445,17 +446,33 @@
 	conn.Close()
 }
 
+// logHook is called with each log line, or nil. Handlers can't be replaced while the loops of a
+// forwarder log.
+var logHook atomic.Pointer[func(*log.Entry)]
+
+func init() {
+	handler := log.Log.(*log.Logger).Handler
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if hook := logHook.Load(); hook != nil {
+			(*hook)(e)
+		}
+		return handler.HandleLog(e)
+	}))
+}
+
 // onLogLine calls do each time the line is logged, in the goroutine that logs
 // it, until the test ends.
 func onLogLine(t *testing.T, line string, do func()) {
 	t.Helper()
-	logger := log.Log.(*log.Logger)
-	previous := logger.Handler
-	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+	previous := logHook.Load()
+	hook := func(e *log.Entry) {
 		if e.Message == line {
 			do()
 		}
-		return previous.HandleLog(e)
-	}))
-	t.Cleanup(func() { log.SetHandler(previous) })
+		if previous != nil {
+			(*previous)(e)
+		}
+	}
+	logHook.Store(&hook)
+	t.Cleanup(func() { logHook.Store(previous) })
 }
