--- a/internal/forwarder/budget_test.go
+++ b/internal/forwarder/budget_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -73,15 +74,28 @@
 	}
 }
 
-// runEntries starts an entry instance a number of times, one process after the other, each of
-// which takes some requests.
-func (f *fixture) runEntries(name string, starts, requests int) {
-	for start := range starts {
-		forwarder, server := f.newForwarderWith(f.platform, budgetSettings())
-		f.eventually(func() bool { return forwarder.Observer.Config() != nil && len(forwarder.Observer.Servers("plain")) > 0 })
-		for i := range requests {
-			f.callAt(server, "GET", "/safe/", name+"-"+strconv.Itoa(start)+"-"+strconv.Itoa(i), "k", "", "")
-		}
+// runEntries starts the entry instances a number of times, one process after the other, each of
+// which takes some requests. Each process sees as many peers.
+func (f *fixture) runEntries(peers, starts, requests int) {
+	f.platform.set(func(p *platformStub) { p.peers = peers })
+	f.applyConfig()
+	var entries sync.WaitGroup
+	for i := range budgetEntries {
+		entries.Go(func() {
+			for start := range starts {
+				f.runEntry(fmt.Sprintf("e%d-%d", i, start), requests)
+			}
+		})
+	}
+	entries.Wait()
+}
+
+// runEntry starts a process, which takes some requests.
+func (f *fixture) runEntry(name string, requests int) {
+	forwarder, server := f.newForwarderWith(f.platform, budgetSettings())
+	f.eventually(func() bool { return forwarder.Observer.Config() != nil && len(forwarder.Observer.Servers("plain")) > 0 })
+	for i := range requests {
+		f.callAt(server, "GET", "/safe/", name+"-"+strconv.Itoa(i), "k", "", "")
 	}
 }
 
@@ -90,13 +104,7 @@
 func TestRestartsKeepRetryBudget(t *testing.T) {
 	f := newFixture(t)
 	servers := newBreakingServers(f, "plain", 8)
-	f.platform.set(func(p *platformStub) { p.peers = budgetEntries - 1 })
-	f.applyConfig()
-	var entries sync.WaitGroup
-	for i := range budgetEntries {
-		entries.Go(func() { f.runEntries("e"+strconv.Itoa(i), 4, 10) })
-	}
-	entries.Wait()
+	f.runEntries(budgetEntries-1, 4, 10)
 	servers.checkRepeats(t)
 }
 
@@ -105,12 +113,7 @@
 func TestUnseenPeersKeepRetryBudget(t *testing.T) {
 	f := newFixture(t)
 	servers := newBreakingServers(f, "plain", 8)
-	f.applyConfig()
-	var entries sync.WaitGroup
-	for i := range budgetEntries {
-		entries.Go(func() { f.runEntries("e"+strconv.Itoa(i), 1, 15) })
-	}
-	entries.Wait()
+	f.runEntries(0, 1, 15)
 	servers.checkRepeats(t)
 }
 
--- a/internal/forwarder/excuse_test.go
+++ b/internal/forwarder/excuse_test.go
@@ -14,36 +14,45 @@
 	"github.com/waxwingmount/waxwingmount/pkg/tracker"
 )
 
-// TestLossFoundLateDoesNotExcuseAttempt guards against a request on more servers than its
-// route allows because the server of an attempt that broke long ago, and that goes on, is held
-// for lost at the moment of the next break.
-func TestLossFoundLateDoesNotExcuseAttempt(t *testing.T) {
-	f := newFixture(t)
+// checkTwoServers sends a stream to groups whose heads break it off, and checks that it reaches
+// two of them, as its route allows. The second head goes on for over a second and calls
+// beforeBreak with the first one, which has not ended, before it breaks the stream off.
+func checkTwoServers(f *fixture, beforeBreak func(first string)) {
+	f.t.Helper()
 	var reached atomic.Int32
 	var first atomic.Value
-	for _, name := range []string{"a", "b", "c"} {
-		f.addGroup(name, func(w http.ResponseWriter, r *http.Request) {
+	for _, group := range []string{"a", "b", "c"} {
+		f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
 			n := int(reached.Add(1))
 			writeHeader(w, r, "text/event-stream")
 			writeAndFlush(w, testEvent(n))
 			switch n {
 			case 1:
-				first.Store(name + "-head")
+				first.Store(group + "-head")
 			case 2:
 				for id := 3; id < 27; id++ {
 					time.Sleep(50 * time.Millisecond)
 					writeAndFlush(w, testEvent(id))
 				}
-				lost := messenger.Loss{Instance: first.Load().(string), Incarnation: "1"}
-				f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{lost}})
+				beforeBreak(first.Load().(string))
 			}
 			resetConnection(w)
 		})
 	}
 	f.applyConfig()
 	_, _, err := f.call("POST", "/stream/", "r")
-	assert.Assert(t, err != nil)
-	assert.Equal(t, reached.Load(), int32(2))
+	assert.Assert(f.t, err != nil)
+	assert.Equal(f.t, reached.Load(), int32(2))
+}
+
+// TestLossFoundLateDoesNotExcuseAttempt guards against a request on more servers than its
+// route allows because the server of an attempt that broke long ago, and that goes on, is held
+// for lost at the moment of the next break.
+func TestLossFoundLateDoesNotExcuseAttempt(t *testing.T) {
+	f := newFixture(t)
+	checkTwoServers(f, func(first string) {
+		f.forwarder.Observer.HandleLosses(messenger.LossesMessage{Losses: []messenger.Loss{{Instance: first, Incarnation: "1"}}})
+	})
 }
 
 // TestEarlierRunDoesNotExcuseAttempt guards against a request on more servers than its route
@@ -53,26 +62,7 @@
 	for name, incarnation := range map[string]string{"earlier": "0", "unknown": "", "no number": "odd"} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			var reached atomic.Int32
-			var first atomic.Value
-			for _, group := range []string{"a", "b", "c"} {
-				f.addGroup(group, func(w http.ResponseWriter, r *http.Request) {
-					n := int(reached.Add(1))
-					writeHeader(w, r, "text/event-stream")
-					writeAndFlush(w, testEvent(n))
-					switch n {
-					case 1:
-						first.Store(group + "-head")
-					case 2:
-						f.renameRun(first.Load().(string), incarnation)
-					}
-					resetConnection(w)
-				})
-			}
-			f.applyConfig()
-			_, _, err := f.call("POST", "/stream/", "r")
-			assert.Assert(t, err != nil)
-			assert.Equal(t, reached.Load(), int32(2))
+			checkTwoServers(f, func(first string) { f.renameRun(first, incarnation) })
 		})
 	}
 }
