Retrier: a denied retry is told of the event that it concerns; short windows

Cause: found in reading the change: a replacement whose retry was denied made the request that went on and completed log 'retry denied' too; and a window under 40 ns divided by zero. Change: the flag holds for the last event; a window has 40 ms at least. No decision changes otherwise.

--- a/internal/forwarder/budget.go
+++ b/internal/forwarder/budget.go
@@ -25,7 +25,8 @@
 )
 
 // retryBudgets holds the retry budgets of one entry instance, by service. The slack is divided
-// among the entry instances. The forwarder's lock guards it.
+// among the entry instances. The forwarder's lock guards it but for entriesAt, which only the
+// loop uses.
 type retryBudgets struct {
 	limits retrier.Limits
 	// startedAt is when the process started, or zero if no process has run before.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -401,7 +401,8 @@
 	return action
 }
 
-// noteRetryDenied logs and counts that the request ends because the retry budget is used up.
+// noteRetryDenied logs and counts that an attempt gets no other one because the retry budget is
+// used up.
 func (x *exchange) noteRetryDenied() {
 	if !x.retryMachine.RetryDenied() {
 		return
--- a/pkg/retrier/budget.go
+++ b/pkg/retrier/budget.go
@@ -11,8 +11,8 @@
 	Ratio float64
 	// Reserve is the number of retries allowed in a window beside those that requests pay for.
 	Reserve float64
-	// Window is the time over which requests and retries are counted. Zero means
-	// [DefaultWindow].
+	// Window is the time over which requests and retries are counted, 40 ms at least. Zero
+	// means [DefaultWindow].
 	Window time.Duration
 }
 
@@ -46,6 +46,7 @@
 	if limits.Window <= 0 {
 		limits.Window = DefaultWindow
 	}
+	limits.Window = max(limits.Window, budgetSlots*time.Millisecond)
 	return &Budget{limits: limits, startedAt: startedAt}
 }
 
--- a/pkg/retrier/fleet_test.go
+++ b/pkg/retrier/fleet_test.go
@@ -203,3 +203,12 @@
 		})
 	}
 }
+
+// TestShortWindow guards against a window that is too short to be divided.
+func TestShortWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(Limits{Ratio: 1, Window: 1}, now)
+	b.Deposit(now)
+	assert.Assert(t, b.Withdraw(now))
+	assert.Assert(t, !b.Withdraw(now))
+}
--- a/pkg/retrier/machine.go
+++ b/pkg/retrier/machine.go
@@ -152,7 +152,7 @@
 	mayHaveRun bool
 	// chargedAt is when the last attempt was charged to the budget, or zero if it was not.
 	chargedAt time.Time
-	// denied reports whether the budget allowed no other attempt.
+	// denied reports whether the budget allowed no other attempt at the last event.
 	denied bool
 	done   bool
 }
@@ -171,11 +171,13 @@
 // Charged reports whether the last attempt was charged to the retry budget.
 func (m *Machine) Charged() bool { return !m.chargedAt.IsZero() }
 
-// RetryDenied reports whether the request ended because the retry budget was used up.
+// RetryDenied reports whether the last event got no other attempt because the retry budget is
+// used up.
 func (m *Machine) RetryDenied() bool { return m.denied }
 
 // Step handles an event and returns the next action.
 func (m *Machine) Step(now time.Time, event Event) Action {
+	m.denied = false
 	switch event.Kind {
 	case Started:
 		if !m.request.Deposited {
