--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -41,6 +41,8 @@
 	switch name, daemon, dir, path := os.Args[1], os.Args[2], os.Args[3], os.Args[4]; name {
 	case "memory":
 		os.Exit(runMemory(dir, daemon, path, trouble))
+	case "settings":
+		os.Exit(runSettings(dir, daemon, path, trouble))
 	case "dark":
 		os.Exit(runDark(dir, daemon, path, trouble))
 	case "restart":
--- a/review/_lab/memory.go
+++ b/review/_lab/memory.go
@@ -22,6 +22,8 @@
 	bodyLimit   = 4 << 20
 	timeLimit   = 8 * time.Second
 	streamRoute = "/lohu930/"
+	// pauseAfterFailure is how long a consumer whose request has failed waits before its next one.
+	pauseAfterFailure = time.Second
 )
 
 func post(url string, body []byte) error {
@@ -188,7 +190,7 @@
 	var client *http.Client
 	var machine *entry
 	for k := 0; !c.stop.Load(); k++ {
-		until := time.Now().Add(timeLimit)
+		until, served := time.Now().Add(timeLimit), false
 		for try := 0; try < 2 && time.Until(until) > time.Second; try++ {
 			if client == nil {
 				if machine = c.resolve(zone); machine == nil {
@@ -200,8 +202,8 @@
 				}}
 			}
 			id := fmt.Sprintf("%04x%04x%04x", n, k, try)
-			wait, ok := c.send(client, machine, id, body, until, n)
-			if ok {
+			var wait time.Duration
+			if wait, served = c.send(client, machine, id, body, until, n); served {
 				break
 			}
 			client.CloseIdleConnections()
@@ -210,6 +212,9 @@
 				time.Sleep(wait)
 			}
 		}
+		if !served {
+			time.Sleep(pauseAfterFailure)
+		}
 	}
 }
 
