Server: sockets, heads and writes of clients are bounded

Callers saw: their entry instance killed for its memory while others sent bodies far over the limit, or heads of nearly 1 MB, or didn't read.

Cause: bytes in sockets count as memory, and the kernel grows the buffers of each connection to megabytes; net/http takes heads of 1 MB; a write to a client that reads nothing never ends.

Ruled out: a bound on what is read alone, which leaves the bytes in sockets.

Change: a Limiter holds what the clients of one listener take, decided by pkg/reclaimer: connections, heads, bodies, and who gives way. Buffers are 32 KB from the listener on. A write waits for 30 s without progress. The rest of a refused body is read for at most 1 s. Heads that are too slow and idle connections are closed by bounds that may change while the server runs.

Why it works: nothing is left unread beyond the fixed buffers, and what is read is counted.

--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -46,6 +46,7 @@
 	LinePeerClock         = "peer clock"
 	LinePeerSeen          = "peer seen"
 	LinePeerSilent        = "peer silent"
+	LineClientsTurnedAway = "clients turned away"
 	LineDropped           = "log lines dropped"
 	LineEntryReady        = "entry instance serves"
 	LineEntryStopping     = "entry instance leaves"
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,10 +1,15 @@
-// Package server runs an HTTP server in the background, with timeouts against
-// slow clients.
+// Package server runs an HTTP server in the background. Its clients may misbehave: what they
+// take of memory, connections and time is bounded, and given to others when it is short
+// (docs/design/caller-limits.md).
 //
 // # Usage
 //
-//	s, err := server.Start(address, handler, server.WithTLS(config))
+//	limiter := server.NewLimiter(server.LimiterSettings{Name: "callers", Connections: 500, Memory: 16 << 20})
+//	s, err := server.Start(address, handler, server.WithLimiter(limiter), server.WithTLS(config))
 //	s.Stop(ctx, lastResponses)
+//
+// Sizes are in bytes. Errors of reading a request's body are of type *[Error] if the client or
+// the memory is the cause.
 package server
 
 import (
@@ -20,21 +25,32 @@
 )
 
 const (
-	// readHeaderTimeout is the timeout for reading the request headers, and
-	// readTimeout for reading the whole request.
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	// idleTimeout is the timeout of an idle connection. It is twice the longest
-	// time for which users' callers leave a connection idle.
-	idleTimeout = time.Minute
+	// readTimeout is the timeout for reading a whole request.
+	readTimeout = 30 * time.Second
 	// checkInterval is the time between two looks at the connections while the server stops.
 	checkInterval = 10 * time.Millisecond
+	// maxStreams bounds the requests at a time on one HTTP/2 connection, and
+	// connectionBufferBytes and streamBufferBytes what is received and not read of them.
+	maxStreams            = 100
+	connectionBufferBytes = 64 << 10
+	streamBufferBytes     = 32 << 10
+)
+
+// The largest [Bounds].
+const (
+	// MaxHeaderBytes is the largest bound on the head of a request.
+	MaxHeaderBytes = 256 << 10
+	// MaxHeadTimeout is the longest time for the head of a request.
+	MaxHeadTimeout = readTimeout
+	// MaxIdleTimeout is the longest time for which an idle connection is kept.
+	MaxIdleTimeout = time.Hour
 )
 
 // Server serves one handler at one address.
 type Server struct {
 	http.Server
 	listener net.Listener
+	limiter  *Limiter
 	conns    *connections
 	// stopping says that the listener is closed.
 	stopping atomic.Bool
@@ -51,29 +67,50 @@
 	return func(s *Server) { s.TLSConfig = config }
 }
 
+// WithLimiter bounds what the clients of the server take. Without it, only time is bounded.
+func WithLimiter(l *Limiter) Option {
+	return func(s *Server) { s.limiter = l }
+}
+
 // Start listens on address and serves in the background until the server is shut
 // down. The error is that of listening.
 func Start(address netip.AddrPort, handler http.Handler, options ...Option) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := Listen(address)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{listener: listener, conns: newConnections(), Server: http.Server{
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: MaxHeadTimeout,
 		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       MaxIdleTimeout,
+		MaxHeaderBytes:    MaxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: connectionBufferBytes,
+			MaxReceiveBufferPerStream:     streamBufferBytes,
+		},
 	}}
 	s.base, s.endRequests = context.WithCancel(context.Background())
-	s.ConnState = s.conns.handle
+	s.ConnState = s.handleState
+	s.ConnContext = WithConn
 	s.BaseContext = func(net.Listener) context.Context { return s.base }
-	s.Handler = s.endReadsOf(handler)
 	for _, option := range options {
 		option(s)
 	}
+	if s.limiter == nil {
+		s.limiter = NewLimiter(LimiterSettings{})
+	}
+	s.Handler = s.endReadsOf(s.limiter.Handler(handler))
 	go s.run()
 	return s, nil
 }
 
+// handleState records a change of a connection's state.
+func (s *Server) handleState(c net.Conn, state http.ConnState) {
+	HandleState(c, state)
+	s.conns.handle(c, state)
+}
+
 // endReadsOf returns a handler that stops reading a request once its context ends, so that its
 // caller can be told, and that closes each connection after its response once the server stops.
 func (s *Server) endReadsOf(handler http.Handler) http.Handler {
@@ -139,7 +176,7 @@
 	if s.TLSConfig != nil {
 		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
 	}
-	if err := serve(s.listener); err != http.ErrServerClosed && !s.stopping.Load() {
+	if err := serve(&limitedListener{Listener: s.listener, limiter: s.limiter}); err != http.ErrServerClosed && !s.stopping.Load() {
 		log.WithError(err).Error("HTTP server failed")
 	}
 }
--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -134,7 +134,8 @@
 	var data []byte
 	for {
 		if len(data) == cap(data) {
-			next := max(firstRead, 2*int64(cap(data)))
+			// One byte more than the limit shows that it is exceeded.
+			next := min(max(firstRead, 2*int64(cap(data))), max(limit+1, firstRead))
 			if share != nil {
 				// The old buffer is free only after the copy.
 				if err := share.Resize(next + int64(cap(data))); err != nil {
--- a/pkg/bounder/bounder_test.go
+++ b/pkg/bounder/bounder_test.go
@@ -86,6 +86,29 @@
 	assert.Assert(t, budget.Used() <= capacity)
 }
 
+// TestBufferFollowsWhatArrives guards against a length that is only announced, or a limit far
+// above what comes, taking memory; and against a buffer of nearly twice the limit.
+func TestBufferFollowsWhatArrives(t *testing.T) {
+	for _, test := range []struct {
+		sent      int
+		limit     int64
+		atMost    int64
+		wantError bool
+	}{
+		{sent: 100, limit: 8 << 20, atMost: firstRead},
+		{sent: 5000, limit: 8 << 20, atMost: 4 * firstRead},
+		{sent: 1 << 20, limit: 1 << 20, atMost: 1<<20 + 1},
+		{sent: 1<<20 + 1, limit: 1 << 20, atMost: 1<<20 + 1, wantError: true},
+	} {
+		budget := NewBudget(16 << 20)
+		share := budget.Open()
+		data, err := ReadAll(strings.NewReader(strings.Repeat("x", test.sent)), test.limit, share)
+		assert.Equal(t, err != nil, test.wantError)
+		assert.Assert(t, int64(cap(data)) <= test.atMost, "%d bytes", cap(data))
+		assert.Assert(t, budget.Used() <= test.atMost, "%d bytes", budget.Used())
+	}
+}
+
 // FuzzReadAll checks for any chunks of any response that the result is the whole response
 // or an error, and that the budget gets everything back.
 func FuzzReadAll(f *testing.F) {
