Configuration: limits of heads and of idle connections are read

Callers saw: nothing yet; limits that the operator has written were not in force. A head could have 1 MB and take 5 s, a connection be idle for a minute, whatever the configuration said, and a limit above these would have refused callers within it.

Cause: max_header_bytes, header_timeout_ms and idle_timeout_ms were not decoded; the timeouts were constants of internal/server.

--- a/pkg/mapper/config.go
+++ b/pkg/mapper/config.go
@@ -139,8 +139,13 @@
 
 // Limits are the limits on requests.
 type Limits struct {
-	// BodyBytes is the maximum length of a body in bytes; 0 means not set.
-	BodyBytes int64
+	// BodyBytes is the maximum length of a body in bytes, and HeaderBytes that of a head; 0
+	// means not set.
+	BodyBytes   int64
+	HeaderBytes int
+	// HeadTimeout is the time within which the head of a request must arrive, and IdleTimeout
+	// that for which a connection without a request is kept; 0 means not set.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // Config is one version of the operator's configuration.
