Forwarder: requests of callers share a part of the memory

Cause: a body was read whole with no bound for all of them together, kept while the request waits and runs, and counted by nobody; a head likewise.

Ruled out: the runtime's soft limit, which bounds garbage and not live bytes; chunks of a byte, which cost what their bytes do.

Change: the requests of callers take their memory from the part that internal/partitioner leaves them. A length over the limit is refused before it is read. A body that is too slow gets 408, where it got 400. At most 5 lines a second say so. The configuration's limits on heads and idle connections are in force.

Why it works: what is in memory is counted as it arrives, and a crowd that stops keeps nothing that others need.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -121,13 +121,8 @@
 	return node.Run(ctx)
 }
 
-const (
-	// memoryLimitFraction is the fraction of the instance's memory that is set as
-	// the soft limit of the Go runtime; the rest is for stacks and sockets.
-	memoryLimitFraction = 0.6
-	// gcPercent is above the default of 100 to save CPU time at the cost of memory.
-	gcPercent = 200
-)
+// gcPercent is above the default of 100 to save CPU time at the cost of memory.
+const gcPercent = 200
 
 // hostedOption changes the settings that the platform provides.
 type hostedOption func(*hostedrunner.Settings)
@@ -147,8 +142,8 @@
 	}
 	process := hostedrunner.Process{Process: logger.NewProcess(settings.Hosted.ID), LinesDropped: writer.Dropped}
 	log.SetHandler(process.WrapHandler(json.New(writer)))
-	if settings.Hosted.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Hosted.MemoryBytes)))
+	if limit := settings.Hosted.Parts().RuntimeMemory; limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	debug.SetGCPercent(gcPercent)
 	client := platform.NewClient(settings.Store)
--- a/internal/forwarder/endless_head_test.go
+++ b/internal/forwarder/endless_head_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -55,7 +56,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			grown := growthOfStalled(t, begin) - short
-			assert.Assert(t, grown <= defaultResponseMemory, "%d MB", grown>>20)
+			assert.Assert(t, grown <= partitioner.DefaultResponses, "%d MB", grown>>20)
 		})
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,9 +30,11 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
@@ -85,11 +87,6 @@
 
 	// maxResponseHeaderBytes bounds the header of a server's response.
 	maxResponseHeaderBytes = 64 << 10
-	// responseMemoryDivisor is the ratio of a process's memory to the part that the
-	// responses in progress may take together; defaultResponseMemory is that part if the
-	// memory is not known.
-	responseMemoryDivisor = 8
-	defaultResponseMemory = 64 << 20
 
 	// queueLength is how many requests may wait for one pool.
 	queueLength = 256
@@ -157,6 +154,8 @@
 	transport *http.Transport
 	metrics   *metrics
 	permits   *permits
+	// bodyRefusalLines bounds the log lines about bodies that are refused.
+	bodyRefusalLines *rate.Limiter
 	// responses is the memory that the responses in progress may take together.
 	responses *bounder.Budget
 	// Works holds the work in progress, by the name of the upstream that runs it, and Pools
@@ -207,22 +206,23 @@
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
-		metrics:        newMetrics(d.Scope),
-		permits:        newPermits(d.Scope),
-		responses:      bounder.NewBudget(responseMemory(d.MemoryBytes)),
-		screener:       screener.New(),
-		warmUps:        warmUps{warmer: warmer.New(clocker.Now(), d.Entry)},
-		prefixes:       prefixer.New(),
-		random:         random,
-		detourPeers:    pathfinder.NewPeers(random),
-		tracker:        router.NewLoadTracker(),
-		upstreams:      make(map[string]*upstream),
-		pools:          make(map[poolKey]*pool),
-		quarantine:     quarantiner.New(strikeLimit, StrikeExpiry, strikeCapacity),
-		parts:          quarantiner.NewPartQuarantine(partLimits),
-		recentRefusals: recentRefusals,
-		wake:           make(chan struct{}, 1),
-		retryBudgets:   newRetryBudgets(clocker.Now(), d.Entry, d.Settings),
+		metrics:          newMetrics(d.Scope),
+		permits:          newPermits(d.Scope),
+		responses:        bounder.NewBudget(partitioner.Divide(partitioner.Resources{MemoryBytes: d.MemoryBytes}).Responses),
+		bodyRefusalLines: rate.NewLimiter(bodyRefusalLinesPerSecond, bodyRefusalLinesPerSecond),
+		screener:         screener.New(),
+		warmUps:          warmUps{warmer: warmer.New(clocker.Now(), d.Entry)},
+		prefixes:         prefixer.New(),
+		random:           random,
+		detourPeers:      pathfinder.NewPeers(random),
+		tracker:          router.NewLoadTracker(),
+		upstreams:        make(map[string]*upstream),
+		pools:            make(map[poolKey]*pool),
+		quarantine:       quarantiner.New(strikeLimit, StrikeExpiry, strikeCapacity),
+		parts:            quarantiner.NewPartQuarantine(partLimits),
+		recentRefusals:   recentRefusals,
+		wake:             make(chan struct{}, 1),
+		retryBudgets:     newRetryBudgets(clocker.Now(), d.Entry, d.Settings),
 	}
 	f.Works = &Reports[estimator.Work]{mu: &f.mu, table: estimator.NewReportTable[estimator.Work](), local: f.localWork}
 	f.Pools = &Reports[estimator.PoolReport]{mu: &f.mu, table: estimator.NewReportTable[estimator.PoolReport](), local: f.localPools}
@@ -231,15 +231,6 @@
 	return f
 }
 
-// responseMemory returns the memory for responses in progress of a process with that
-// memory.
-func responseMemory(process int64) int64 {
-	if process <= 0 {
-		return defaultResponseMemory
-	}
-	return process / responseMemoryDivisor
-}
-
 // Configure replaces the settings.
 func (f *Forwarder) Configure(s Settings) {
 	f.settings.Store(&s)
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,11 +14,17 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/internal/server"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
-// defaultMaxBodyBytes bounds a request's body before there is a configuration.
-const defaultMaxBodyBytes = 4 << 20
+const (
+	// defaultMaxBodyBytes bounds a request's body before there is a configuration.
+	defaultMaxBodyBytes = 4 << 20
+	// bodyRefusalLinesPerSecond bounds the log lines about bodies that are refused.
+	bodyRefusalLinesPerSecond = 5
+)
 
 // Handler returns the HTTP handler for callers.
 func (f *Forwarder) Handler() http.Handler {
@@ -57,19 +63,9 @@
 	if config := f.Observer.Config(); config != nil && config.Limits.BodyBytes > 0 {
 		limit = config.Limits.BodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	body, err := server.ReadBody(r, limit)
 	if err != nil {
-		kind := KindMalformed
-		if errors.HasType(err, (*http.MaxBytesError)(nil)) {
-			kind = KindTooLarge
-		}
-		if ctx.Err() != nil {
-			// The process ends before the whole request has arrived.
-			refusal := shuttingDown("decode")
-			refusal.Err = err
-			return nil, refusal
-		}
-		return nil, &Refusal{Op: "decode", Kind: kind, Outcome: retrier.NotRun, Err: err}
+		return nil, bodyRefusal(ctx, err)
 	}
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -87,6 +83,30 @@
 	}, nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(ctx context.Context, err error) *Refusal {
+	refusal := &Refusal{Op: "decode", Kind: KindMalformed, Outcome: retrier.NotRun, Err: err}
+	kind, known := faulter.KindOf[server.Kind](err)
+	switch {
+	case ctx.Err() != nil:
+		// The process ends before the whole request has arrived.
+		refusal = shuttingDown("decode")
+		refusal.Err = err
+	case known && kind == server.KindTooLarge:
+		refusal.Kind = KindTooLarge
+	case known && kind == server.KindTooSlow:
+		refusal.Kind = KindTooSlow
+	case known && kind == server.KindNoMemory:
+		refusal.Kind, refusal.RetryAfter = KindNoMemory, jitter(defaultRetryAfter)
+	}
+	return refusal
+}
+
+// isOfBody reports whether a request is refused before its body has been read.
+func (r *Refusal) isOfBody() bool {
+	return slices.Contains([]Kind{KindTooLarge, KindTooSlow, KindNoMemory, KindMalformed}, r.Kind)
+}
+
 // encode writes a response to its caller.
 func (f *Forwarder) encode(_ context.Context, w http.ResponseWriter, response any) error {
 	result := response.(*Response)
@@ -127,6 +147,20 @@
 	}
 	status := refusal.Status()
 	f.metrics.recordRefusal(refusal)
+	f.logRefusal(id, status, refusal)
+	if refusal.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// logRefusal logs a refusal. Those of bodies are caused by callers alone, and there may be any
+// number of them.
+func (f *Forwarder) logRefusal(id string, status int, refusal *Refusal) {
+	if refusal.isOfBody() && !f.bodyRefusalLines.Allow() {
+		return
+	}
 	line := log.WithFields(log.Fields{
 		logger.FieldRequest: id, "route": refusal.Route, logger.FieldService: refusal.Service, logger.FieldModel: refusal.Model, "lanes": refusal.Upstreams, logger.FieldKind: refusal.Kind.String(), logger.FieldOutcome: refusal.Outcome.String(), "status": status,
 		"retry_after": refusal.RetryAfter.String(), "config_age": f.Observer.ConfigAge().Round(time.Millisecond).String(),
@@ -141,8 +175,4 @@
 		line = line.WithError(refusal.Err)
 	}
 	line.Info(logger.LineRefused)
-	if refusal.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(status)
 }
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -28,6 +28,11 @@
 	KindTooLarge // too_large
 	// KindMalformed means that the request could not be read.
 	KindMalformed // malformed
+	// KindTooSlow means that the request did not arrive in time, or made no progress while
+	// memory was short.
+	KindTooSlow // too_slow
+	// KindNoMemory means that the memory for requests is in use.
+	KindNoMemory // no_memory
 	// KindOverloaded means that too many requests are queued.
 	KindOverloaded // overloaded
 	// KindNoServer means that there is no server to which the request may be
@@ -97,6 +102,8 @@
 		return http.StatusRequestEntityTooLarge
 	case KindMalformed:
 		return http.StatusBadRequest
+	case KindTooSlow:
+		return http.StatusRequestTimeout
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -12,12 +12,13 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 )
 
 func readEvents(t *testing.T, stream string) []string {
 	t.Helper()
-	a := &attempt{reader: bufio.NewReaderSize(strings.NewReader(stream), streamBufferBytes), memory: bounder.NewBudget(defaultResponseMemory).Open()}
+	a := &attempt{reader: bufio.NewReaderSize(strings.NewReader(stream), streamBufferBytes), memory: bounder.NewBudget(partitioner.DefaultResponses).Open()}
 	defer a.memory.Close()
 	var events []string
 	for {
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -38,6 +37,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/orchestrator"
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/internal/relayer"
 	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
@@ -160,12 +160,6 @@
 	// readers and relays.
 	storeDelay = 3 * time.Second
 
-	// detourMemoryDivisor is the ratio of the process's memory to the part that the bodies of
-	// requests from peers may take together; defaultDetourMemory is that part if the memory is
-	// not known.
-	detourMemoryDivisor = 16
-	defaultDetourMemory = 32 << 20
-
 	metricsInterval = time.Second
 	// shutdownCallTimeout limits both announcing the shutdown and giving up the
 	// control lease.
@@ -289,12 +283,9 @@
 	return len(s.Seeds) + 1
 }
 
-// detourMemory returns the memory for the bodies of requests that peers hand over.
-func (s Settings) detourMemory() int64 {
-	if s.MemoryBytes <= 0 {
-		return defaultDetourMemory
-	}
-	return s.MemoryBytes / detourMemoryDivisor
+// Parts returns what the parts of the process may take.
+func (s Settings) Parts() partitioner.Parts {
+	return partitioner.Divide(partitioner.Resources{MemoryBytes: s.MemoryBytes})
 }
 
 // storeDelay returns how long this instance leaves the store to its peers after its
@@ -347,17 +338,19 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	listener, err := net.Listen("tcp", n.settings.PeerAddress.String())
+	listener, err := server.Listen(n.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
+	parts := n.settings.Parts()
 	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read,
-		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour, detourer.WithMemory(bounder.NewBudget(n.settings.detourMemory())))))
+		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour, detourer.WithMemory(bounder.NewBudget(parts.Hops)))))
 	if err != nil {
 		return err
 	}
 	go peerServer.Serve(background, listener)
-	callerServer, err := server.Start(n.settings.CallerAddress, n.forwarder.Handler())
+	callerServer, err := server.Start(n.settings.CallerAddress, n.forwarder.Handler(),
+		server.WithLimiter(n.limiter("callers", parts.Requests)))
 	if err != nil {
 		return err
 	}
@@ -389,6 +382,20 @@
 	return n.stop(callerServer)
 }
 
+// limiter returns the limiter of a listener.
+func (n *Node) limiter(name string, memory int64) *server.Limiter {
+	return server.NewLimiter(server.LimiterSettings{Name: name, Memory: memory, Bounds: n.clientBounds, Scope: n.scope})
+}
+
+// clientBounds returns what the configuration in force allows to clients.
+func (n *Node) clientBounds() server.Bounds {
+	config := n.observer.Config()
+	if config == nil {
+		return server.Bounds{}
+	}
+	return server.Bounds{HeaderBytes: config.Limits.HeaderBytes, HeadTimeout: config.Limits.HeadTimeout, IdleTimeout: config.Limits.IdleTimeout}
+}
+
 // stop announces the shutdown, keeps serving while callers may have the address
 // cached, completes the requests in flight, and closes the connections.
 func (n *Node) stop(callerServer *server.Server) error {
