Hosted mode: each port has a part of the connections

Callers saw: requests that fail or wait while others hold connections and send nothing: with 1,024 descriptors all were in use, and the process could dial neither servers nor the store.

Cause: max_fds was not read, and nothing bounded the connections of any port; all ports share the descriptors of the process.

Ruled out: to stop accepting, since connections then wait in the kernel's queue, where ordinary callers stand behind the others.

Change: internal/partitioner gives callers 0.4 of the sockets (max_fds or the operating system's limit, less 200 for files), at most one for 256 KB of memory, and the directory, readiness and metrics smaller parts. When a part is used up, the connection gives way that has no whole request for the longest time, at least 1 s, or takes nothing of its response; then the one that is idle for longest; else the new one is closed.

Why it works: what holds up the process gives way within a second, and the rest of the descriptors stay free for servers, peers and the store.

--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -61,8 +61,10 @@
 	MetricsAddress   netip.AddrPort
 	// Seeds are peer addresses for discovery while the table is unavailable.
 	Seeds []netip.AddrPort
-	// MemoryBytes limits the process's memory; zero means no limit is given.
-	MemoryBytes int64
+	// MemoryBytes limits the process's memory, and MaxDescriptors its descriptors; zero means no
+	// limit is given.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// KeyTTL is the age of the configuration from which all API keys are
 	// rejected.
 	KeyTTL time.Duration
@@ -285,7 +287,7 @@
 
 // Parts returns what the parts of the process may take.
 func (s Settings) Parts() partitioner.Parts {
-	return partitioner.Divide(partitioner.Resources{MemoryBytes: s.MemoryBytes})
+	return partitioner.Divide(partitioner.Resources{MemoryBytes: s.MemoryBytes, Descriptors: server.MaxDescriptors(s.MaxDescriptors)})
 }
 
 // storeDelay returns how long this instance leaves the store to its peers after its
@@ -350,21 +352,12 @@
 	}
 	go peerServer.Serve(background, listener)
 	callerServer, err := server.Start(n.settings.CallerAddress, n.forwarder.Handler(),
-		server.WithLimiter(n.limiter("callers", parts.Requests)))
+		server.WithLimiter(n.limiter("callers", parts.CallerConnections, parts.Requests)))
 	if err != nil {
 		return err
 	}
-	for address, handler := range map[netip.AddrPort]http.Handler{
-		n.settings.ReadinessAddress: n.platform.NewReadinessHandler(n.ready),
-		n.settings.DirectoryAddress: n.platform.NewDirectoryHandler(n),
-		n.settings.MetricsAddress:   n.metricsHandler(),
-	} {
-		if !address.IsValid() {
-			continue
-		}
-		if _, err := server.Start(address, handler); err != nil {
-			return err
-		}
+	if err := n.startOtherServers(parts); err != nil {
+		return err
 	}
 	n.observer.Start(background)
 	n.discoverer.Start(background)
@@ -383,8 +376,8 @@
 }
 
 // limiter returns the limiter of a listener.
-func (n *Node) limiter(name string, memory int64) *server.Limiter {
-	return server.NewLimiter(server.LimiterSettings{Name: name, Memory: memory, Bounds: n.clientBounds, Scope: n.scope})
+func (n *Node) limiter(name string, connections int, memory int64) *server.Limiter {
+	return server.NewLimiter(server.LimiterSettings{Name: name, Connections: connections, Memory: memory, Bounds: n.clientBounds, Scope: n.scope})
 }
 
 // clientBounds returns what the configuration in force allows to clients.
@@ -396,6 +389,28 @@
 	return server.Bounds{HeaderBytes: config.Limits.HeaderBytes, HeadTimeout: config.Limits.HeadTimeout, IdleTimeout: config.Limits.IdleTimeout}
 }
 
+// startOtherServers starts the servers of readiness, the directory and metrics.
+func (n *Node) startOtherServers(parts partitioner.Parts) error {
+	for _, s := range []struct {
+		name        string
+		address     netip.AddrPort
+		handler     http.Handler
+		connections int
+	}{
+		{"readiness", n.settings.ReadinessAddress, n.platform.NewReadinessHandler(n.ready), parts.ControlConnections},
+		{"directory", n.settings.DirectoryAddress, n.platform.NewDirectoryHandler(n), parts.DirectoryConnections},
+		{"metrics", n.settings.MetricsAddress, n.metricsHandler(), parts.ControlConnections},
+	} {
+		if !s.address.IsValid() {
+			continue
+		}
+		if _, err := server.Start(s.address, s.handler, server.WithLimiter(n.limiter(s.name, s.connections, parts.Control))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop announces the shutdown, keeps serving while callers may have the address
 // cached, completes the requests in flight, and closes the connections.
 func (n *Node) stop(callerServer *server.Server) error {
