Peers: connections and hops are bounded, and give way

Callers saw: nothing in hosted mode but what uses up descriptors: with 1,500 connections to the peers' port that send nothing, all 1,024 were in use. A hop whose sender stops kept its part of the memory for 10 s.

Cause: any number of connections was accepted at the peers' port, and 512 hop connections had buffers of 256 KB in the kernel each, 128 MB and more.

Change: the peers' port has a Limiter like the others. Bodies that peers hand over take their memory from it, so that one without progress gives way to others, in place of a budget of their own. A connection for calls counts as idle since its last byte.

Throughput of hops was not measured.

--- a/internal/detourer/detourer_test.go
+++ b/internal/detourer/detourer_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -53,6 +54,12 @@
 	return servePeer(t, messenger.WithDetourHandler(NewHandler(run, options...)))
 }
 
+// limitMemory returns an option that bounds the memory of all requests, and the limiter.
+func limitMemory(bytes int64) (messenger.ServerOption, *server.Limiter) {
+	limiter := server.NewLimiter(server.LimiterSettings{Memory: bytes})
+	return messenger.WithLimiter(limiter), limiter
+}
+
 func newTestClient(t testing.TB, options ...ClientOption) *Client {
 	t.Helper()
 	pool := messenger.NewPool(messenger.Security{Token: testToken})
--- a/internal/detourer/failure_test.go
+++ b/internal/detourer/failure_test.go
@@ -20,7 +20,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
-	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -148,7 +147,7 @@
 				handler.ServeHTTP(w, r)
 				return
 			}
-			_, err := readEnvelope(r.Body, defaultMaxBodyBytes, nil)
+			_, err := readEnvelope(r.Body, defaultMaxBodyBytes)
 			assert.Check(t, err)
 			runs.Add(1)
 			closeConn(t, w)
@@ -479,14 +478,15 @@
 	_, _, err = c.Do(t.Context(), peer, e)
 	assert.Equal(t, kindOf(t, err), KindMalformed)
 
-	for kind, option := range map[string]HandlerOption{
-		RefusalTooLarge: WithMaxBody(1000),
-		RefusalNoMemory: WithMemory(bounder.NewBudget(100 << 10)),
+	noMemory, _ := limitMemory(100 << 10)
+	for kind, serve := range map[string]func() netip.AddrPort{
+		RefusalTooLarge: func() netip.AddrPort { return serveDetours(t, run, WithMaxBody(1000)) },
+		RefusalNoMemory: func() netip.AddrPort { return servePeer(t, noMemory, messenger.WithDetourHandler(NewHandler(run))) },
 	} {
 		for _, size := range []int{120 << 10, defaultMaxBodyBytes} {
 			e = envelope()
 			e.Body = make([]byte, size)
-			_, _, err = c.Do(t.Context(), serveDetours(t, run, option), e)
+			_, _, err = c.Do(t.Context(), serve(), e)
 			refusal, found := RefusalOf(err)
 			assert.Assert(t, found, "%v", err)
 			assert.Equal(t, refusal.Kind, kind)
@@ -498,17 +498,17 @@
 
 // TestMemoryIsGivenBack guards against bodies that stay counted when their requests are over.
 func TestMemoryIsGivenBack(t *testing.T) {
-	budget := bounder.NewBudget(1 << 20)
-	peer := serveDetours(t, func(_ context.Context, e *Envelope, w *ResponseWriter) {
-		assert.Check(t, budget.Used() >= int64(len(e.Body)))
+	option, limiter := limitMemory(1 << 20)
+	peer := servePeer(t, option, messenger.WithDetourHandler(NewHandler(func(_ context.Context, e *Envelope, w *ResponseWriter) {
+		assert.Check(t, limiter.MemoryUsed() >= int64(len(e.Body)))
 		answer(w)
-	}, WithMemory(budget))
+	})))
 	for range 3 {
 		_, err := exchange(t, newTestClient(t), peer)
 		assert.NilError(t, err)
 	}
-	for began := time.Now(); budget.Used() > 0; time.Sleep(time.Millisecond) {
-		assert.Assert(t, time.Since(began) < patience, "%d bytes are in use", budget.Used())
+	for began := time.Now(); limiter.MemoryUsed() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(began) < patience, "%d bytes are in use", limiter.MemoryUsed())
 	}
 }
 
--- a/internal/detourer/fuzz_test.go
+++ b/internal/detourer/fuzz_test.go
@@ -10,7 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
@@ -77,13 +76,11 @@
 
 func checkRequest(t *testing.T, data []byte) {
 	const maxBody, capacity = 2 << 10, 6 << 10
-	budget := bounder.NewBudget(capacity)
-	share := budget.Open()
-	e, err := readEnvelope(iotest.HalfReader(bytes.NewReader(data)), maxBody, share)
-	assert.Assert(t, budget.Used() <= capacity)
+	e, err := readEnvelope(iotest.HalfReader(bytes.NewReader(data)), maxBody)
 	if err != nil {
 		return
 	}
+	assert.Assert(t, cap(e.Body) <= capacity)
 	assert.Assert(t, len(e.Body) <= maxBody)
 	passedOn, err := e.encode(maxBody)
 	if err != nil {
@@ -91,7 +88,7 @@
 		assert.Assert(t, found && (kind == KindMalformed || kind == KindTooLarge), "%v", err)
 		return
 	}
-	again, err := readEnvelope(io.MultiReader(bytes.NewReader(passedOn.head), bytes.NewReader(passedOn.body)), maxBody, nil)
+	again, err := readEnvelope(io.MultiReader(bytes.NewReader(passedOn.head), bytes.NewReader(passedOn.body)), maxBody)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, e)
 }
--- a/internal/detourer/handler.go
+++ b/internal/detourer/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
@@ -22,7 +23,6 @@
 type handler struct {
 	run          RunFunc
 	maxBodyBytes int
-	memory       *bounder.Budget
 }
 
 // HandlerOption changes a handler that is made.
@@ -31,11 +31,6 @@
 // WithMaxBody bounds the body of a request that a handler takes.
 func WithMaxBody(bytes int) HandlerOption { return func(h *handler) { h.maxBodyBytes = bytes } }
 
-// WithMemory makes the handler take the memory for the bodies of requests from a budget.
-func WithMemory(budget *bounder.Budget) HandlerOption {
-	return func(h *handler) { h.memory = budget }
-}
-
 // NewHandler returns the handler of a server of detours.
 func NewHandler(run RunFunc, options ...HandlerOption) http.Handler {
 	h := &handler{run: run, maxBodyBytes: defaultMaxBodyBytes}
@@ -51,13 +46,8 @@
 		http.NotFound(w, r)
 		return
 	}
-	var share *bounder.Share
-	if h.memory != nil {
-		share = h.memory.Open()
-		defer share.Close()
-	}
 	control := http.NewResponseController(w)
-	e, err := h.receive(r, control, share)
+	e, err := h.receive(r, control)
 	if err != nil && !isRefusable(err) {
 		panic(http.ErrAbortHandler)
 	}
@@ -84,14 +74,14 @@
 }
 
 // receive reads a request to its end. The client sends it once the first byte is awaited.
-func (h *handler) receive(r *http.Request, control *http.ResponseController, share *bounder.Share) (*Envelope, error) {
+func (h *handler) receive(r *http.Request, control *http.ResponseController) (*Envelope, error) {
 	if limit := int64(h.maxBodyBytes + maxEnvelopeBytes); r.ContentLength > limit {
 		return nil, faulter.Newf("read request", KindTooLarge, "%d bytes; %d are allowed", r.ContentLength, limit)
 	}
 	if err := control.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
 		return nil, err
 	}
-	e, err := readEnvelope(r.Body, h.maxBodyBytes, share)
+	e, err := readEnvelope(r.Body, h.maxBodyBytes)
 	if err != nil && isRefusable(err) {
 		// The rest is read so that the connection need not be closed, which could lose the
 		// refusal. If it can't be read, neither can the refusal be written.
@@ -105,7 +95,7 @@
 
 // readEnvelope reads the two frames of a request and the end after them. Memory for the
 // body grows with what arrives.
-func readEnvelope(r io.Reader, maxBodyBytes int, share *bounder.Share) (*Envelope, error) {
+func readEnvelope(r io.Reader, maxBodyBytes int) (*Envelope, error) {
 	const op = "read request"
 	length, err := readFrameOf(r, frameEnvelope, maxBodyBytes)
 	if err != nil {
@@ -122,7 +112,7 @@
 	if length, err = readFrameOf(r, frameBody, maxBodyBytes); err != nil {
 		return nil, err
 	}
-	e.Body, err = bounder.ReadAll(io.LimitReader(r, int64(length)), int64(length), share)
+	e.Body, err = bounder.ReadAll(io.LimitReader(r, int64(length)), int64(length), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -154,7 +144,7 @@
 // up, and not the connection.
 func isRefusable(err error) bool {
 	_, ours := faulter.KindOf[Kind](err)
-	return ours || errors.HasType(err, (*bounder.Error)(nil))
+	return ours || errors.HasType(err, (*server.Error)(nil))
 }
 
 // refusalKind returns the kind of the refusal of a request that could not be received.
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -41,7 +41,6 @@
 	"github.com/waxwingmount/waxwingmount/internal/relayer"
 	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/tracer"
-	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/gossiper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
@@ -346,7 +345,8 @@
 	}
 	parts := n.settings.Parts()
 	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read,
-		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour, detourer.WithMemory(bounder.NewBudget(parts.Hops)))))
+		messenger.WithLimiter(server.NewLimiter(server.LimiterSettings{Name: "peers", Connections: parts.PeerConnections, Memory: parts.Hops, Scope: n.scope})),
+		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour)), messenger.WithMaxDetours(parts.HopConnections))
 	if err != nil {
 		return err
 	}
--- a/internal/messenger/detour.go
+++ b/internal/messenger/detour.go
@@ -10,12 +10,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
 const (
-	// maxDetourConns bounds the open detour connections that a server takes. Each
-	// carries one request at a time.
+	// maxDetourConns bounds the open detour connections that a server takes, unless
+	// WithMaxDetours does. Each carries one request at a time.
 	maxDetourConns = 512
 	// detourHeaderTimeout bounds the time for a request's HTTP header.
 	detourHeaderTimeout = 2 * time.Second
@@ -24,7 +25,7 @@
 	detourIdleTimeout = 30 * time.Second
 	// detourBufferBytes is the size of the operating system's buffers of a detour connection.
 	// Without a bound, it keeps megabytes for each slow reader.
-	detourBufferBytes = 256 << 10
+	detourBufferBytes = 64 << 10
 	// maxDetourHeaderBytes bounds a request's HTTP header. The caller's header is not in it.
 	maxDetourHeaderBytes = 4 << 10
 )
@@ -38,6 +39,17 @@
 	return func(s *Server) { s.detourHandler = handler }
 }
 
+// WithMaxDetours bounds the open detour connections.
+func WithMaxDetours(n int) ServerOption {
+	return func(s *Server) { s.detourSlots = make(chan struct{}, n) }
+}
+
+// WithLimiter bounds what peers take: the connections, and the memory of the requests on detour
+// connections.
+func WithLimiter(l *server.Limiter) ServerOption {
+	return func(s *Server) { s.limiter = l }
+}
+
 // DialDetour opens a connection to the peer at address that carries HTTP requests in place
 // of RPC calls. The caller owns it. Errors are of type *[Error] and of [KindUnreachable],
 // also if the peer does not take detours or has no room for another connection.
@@ -70,23 +82,25 @@
 	case s.detourSlots <- struct{}{}:
 		return nil
 	default:
-		return errors.Newf("%d detour connections are open", maxDetourConns)
+		return errors.Newf("%d detour connections are open", cap(s.detourSlots))
 	}
 }
 
 // runDetours serves the connections of a listener until ctx ends, and closes them then.
 func (s *Server) runDetours(ctx context.Context, listener net.Listener) {
-	server := &http.Server{
-		Handler:           s.detourHandler,
+	detours := &http.Server{
+		Handler:           s.limiter.Handler(s.detourHandler),
 		ReadHeaderTimeout: detourHeaderTimeout,
 		IdleTimeout:       detourIdleTimeout,
 		MaxHeaderBytes:    maxDetourHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnState:         server.HandleState,
+		ConnContext:       server.WithConn,
 	}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { detours.Close() })
 	defer stop()
 	// Serve returns when the server is closed; its error says only that.
-	_ = server.Serve(listener)
+	_ = detours.Serve(listener)
 }
 
 // detourConn gives its place back when it is closed.
@@ -95,6 +109,9 @@
 	release func()
 }
 
+// NetConn returns the connection under this one.
+func (c *detourConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements [net.Conn].
 func (c *detourConn) Close() error {
 	c.release()
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingmount/waxwingmount/internal/server"
 )
 
 const (
@@ -39,20 +41,24 @@
 	nonce         func([]byte) (int, error)
 	detourHandler http.Handler
 	detourSlots   chan struct{}
+	limiter       *server.Limiter
 }
 
 // NewServer returns a Server that offers the methods of receiver under name. The
 // nonce function fills its argument with random bytes. The error is that of
 // net/rpc if receiver has no suitable methods.
 func NewServer(security Security, name string, receiver any, nonce func([]byte) (int, error), options ...ServerOption) (*Server, error) {
-	server := rpc.NewServer()
-	if err := server.RegisterName(name, receiver); err != nil {
+	rpcServer := rpc.NewServer()
+	if err := rpcServer.RegisterName(name, receiver); err != nil {
 		return nil, err
 	}
-	s := &Server{security: security, rpc: server, nonce: nonce, detourSlots: make(chan struct{}, maxDetourConns)}
+	s := &Server{security: security, rpc: rpcServer, nonce: nonce, detourSlots: make(chan struct{}, maxDetourConns)}
 	for _, option := range options {
 		option(s)
 	}
+	if s.limiter == nil {
+		s.limiter = server.NewLimiter(server.LimiterSettings{Name: "peers"})
+	}
 	return s, nil
 }
 
@@ -71,13 +77,16 @@
 		if err != nil {
 			return
 		}
-		go s.runConn(conn, detours)
+		adopted, err := s.limiter.Adopt(conn)
+		if err != nil {
+			continue
+		}
+		go s.runConn(conn, adopted, detours)
 	}
 }
 
 // runConn authenticates the peer of one connection and serves what the connection is for.
-func (s *Server) runConn(conn net.Conn, detours *handoverListener) {
-	transport := conn
+func (s *Server) runConn(transport, conn net.Conn, detours *handoverListener) {
 	if s.security.Server != nil {
 		conn = tls.Server(conn, s.security.Server)
 	}
@@ -103,7 +112,7 @@
 		detours.hand(conn)
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeConn(server.AsCalls(conn))
 }
 
 // challenge sends a nonce and verifies the peer's proof that it has the token. It returns
