Forwarder: buffers of connections to backend servers are bounded

Cause: the kernel grows the buffers of each connection to megabytes. A response whose caller doesn't read waits there, and so does a body whose server doesn't; both count as memory of the process and no part covers them.

Change: 64 KB each way, set before connecting.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/observer"
 	"github.com/waxwingmount/waxwingmount/internal/partitioner"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/enumerator"
 	"github.com/waxwingmount/waxwingmount/pkg/estimator"
@@ -71,6 +72,10 @@
 	// a third of the shortest silence that is acted upon.
 	checkInterval = 50 * time.Millisecond
 	dialTimeout   = 400 * time.Millisecond
+	// serverBufferBytes is the size of the operating system's buffers of a connection to a
+	// backend server. Without a bound it keeps megabytes of each response whose caller doesn't
+	// read, and of each body that its server doesn't.
+	serverBufferBytes = 64 << 10
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel closes a connection (TCP_USER_TIMEOUT).
 	userTimeout = 3 * time.Second
@@ -341,7 +346,7 @@
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: userTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: userTimeout, Control: server.BoundBuffers(serverBufferBytes)}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
