Own interface: callers and operators share parts of the memory

Callers saw: an entry instance that takes any amount of memory. Over TLS net/http turns HTTP/2 on, so that one connection carries 250 bodies and a bound on connections bounds none of them.

Cause: the same as in hosted mode (readBody, and operators' calls decoded from the connection without a limit); each HTTP/2 connection receives 1 MB and has 250 requests at a time; the process knew no limits at all.

Change: a section [limits] of the settings gives memory_mb and descriptors; the runtime's limit, responses, callers, operators and peers get their parts. A body counts four times while it is decoded; each HTTP/2 stream has a claim for its goroutine and head. Operators' calls are at most 8 MB. A body that is too slow gets 408, one without memory 503. The write deadline that was set for each event outlived its stream, so that a response more than 30 s later on the same connection could fail; the server's own replaces it.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := starter.Parts(settings.Limits).RuntimeMemory; limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	process := logger.NewProcess(settings.ID)
 	log.SetHandler(process.WrapHandler(json.New(writer)))
 	node, err := starter.New(settings, process, platform)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -24,6 +25,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
 	"github.com/waxwingmount/waxwingmount/pkg/gatekeeper"
@@ -74,9 +76,6 @@
 	// nothing tells it from the response to the next request.
 	noIdleConns = -1
 
-	// responseMemory is the memory that the responses in progress may take together.
-	responseMemory = 64 << 20
-
 	// A request with strikeLimit strikes is refused until [StrikeExpiry] has
 	// passed since the last one. Up to strikeCapacity requests are tracked.
 	strikeLimit    = 2
@@ -126,6 +125,9 @@
 	Tracer      trace.Tracer
 	// Seed seeds the random choices of the routing policies.
 	Seed uint64
+	// ResponseMemory is the memory that the responses in progress may take together; zero
+	// means the default of package partitioner.
+	ResponseMemory int64
 }
 
 // New returns a dispatcher; [Dispatcher.Start] starts its background work.
@@ -144,7 +146,7 @@
 		rates:       make(map[string]*rateLimit),
 		quarantine:  quarantiner.New(strikeLimit, StrikeExpiry, strikeCapacity),
 		budget:      retrier.NewBudget(retrier.Limits{Reserve: retryReserve}, time.Time{}),
-		responses:   bounder.NewBudget(responseMemory),
+		responses:   bounder.NewBudget(cmp.Or(d.ResponseMemory, partitioner.DefaultResponses)),
 		monitors:    make(map[*attemptMonitor]struct{}),
 		waiters:     make(map[uint64]chan admissionResult),
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -46,6 +46,7 @@
 	TraceFile string
 	LogLevel  string
 	TLS       TLS
+	Limits    Limits
 	// OperatorToken is the bearer token that operators' requests need; empty
 	// means none.
 	OperatorToken string
@@ -53,6 +54,13 @@
 	PeerToken string
 }
 
+// Limits are what the process may take of its instance; zero means that it is not known.
+type Limits struct {
+	// MemoryMB is the memory in units of 2^20 bytes.
+	MemoryMB    int
+	Descriptors int
+}
+
 // TLS holds the paths of the TLS key and certificate files; empty paths turn TLS
 // off.
 type TLS struct {
@@ -66,6 +74,14 @@
 // Enabled reports whether connections are encrypted.
 func (t TLS) Enabled() bool { return t.CertificateFile != "" }
 
+const (
+	// A process with less than minMemoryMB or minDescriptors can't serve.
+	minMemoryMB    = 64
+	maxMemoryMB    = 1 << 20
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
+)
+
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
@@ -94,7 +110,7 @@
 	if err != nil {
 		return s, err
 	}
-	return s, document.Decode(s.schema, "[entry], [platform], [peers], [tls], [operator]",
+	return s, document.Decode(s.schema, "[entry], [platform], [peers], [tls], [operator], [limits]",
 		"entry", "platform", "peers", "operator")
 }
 
@@ -121,6 +137,11 @@
 			decoder.Required(decoder.String("key", &s.TLS.KeyFile)),
 			decoder.Required(decoder.String("authority", &s.TLS.CAFile)),
 		}, section.Name == ""
+	case "limits":
+		return []decoder.Field{
+			decoder.Int("memory_mb", &s.Limits.MemoryMB, minMemoryMB, maxMemoryMB),
+			decoder.Int("descriptors", &s.Limits.Descriptors, minDescriptors, maxDescriptors),
+		}, section.Name == ""
 	case "operator":
 		return []decoder.Field{
 			decoder.Required(decoder.Address("address", &s.OperatorAddress)),
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,6 +10,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -24,6 +25,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/discoverer"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/internal/syncer"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -49,8 +51,12 @@
 // Error is the error type of this package.
 type Error = faulter.Error[Kind]
 
-// requestTimeout is the timeout of one operator's request.
-const requestTimeout = 5 * time.Second
+const (
+	// requestTimeout is the timeout of one operator's request.
+	requestTimeout = 5 * time.Second
+	// MaxBodyBytes bounds the body of an operator's request.
+	MaxBodyBytes = 8 << 20
+)
 
 // Dependencies are the collaborators of an Operator.
 type Dependencies struct {
@@ -114,8 +120,8 @@
 		defer cancel()
 		var request Request
 		if r.Method == http.MethodPost {
-			if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-				writeError(w, faulter.New("decode call", KindInvalid, err))
+			if err := decode(r, &request); err != nil {
+				writeError(w, err)
 				return
 			}
 		}
@@ -129,6 +135,22 @@
 	})
 }
 
+// decode decodes the body of a call.
+func decode(r *http.Request, request any) error {
+	const op = "decode call"
+	data, err := server.ReadBody(r, MaxBodyBytes)
+	if kind, known := faulter.KindOf[server.Kind](err); known && kind == server.KindNoMemory {
+		return faulter.New(op, KindUnavailable, err)
+	}
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(request)
+	}
+	if err != nil {
+		return faulter.New(op, KindInvalid, err)
+	}
+	return nil
+}
+
 // ErrorResponse is the response body of a request that failed.
 type ErrorResponse struct {
 	Error string `json:"error"`
--- a/internal/receiver/complete.go
+++ b/internal/receiver/complete.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -15,9 +14,6 @@
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
-// writeTimeout bounds how long writing one event to a caller may take.
-const writeTimeout = 30 * time.Second
-
 // completionResult is the result of a completion to which a backend server has
 // responded.
 type completionResult struct {
@@ -115,7 +111,6 @@
 			controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 		w.Write(event)
 		if _, err := w.Write(eventSeparator); err != nil {
 			return
--- a/internal/receiver/decode.go
+++ b/internal/receiver/decode.go
@@ -5,18 +5,18 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
 
 	"github.com/waxwingmount/waxwingmount/internal/dispatcher"
+	"github.com/waxwingmount/waxwingmount/internal/server"
 	"github.com/waxwingmount/waxwingmount/pkg/configurer"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
 // Request headers from callers.
@@ -216,13 +216,17 @@
 }
 
 func readBody(request *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := server.ReadBody(request, limit)
+	kind, known := faulter.KindOf[server.Kind](err)
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return body, nil
+	case known && kind == server.KindTooLarge:
 		return nil, problemf(http.StatusRequestEntityTooLarge, "body_too_large", "the body is longer than %d bytes", limit)
-	case err != nil:
-		return nil, problemf(http.StatusBadRequest, "body_unreadable", "the body did not arrive whole")
+	case known && kind == server.KindTooSlow:
+		return nil, problemf(http.StatusRequestTimeout, "body_too_slow", "the body did not arrive in time")
+	case known && kind == server.KindNoMemory:
+		return nil, problemf(http.StatusServiceUnavailable, "no_memory", "the memory for requests is in use")
 	}
-	return body, nil
+	return nil, problemf(http.StatusBadRequest, "body_unreadable", "the body did not arrive whole")
 }
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"sync"
 	"time"
 
@@ -33,6 +32,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/logger"
 	"github.com/waxwingmount/waxwingmount/internal/messenger"
 	"github.com/waxwingmount/waxwingmount/internal/operator"
+	"github.com/waxwingmount/waxwingmount/internal/partitioner"
 	"github.com/waxwingmount/waxwingmount/internal/prober"
 	"github.com/waxwingmount/waxwingmount/internal/quotadistributor"
 	"github.com/waxwingmount/waxwingmount/internal/receiver"
@@ -50,6 +50,11 @@
 	// during a shutdown.
 	shutdownCallTimeout = time.Second
 	strikeRetryInterval = 500 * time.Millisecond
+	// bodyCopies is how many times the body of a completion is in memory while it is decoded:
+	// as it came, its fields, and as it is sent.
+	bodyCopies = 4
+	// operatorMemory is the memory for operators' requests; it has room for one of the largest.
+	operatorMemory = 2 * bodyCopies * operator.MaxBodyBytes
 )
 
 // Node is one entry instance.
@@ -57,6 +62,8 @@
 	settings         loader.Settings
 	process          logger.Process
 	tls              tlsConfigs
+	parts            partitioner.Parts
+	scope            tally.Scope
 	traces           *sdktrace.TracerProvider
 	pool             *messenger.Pool
 	syncer           *syncer.Syncer
@@ -78,6 +85,7 @@
 // New builds an entry instance.
 func New(s loader.Settings, process logger.Process, platform provider.Platform) (*Node, error) {
 	n := &Node{settings: s, process: process, shutdownBegun: make(chan struct{})}
+	n.parts = Parts(s.Limits)
 	var err error
 	if n.tls, err = loadTLS(s.TLS); err != nil {
 		return nil, err
@@ -93,6 +101,7 @@
 		CachedReporter: reporter,
 		Separator:      tallyprometheus.DefaultSeparator,
 	}, metricsInterval)
+	n.scope = scope
 	n.buildState(platform)
 	n.buildServing(platform, scope)
 	n.operator = operator.New(operator.Dependencies{
@@ -109,6 +118,11 @@
 	return n, nil
 }
 
+// Parts returns what the parts of a process may take.
+func Parts(l loader.Limits) partitioner.Parts {
+	return partitioner.Divide(partitioner.Resources{MemoryBytes: int64(l.MemoryMB) << 20, Descriptors: server.MaxDescriptors(l.Descriptors)})
+}
+
 // buildState builds the components that track the state of the system.
 func (n *Node) buildState(platform provider.Platform) {
 	s := n.settings
@@ -146,6 +160,8 @@
 		Claims:      n.claimCommitter,
 		Tracer:      tracer,
 		Seed:        self.Epoch,
+
+		ResponseMemory: n.parts.Responses,
 	})
 	n.broadcaster.archiver = archiver.New(archiver.Dependencies{
 		Entry: s.ID, Table: platform, Evidence: strikeEvidence{n.dispatcher}, Expiry: dispatcher.StrikeExpiry,
@@ -196,20 +212,23 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	peerListener, err := net.Listen("tcp", n.settings.PeerAddress.String())
+	peerListener, err := server.Listen(n.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	peerServer, err := messenger.NewServer(n.security(), messenger.PeerService, n.peer, rand.Read)
+	peers := server.LimiterSettings{Name: "peers", Connections: n.parts.PeerConnections, Memory: n.parts.Hops, Scope: n.scope}
+	peerServer, err := messenger.NewServer(n.security(), messenger.PeerService, n.peer, rand.Read, messenger.WithLimiter(server.NewLimiter(peers)))
 	if err != nil {
 		return err
 	}
 	go peerServer.Serve(background, peerListener)
-	callerServer, err := server.Start(n.settings.CallerAddress, n.receiver.Handler(), server.WithTLS(n.tls.server))
+	callers := server.LimiterSettings{Name: "callers", Connections: n.parts.CallerConnections, Memory: n.parts.Requests, BodyCopies: bodyCopies, Scope: n.scope}
+	callerServer, err := server.Start(n.settings.CallerAddress, n.receiver.Handler(), server.WithTLS(n.tls.server), server.WithLimiter(server.NewLimiter(callers)))
 	if err != nil {
 		return err
 	}
-	operatorServer, err := server.Start(n.settings.OperatorAddress, n.operator.Handler(), server.WithTLS(n.tls.server))
+	operators := server.LimiterSettings{Name: "operators", Connections: n.parts.ControlConnections, Memory: operatorMemory, BodyCopies: bodyCopies, Scope: n.scope}
+	operatorServer, err := server.Start(n.settings.OperatorAddress, n.operator.Handler(), server.WithTLS(n.tls.server), server.WithLimiter(server.NewLimiter(operators)))
 	if err != nil {
 		return err
 	}
