Tests: crowds while a process starts and while it stops

Change: the crowd that stops a byte short of 1 MB meets a process that has no configuration yet, and one that has got SIGTERM, before and after it.

--- a/internal/crowder/crowds_test.go
+++ b/internal/crowder/crowds_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +49,49 @@
 	}, e.path(c.target))
 }
 
+// stopShort is the crowd of the tests of a process's start and stop.
+var stopShort = crowd{target: targetCallers, memoryMB: 128, fds: 4100, conns: 300, length: 1 << 20, sent: 1<<20 - 1}
+
+// TestCrowdWhileStarting guards against limits that hold only once there is a configuration.
+func TestCrowdWhileStarting(t *testing.T) {
+	e, applyConfig := launchEntry(t, entryLimits{memoryMB: stopShort.memoryMB, fds: stopShort.fds, bodyBytes: maxBodyBytes})
+	meter := startGauge(e.command.Process.Pid)
+	e.await("the port of callers", func() error {
+		conn, err := net.DialTimeout("tcp", e.settings.CallerAddress.String(), dialTimeout)
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	})
+	crowd := e.gather(t.Context(), stopShort)
+	time.Sleep(crowdStay)
+	applyConfig()
+	e.awaitOrdinary("an ordinary request beside the crowd")
+	crowd.disperse()
+	e.checkLimits(meter, stopShort.memoryMB, stopShort.fds)
+}
+
+// TestCrowdWhileStopping guards against a process that exceeds its limits, or doesn't end, if
+// callers stop short of their end late in a planned stop.
+func TestCrowdWhileStopping(t *testing.T) {
+	e := startEntry(t, entryLimits{memoryMB: stopShort.memoryMB, fds: stopShort.fds, bodyBytes: maxBodyBytes})
+	meter := startGauge(e.command.Process.Pid)
+	first := e.gather(t.Context(), stopShort)
+	defer first.disperse()
+	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
+	late := e.gather(t.Context(), stopShort)
+	defer late.disperse()
+	select {
+	case <-e.ended:
+	case <-time.After(patience):
+		t.Fatal("the process has not ended")
+	}
+	worst, descriptors, _ := meter.end()
+	t.Logf("resident with sockets %d MB, descriptors %d", worst.memory()>>20, descriptors)
+	assert.Check(t, worst.memory() <= int64(stopShort.memoryMB)<<20, "%d MB with the bytes in the sockets, %d are allowed", worst.memory()>>20, stopShort.memoryMB)
+	assert.Check(t, descriptors <= stopShort.fds-reservedFDs)
+}
+
 // Limits of the smallest machine on which the largest legal body must be served.
 const (
 	smallestMemoryMB = 184
--- a/internal/crowder/fixture_test.go
+++ b/internal/crowder/fixture_test.go
@@ -88,7 +88,16 @@
 // startEntry starts an entry instance and waits until it serves an ordinary request.
 func startEntry(t *testing.T, limits entryLimits) *entry {
 	t.Helper()
-	ctx := t.Context()
+	e, applyConfig := launchEntry(t, limits)
+	applyConfig()
+	e.awaitOrdinary("the entry instance to serve")
+	return e
+}
+
+// launchEntry starts an entry instance that has no configuration. The function that it returns
+// writes one.
+func launchEntry(t *testing.T, limits entryLimits) (*entry, func()) {
+	t.Helper()
 	store := emulator.NewStore(heartbeat)
 	storeAddress := serve(t, store)
 	config := emulator.Config{
@@ -96,7 +105,6 @@
 		Routes: []emulator.Route{{Prefix: pathOrdinary, Repeat: mapper.Once, Service: service, Timeout: routeTimeout}},
 		Keys:   map[string][]string{"members": {key}},
 	}
-	assert.NilError(t, emulator.Operator{Store: storeAddress}.Write(ctx, config))
 	startServer(t, storeAddress)
 	e := &entry{process: newProcess(t), caller: emulator.NewCaller()}
 	ports := freeAddresses(t, 4)
@@ -117,8 +125,7 @@
 		limit := unix.Rlimit{Cur: uint64(limits.fds), Max: uint64(limits.fds)}
 		assert.NilError(t, unix.Prlimit(e.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
 	}
-	e.awaitOrdinary("the entry instance to serve")
-	return e
+	return e, func() { assert.NilError(t, emulator.Operator{Store: storeAddress}.Write(t.Context(), config)) }
 }
 
 const ordinaryTimeout = 5 * time.Second
