Stand-in: crowds of callers that misbehave

Change: what a crowd sends is a package of its own, which the tests and the load tool share: waxwing-standin crowd lets one loose on an instance of this machine and prints what became of its connections.

--- a/cmd/waxwing-standin/main.go
+++ b/cmd/waxwing-standin/main.go
@@ -1,15 +1,22 @@
-// Command waxwing-standin runs an emulator of the platform, of a model engine or
-// of a plain service. It serves tests and experiments and is not deployed.
+// Command waxwing-standin runs an emulator of the platform, of a model engine, of
+// a plain service or of callers that misbehave. It serves tests and experiments and
+// is not deployed.
 //
 // # Usage
 //
 //	waxwing-standin platform --address 127.0.0.1:7000
 //	waxwing-standin engine --address 127.0.0.1:7101 --id inst-1
 //	waxwing-standin service --address 127.0.0.1:7201 --id rota
+//	waxwing-standin crowd --address 127.0.0.1:8000 --path /v1/chat/completions --crowd "conns=300 length=1048576 sent=1048575" --stay 10s
+//
+// A crowd prints what became of its connections; package crowder says what a description may
+// hold.
 package main
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -18,8 +25,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"github.com/waxwingmount/waxwingmount/internal/crowder"
 	"github.com/waxwingmount/waxwingmount/internal/engineemulator"
 	"github.com/waxwingmount/waxwingmount/internal/platformemulator"
 )
@@ -29,6 +38,12 @@
 
 const recordFileMode = 0o644
 
+const (
+	// defaultStay is how long a crowd stays.
+	defaultStay      = 3 * time.Second
+	crowdDialTimeout = 2 * time.Second
+)
+
 // options holds the values of the command-line flags.
 type options struct {
 	address         string
@@ -40,15 +55,28 @@
 	firstToken      time.Duration
 	loadTime        time.Duration
 	delay           time.Duration
+	crowd           string
+	host            string
+	path            string
+	key             string
+	stay            time.Duration
 	ignoreFence     bool
 	cannotResume    bool
 }
 
 func main() {
-	o := options{tokenInterval: time.Millisecond}
+	o := options{tokenInterval: time.Millisecond, path: "/", stay: defaultStay}
 	platform := flaggy.NewSubcommand("platform")
 	engine := flaggy.NewSubcommand("engine")
 	service := flaggy.NewSubcommand("service")
+	crowd := flaggy.NewSubcommand("crowd")
+	crowd.String(&o.address, "a", "address", "The IP address and port of the entry instance, on this machine.")
+	crowd.String(&o.crowd, "c", "crowd", "What the crowd sends, such as conns=300 length=1048576 sent=1048575.")
+	crowd.String(&o.host, "", "host", "The Host header; the address if it is empty.")
+	crowd.String(&o.path, "p", "path", "The path of the requests.")
+	crowd.String(&o.key, "k", "key", "The API key.")
+	crowd.Duration(&o.stay, "s", "stay", "How long the crowd stays once it has sent all.")
+	flaggy.AttachSubcommand(crowd, 1)
 	for _, sub := range []*flaggy.Subcommand{platform, engine, service} {
 		sub.String(&o.address, "a", "address", "The IP address and port to listen on.")
 		sub.String(&o.id, "i", "id", "The id of the instance or the name of the service.")
@@ -64,12 +92,35 @@
 	engine.Bool(&o.cannotResume, "", "cannot-resume", "Refuse to resume streams that another instance started.")
 	service.Duration(&o.delay, "", "delay", "The response time of each call.")
 	flaggy.Parse()
-	if err := run(o, platform.Used, engine.Used, service.Used); err != nil {
+	action := func() error { return run(o, platform.Used, engine.Used, service.Used) }
+	if crowd.Used {
+		action = func() error { return runCrowd(o, os.Stdout) }
+	}
+	if err := action(); err != nil {
 		log.WithError(err).Error("emulator stopped")
 		os.Exit(1)
 	}
 }
 
+// runCrowd lets a crowd loose on an entry instance and prints what became of it.
+func runCrowd(o options, out io.Writer) error {
+	c, err := crowder.Parse(o.crowd)
+	if err != nil {
+		return err
+	}
+	address, err := netip.ParseAddrPort(o.address)
+	if err != nil {
+		return err
+	}
+	if !address.Addr().IsLoopback() {
+		return errors.Newf("%s is not on this machine", address)
+	}
+	dial := func() (net.Conn, error) { return net.DialTimeout("tcp", address.String(), crowdDialTimeout) }
+	gathering := c.Gather(dial, crowder.Target{Host: cmp.Or(o.host, o.address), Path: o.path, Key: o.key})
+	time.Sleep(o.stay)
+	return json.NewEncoder(out).Encode(gathering.Disperse())
+}
+
 func run(o options, platform, engine, service bool) error {
 	record, err := openRecord(o.recordFile)
 	if err != nil {
@@ -85,7 +136,7 @@
 	case service:
 		return listenAndServe(o.address, engineemulator.NewService(o.id, o.delay, record, crash))
 	}
-	flaggy.ShowHelpAndExit("Missing subcommand: platform, engine or service.")
+	flaggy.ShowHelpAndExit("Missing subcommand: platform, engine, service or crowd.")
 	return nil
 }
 
--- a/internal/crowder/crowds_test.go
+++ b/internal/crowder/crowds_test.go
@@ -3,7 +3,6 @@
 package crowder
 
 import (
-	"context"
 	"net"
 	"strings"
 	"syscall"
@@ -25,32 +24,22 @@
 // TestCrowds guards against callers that misbehave in numbers: the process ends at its
 // limit of memory or runs out of descriptors, and all other callers with it.
 func TestCrowds(t *testing.T) {
-	for _, c := range readCrowds(t, "testdata/crowds.txt") {
-		t.Run(c.name, func(t *testing.T) {
-			e := startEntry(t, entryLimits{memoryMB: c.memoryMB, fds: c.fds, bodyBytes: maxBodyBytes})
+	for _, s := range readScenarios(t, "testdata/crowds.txt") {
+		t.Run(s.name, func(t *testing.T) {
+			e := startEntry(t, entryLimits{memoryMB: s.memoryMB, fds: s.fds, bodyBytes: maxBodyBytes})
 			meter := startGauge(e.command.Process.Pid)
-			crowd := e.gather(t.Context(), c)
+			disperse := e.gather(t.Context(), s.target, s.crowd)
 			time.Sleep(crowdStay)
 			e.awaitOrdinary("an ordinary request beside the crowd")
-			crowd.disperse()
+			t.Logf("%+v", disperse())
 			e.awaitOrdinary("an ordinary request after the crowd")
-			e.checkLimits(meter, c.memoryMB, c.fds)
+			e.checkLimits(meter, s.memoryMB, s.fds)
 		})
 	}
 }
 
-// gather opens the connections of a crowd at the port of its target.
-func (e *entry) gather(ctx context.Context, c crowd) *gathering {
-	if c.target == targetHops {
-		return c.gatherHops(ctx, e.settings.PeerAddress)
-	}
-	return c.gather(func() (net.Conn, error) {
-		return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", e.address(c.target).String())
-	}, e.path(c.target))
-}
-
 // stopShort is the crowd of the tests of a process's start and stop.
-var stopShort = crowd{target: targetCallers, memoryMB: 128, fds: 4100, conns: 300, length: 1 << 20, sent: 1<<20 - 1}
+var stopShort = scenario{target: targetCallers, memoryMB: 128, fds: 4100, crowd: Crowd{Conns: 300, Length: 1 << 20, Sent: 1<<20 - 1}}
 
 // TestCrowdWhileStarting guards against limits that hold only once there is a configuration.
 func TestCrowdWhileStarting(t *testing.T) {
@@ -63,11 +52,11 @@
 		}
 		return err
 	})
-	crowd := e.gather(t.Context(), stopShort)
+	disperse := e.gather(t.Context(), stopShort.target, stopShort.crowd)
 	time.Sleep(crowdStay)
 	applyConfig()
 	e.awaitOrdinary("an ordinary request beside the crowd")
-	crowd.disperse()
+	disperse()
 	e.checkLimits(meter, stopShort.memoryMB, stopShort.fds)
 }
 
@@ -76,11 +65,11 @@
 func TestCrowdWhileStopping(t *testing.T) {
 	e := startEntry(t, entryLimits{memoryMB: stopShort.memoryMB, fds: stopShort.fds, bodyBytes: maxBodyBytes})
 	meter := startGauge(e.command.Process.Pid)
-	first := e.gather(t.Context(), stopShort)
-	defer first.disperse()
+	disperseFirst := e.gather(t.Context(), stopShort.target, stopShort.crowd)
+	defer disperseFirst()
 	assert.NilError(t, e.command.Process.Signal(syscall.SIGTERM))
-	late := e.gather(t.Context(), stopShort)
-	defer late.disperse()
+	disperseLate := e.gather(t.Context(), stopShort.target, stopShort.crowd)
+	defer disperseLate()
 	select {
 	case <-e.ended:
 	case <-time.After(patience):
--- a/internal/crowder/own_test.go
+++ b/internal/crowder/own_test.go
@@ -186,20 +186,19 @@
 	return request
 }
 
-// gatherStreams opens the requests of a crowd over HTTP/2.
-func (e *ownEntry) gatherStreams(ctx context.Context, c crowd) *gathering {
+// gatherStreams opens the requests of a crowd over HTTP/2, and returns a function that ends them.
+func (e *ownEntry) gatherStreams(ctx context.Context, s scenario) (disperse func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	g := &gathering{cancel: cancel}
-	for range c.conns {
+	for range s.crowd.Conns {
 		client := e.client()
-		for range c.streams {
-			go g.runStream(client, e.request(ctx, e.callers, &shortBody{ctx: ctx, left: c.sent}, c.length))
+		for range s.streams {
+			go runStream(client, e.request(ctx, e.callers, &shortBody{ctx: ctx, left: s.crowd.Sent}, s.crowd.Length))
 		}
 	}
-	return g
+	return cancel
 }
 
-func (g *gathering) runStream(client *http.Client, request *http.Request) {
+func runStream(client *http.Client, request *http.Request) {
 	if response, err := client.Do(request); err == nil {
 		response.Body.Close()
 	}
@@ -225,25 +224,26 @@
 // TestCrowdsAtOwnInterface guards against callers of the project's own interface that misbehave
 // in numbers: there TLS turns HTTP/2 on, so that a bound on connections bounds no bodies.
 func TestCrowdsAtOwnInterface(t *testing.T) {
-	for _, c := range readCrowds(t, "testdata/own_crowds.txt") {
-		t.Run(c.name, func(t *testing.T) {
-			e := startOwnEntry(t, entryLimits{memoryMB: c.memoryMB, fds: c.fds})
+	for _, s := range readScenarios(t, "testdata/own_crowds.txt") {
+		t.Run(s.name, func(t *testing.T) {
+			e := startOwnEntry(t, entryLimits{memoryMB: s.memoryMB, fds: s.fds})
 			meter := startGauge(e.command.Process.Pid)
-			var crowd *gathering
-			if c.streams > 0 {
-				crowd = e.gatherStreams(t.Context(), c)
+			var disperse func()
+			if s.streams > 0 {
+				disperse = e.gatherStreams(t.Context(), s)
 			} else {
-				address := map[string]netip.AddrPort{targetCallers: e.callers, targetOperators: e.operators}[c.target]
-				crowd = c.gather(func() (net.Conn, error) {
+				address := map[string]netip.AddrPort{targetCallers: e.callers, targetOperators: e.operators}[s.target]
+				crowd := s.crowd.Gather(func() (net.Conn, error) {
 					dialer := &net.Dialer{Timeout: dialTimeout}
 					return tls.DialWithDialer(dialer, "tcp", address.String(), &tls.Config{RootCAs: e.roots})
-				}, pathOrdinary)
+				}, requestTarget(s.target))
+				disperse = func() { t.Logf("%+v", crowd.Disperse()) }
 			}
 			time.Sleep(crowdStay)
 			e.awaitOrdinary("an ordinary request beside the crowd")
-			crowd.disperse()
+			disperse()
 			e.awaitOrdinary("an ordinary request after the crowd")
-			e.checkLimits(meter, c.memoryMB, c.fds)
+			e.checkLimits(meter, s.memoryMB, s.fds)
 		})
 	}
 }
