Memory: requests, responses and hops share what they don't use

Change: bounder.Pool: each part has a guaranteed size, which the others leave free, and takes more while nobody else does. Responses are guaranteed a sixteenth of the memory, and take an eighth at most, as before. A body counts by its buffer. Errors of net/http about connections, a line each, are at most 2 a second.

Ruled out: more for requests at the cost of what responses are guaranteed; a response of a request that has run must find its place.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,7 +15,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -125,9 +124,9 @@
 	Tracer      trace.Tracer
 	// Seed seeds the random choices of the routing policies.
 	Seed uint64
-	// ResponseMemory is the memory that the responses in progress may take together; zero
-	// means the default of package partitioner.
-	ResponseMemory int64
+	// ResponseMemory is the memory that the responses in progress may take together; nil means
+	// the default of package partitioner.
+	ResponseMemory *bounder.Part
 }
 
 // New returns a dispatcher; [Dispatcher.Start] starts its background work.
@@ -146,12 +145,20 @@
 		rates:       make(map[string]*rateLimit),
 		quarantine:  quarantiner.New(strikeLimit, StrikeExpiry, strikeCapacity),
 		budget:      retrier.NewBudget(retrier.Limits{Reserve: retryReserve}, time.Time{}),
-		responses:   bounder.NewBudget(cmp.Or(d.ResponseMemory, partitioner.DefaultResponses)),
+		responses:   newResponseBudget(d.ResponseMemory),
 		monitors:    make(map[*attemptMonitor]struct{}),
 		waiters:     make(map[uint64]chan admissionResult),
 	}
 }
 
+// newResponseBudget returns the memory for the responses in progress.
+func newResponseBudget(part *bounder.Part) *bounder.Budget {
+	if part == nil {
+		return bounder.NewBudget(partitioner.DefaultResponses)
+	}
+	return bounder.NewBudgetOf(part)
+}
+
 // Start checks running attempts and queues in the background until ctx ends.
 func (d *Dispatcher) Start(ctx context.Context) { go d.run(ctx) }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -148,6 +148,9 @@
 	Detours Detours
 	Tracer  trace.Tracer
 	Scope   tally.Scope
+	// ResponseMemory is the memory that the responses in progress may take together. If it is
+	// nil, they have the part of a process with MemoryBytes to themselves.
+	ResponseMemory *bounder.Part
 }
 
 // Forwarder sends the requests that reach one entry instance to backend
@@ -213,7 +216,7 @@
 		},
 		metrics:          newMetrics(d.Scope),
 		permits:          newPermits(d.Scope),
-		responses:        bounder.NewBudget(partitioner.Divide(partitioner.Resources{MemoryBytes: d.MemoryBytes}).Responses),
+		responses:        newResponseBudget(d),
 		bodyRefusalLines: rate.NewLimiter(bodyRefusalLinesPerSecond, bodyRefusalLinesPerSecond),
 		screener:         screener.New(),
 		warmUps:          warmUps{warmer: warmer.New(clocker.Now(), d.Entry)},
@@ -236,6 +239,14 @@
 	return f
 }
 
+// newResponseBudget returns the memory for the responses in progress.
+func newResponseBudget(d Dependencies) *bounder.Budget {
+	if d.ResponseMemory != nil {
+		return bounder.NewBudgetOf(d.ResponseMemory)
+	}
+	return bounder.NewBudget(partitioner.Divide(partitioner.Resources{MemoryBytes: d.MemoryBytes}).Responses.Limit)
+}
+
 // Configure replaces the settings.
 func (f *Forwarder) Configure(s Settings) {
 	f.settings.Store(&s)
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -174,6 +174,8 @@
 	platform     Platform
 	registry     *prometheus.Registry
 	scope        tally.Scope
+	parts        partitioner.Parts
+	memory       partitioner.Memory
 	traces       *sdktrace.TracerProvider
 	pool         *messenger.Pool
 	discoverer   *discoverer.Discoverer
@@ -222,6 +224,8 @@
 	if p.LeavingSource != nil {
 		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
 	}
+	n.parts = s.Parts()
+	n.memory = n.parts.NewMemory()
 	n.forwarder = forwarder.New(forwarder.Dependencies{
 		Settings: s.forwarderSettings(),
 		Entry:    s.ID,
@@ -231,6 +235,8 @@
 		Detours:  detourer.NewClient(n.pool.DialDetour),
 		Tracer:   n.traces.Tracer("waxwingmount"),
 		Scope:    scope,
+
+		ResponseMemory: n.memory.Responses,
 	})
 	if p.WarmupSource != nil {
 		p.WarmupSource.OnWarmup(n.forwarder.HandleWarmup)
@@ -343,20 +349,19 @@
 	if err != nil {
 		return err
 	}
-	parts := n.settings.Parts()
 	peerServer, err := messenger.NewServer(messenger.Security{}, messenger.PeerService, &peerService{node: n}, rand.Read,
-		messenger.WithLimiter(server.NewLimiter(server.LimiterSettings{Name: "peers", Connections: parts.PeerConnections, Memory: parts.Hops, Scope: n.scope})),
-		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour)), messenger.WithMaxDetours(parts.HopConnections))
+		messenger.WithLimiter(server.NewLimiter(server.LimiterSettings{Name: "peers", Connections: n.parts.PeerConnections, SharedMemory: n.memory.Hops, Scope: n.scope})),
+		messenger.WithDetourHandler(detourer.NewHandler(n.forwarder.ServeDetour)), messenger.WithMaxDetours(n.parts.HopConnections))
 	if err != nil {
 		return err
 	}
 	go peerServer.Serve(background, listener)
 	callerServer, err := server.Start(n.settings.CallerAddress, n.forwarder.Handler(),
-		server.WithLimiter(n.limiter("callers", parts.CallerConnections, parts.Requests)))
+		server.WithLimiter(n.limiter(server.LimiterSettings{Name: "callers", Connections: n.parts.CallerConnections, SharedMemory: n.memory.Requests})))
 	if err != nil {
 		return err
 	}
-	if err := n.startOtherServers(parts); err != nil {
+	if err := n.startOtherServers(); err != nil {
 		return err
 	}
 	n.observer.Start(background)
@@ -375,9 +380,10 @@
 	return n.stop(callerServer)
 }
 
-// limiter returns the limiter of a listener.
-func (n *Node) limiter(name string, connections int, memory int64) *server.Limiter {
-	return server.NewLimiter(server.LimiterSettings{Name: name, Connections: connections, Memory: memory, Bounds: n.clientBounds, Scope: n.scope})
+// limiter returns the limiter of a listener at which the limits of the configuration hold.
+func (n *Node) limiter(s server.LimiterSettings) *server.Limiter {
+	s.Bounds, s.Scope = n.clientBounds, n.scope
+	return server.NewLimiter(s)
 }
 
 // clientBounds returns what the configuration in force allows to clients.
@@ -390,21 +396,22 @@
 }
 
 // startOtherServers starts the servers of readiness, the directory and metrics.
-func (n *Node) startOtherServers(parts partitioner.Parts) error {
+func (n *Node) startOtherServers() error {
 	for _, s := range []struct {
 		name        string
 		address     netip.AddrPort
 		handler     http.Handler
 		connections int
 	}{
-		{"readiness", n.settings.ReadinessAddress, n.platform.NewReadinessHandler(n.ready), parts.ControlConnections},
-		{"directory", n.settings.DirectoryAddress, n.platform.NewDirectoryHandler(n), parts.DirectoryConnections},
-		{"metrics", n.settings.MetricsAddress, n.metricsHandler(), parts.ControlConnections},
+		{"readiness", n.settings.ReadinessAddress, n.platform.NewReadinessHandler(n.ready), n.parts.ControlConnections},
+		{"directory", n.settings.DirectoryAddress, n.platform.NewDirectoryHandler(n), n.parts.DirectoryConnections},
+		{"metrics", n.settings.MetricsAddress, n.metricsHandler(), n.parts.ControlConnections},
 	} {
 		if !s.address.IsValid() {
 			continue
 		}
-		if _, err := server.Start(s.address, s.handler, server.WithLimiter(n.limiter(s.name, s.connections, parts.Control))); err != nil {
+		limiter := n.limiter(server.LimiterSettings{Name: s.name, Connections: s.connections, Memory: n.parts.Control})
+		if _, err := server.Start(s.address, s.handler, server.WithLimiter(limiter)); err != nil {
 			return err
 		}
 	}
--- a/internal/messenger/detour.go
+++ b/internal/messenger/detour.go
@@ -94,6 +94,7 @@
 		IdleTimeout:       detourIdleTimeout,
 		MaxHeaderBytes:    maxDetourHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ErrorLog:          server.NewErrorLog(),
 		ConnState:         server.HandleState,
 		ConnContext:       server.WithConn,
 	}
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// growthCopies is how many times a body that grows is kept: a buffer that is full is
-	// copied into one of twice its size.
+	// growthCopies is how many times a body is counted that its handler reads by itself, into
+	// buffers of which nothing is known.
 	growthCopies = 2
 	// lingerTimeout is how long the rest of a refused body is read, so that a client that
 	// still sends it gets the response and not a reset connection.
@@ -37,6 +37,8 @@
 
 	// fixed is what the request takes beside its body, and arrived what has arrived of it.
 	fixed, arrived int64
+	// buffered says that ReadBody counts the buffer.
+	buffered bool
 	// err is the first error of reading.
 	err error
 	// ended says that the request is refused and the connection ends with the response.
@@ -60,31 +62,39 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(p)
-	now := time.Now()
 	b.arrived += int64(n)
+	var memoryErr error
 	if n > 0 {
-		b.claim.Advance(now, int64(n))
+		b.claim.Advance(time.Now(), int64(n))
+		if !b.buffered {
+			memoryErr = b.Resize(growthCopies * b.arrived)
+		}
 	}
-	if err == io.EOF {
+	switch {
+	case memoryErr != nil:
+		err = memoryErr
+	case err == io.EOF:
 		b.claim.Complete()
-	}
-	copies := b.limiter.BodyCopies
-	if err != io.EOF {
-		copies = max(copies, growthCopies)
-	}
-	if takeErr := b.take(now, copies); takeErr != nil {
-		err = takeErr
-	} else if errors.Is(err, os.ErrDeadlineExceeded) && b.request.Context().Err() == nil {
-		b.limiter.count(reasonBodyTimeout)
-		err = faulter.New("read request", KindTooSlow, err)
-	}
-	if err != nil && err != io.EOF {
+	case err != nil:
+		err = b.classify(err)
 		b.endConnection()
 	}
 	b.err = err
 	return n, err
 }
 
+// classify returns the error of a read that failed.
+func (b *body) classify(err error) error {
+	switch {
+	case b.claim.Reclaimed():
+		return faulter.New("read request", KindTooSlow, err)
+	case errors.Is(err, os.ErrDeadlineExceeded) && b.request.Context().Err() == nil:
+		b.limiter.count(reasonBodyTimeout)
+		return faulter.New("read request", KindTooSlow, err)
+	}
+	return err
+}
+
 // endConnection says that the connection ends with the response, since the rest of the body is
 // not read.
 func (b *body) endConnection() {
@@ -92,15 +102,17 @@
 	b.writer.Header().Set("Connection", "close")
 }
 
-// take takes the memory for so many copies of what has arrived. Its error is of type *[Error].
-func (b *body) take(now time.Time, copies int64) error {
-	victims, err := b.claim.Resize(now, b.fixed+copies*b.arrived)
+// Resize implements [bounder.Resizer]: it takes the memory for a buffer of that size, and for
+// its copies. Its error is of type *[Error].
+func (b *body) Resize(size int64) error {
+	victims, err := b.claim.Resize(time.Now(), b.fixed+b.limiter.BodyCopies*size)
 	b.limiter.evict(victims)
 	kind, failed := faulter.KindOf[reclaimer.Kind](err)
-	switch {
-	case !failed:
+	if !failed {
 		return nil
-	case kind == reclaimer.KindReclaimed:
+	}
+	b.endConnection()
+	if kind == reclaimer.KindReclaimed {
 		return faulter.New("read request", KindTooSlow, err)
 	}
 	b.limiter.count(reasonNoMemory)
@@ -118,7 +130,12 @@
 	if r.ContentLength >= 0 {
 		limit = r.ContentLength
 	}
-	data, err := bounder.ReadAll(r.Body, limit, nil)
+	var memory bounder.Resizer
+	if b, limited := r.Body.(*body); limited {
+		b.buffered = true
+		memory = b
+	}
+	data, err := bounder.ReadAll(r.Body, limit, memory)
 	if kind, found := faulter.KindOf[bounder.Kind](err); found && kind == bounder.KindTooLong {
 		endConnection(r)
 		return nil, faulter.New(op, KindTooLarge, err)
@@ -128,6 +145,9 @@
 	}
 	if cap(data)-len(data) > len(data)/wasteDivisor {
 		data = bytes.Clone(data)
+		if memory != nil {
+			return data, memory.Resize(int64(len(data)))
+		}
 	}
 	return data, nil
 }
--- a/internal/server/limiter.go
+++ b/internal/server/limiter.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/reclaimer"
 )
@@ -67,6 +68,8 @@
 	// take together. Zero means no bound.
 	Connections int
 	Memory      int64
+	// SharedMemory is the part of a memory from which requests take theirs. It may be nil.
+	SharedMemory *bounder.Part
 	// BodyCopies is how many times the handlers keep a body in memory; zero means once.
 	BodyCopies int64
 	// Bounds may be nil.
@@ -105,7 +108,7 @@
 	s.BodyCopies = max(1, s.BodyCopies)
 	return &Limiter{
 		LimiterSettings: s,
-		reclaimer:       reclaimer.New[evictee](reclaimer.Limits{Memory: s.Memory, Connections: s.Connections, Grace: stallGrace}),
+		reclaimer:       reclaimer.New[evictee](reclaimer.Limits{Memory: s.Memory, Part: s.SharedMemory, Connections: s.Connections, Grace: stallGrace}),
 		given:           make(map[string]int),
 	}
 }
@@ -240,7 +243,7 @@
 		if r.ProtoMajor > 1 {
 			// Streams of a connection are many; each has a goroutine and a head of its own.
 			b.fixed = streamBytes + headCopies*int64(head)
-			if err := b.take(time.Now(), growthCopies); err != nil {
+			if err := b.Resize(0); err != nil {
 				w.Header().Set("Retry-After", "1")
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,6 +84,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       MaxIdleTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
+		ErrorLog:          NewErrorLog(),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxStreams,
 			MaxReceiveBufferPerConnection: connectionBufferBytes,
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -63,6 +63,7 @@
 	process          logger.Process
 	tls              tlsConfigs
 	parts            partitioner.Parts
+	memory           partitioner.Memory
 	scope            tally.Scope
 	traces           *sdktrace.TracerProvider
 	pool             *messenger.Pool
@@ -86,6 +87,7 @@
 func New(s loader.Settings, process logger.Process, platform provider.Platform) (*Node, error) {
 	n := &Node{settings: s, process: process, shutdownBegun: make(chan struct{})}
 	n.parts = Parts(s.Limits)
+	n.memory = n.parts.NewMemory()
 	var err error
 	if n.tls, err = loadTLS(s.TLS); err != nil {
 		return nil, err
@@ -161,7 +163,7 @@
 		Tracer:      tracer,
 		Seed:        self.Epoch,
 
-		ResponseMemory: n.parts.Responses,
+		ResponseMemory: n.memory.Responses,
 	})
 	n.broadcaster.archiver = archiver.New(archiver.Dependencies{
 		Entry: s.ID, Table: platform, Evidence: strikeEvidence{n.dispatcher}, Expiry: dispatcher.StrikeExpiry,
@@ -216,13 +218,13 @@
 	if err != nil {
 		return err
 	}
-	peers := server.LimiterSettings{Name: "peers", Connections: n.parts.PeerConnections, Memory: n.parts.Hops, Scope: n.scope}
+	peers := server.LimiterSettings{Name: "peers", Connections: n.parts.PeerConnections, SharedMemory: n.memory.Hops, Scope: n.scope}
 	peerServer, err := messenger.NewServer(n.security(), messenger.PeerService, n.peer, rand.Read, messenger.WithLimiter(server.NewLimiter(peers)))
 	if err != nil {
 		return err
 	}
 	go peerServer.Serve(background, peerListener)
-	callers := server.LimiterSettings{Name: "callers", Connections: n.parts.CallerConnections, Memory: n.parts.Requests, BodyCopies: bodyCopies, Scope: n.scope}
+	callers := server.LimiterSettings{Name: "callers", Connections: n.parts.CallerConnections, SharedMemory: n.memory.Requests, BodyCopies: bodyCopies, Scope: n.scope}
 	callerServer, err := server.Start(n.settings.CallerAddress, n.receiver.Handler(), server.WithTLS(n.tls.server), server.WithLimiter(server.NewLimiter(callers)))
 	if err != nil {
 		return err
--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -50,11 +50,16 @@
 	mu       sync.Mutex
 	capacity int64
 	used     int64
+	// part is the part of a pool from which the budget takes its bytes, or nil.
+	part *Part
 }
 
 // NewBudget returns a budget of so many bytes.
 func NewBudget(capacity int64) *Budget { return &Budget{capacity: capacity} }
 
+// NewBudgetOf returns a budget that takes its bytes from a part of a pool.
+func NewBudgetOf(part *Part) *Budget { return &Budget{capacity: part.Limit(), part: part} }
+
 // Used returns how many bytes are taken.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -77,8 +82,11 @@
 
 // Resize sets how many bytes the response takes, beside those of Hold. If the budget does
 // not have them, it returns an error of KindNoMemory and changes nothing: the response that
-// grows gives way, not one that is there already.
+// grows gives way, not one that is there already. A nil share takes nothing.
 func (s *Share) Resize(size int64) error {
+	if s == nil {
+		return nil
+	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	return s.resize(size + s.held)
@@ -105,12 +113,18 @@
 	if size > smallShare {
 		limit -= limit / reserveDivisor
 	}
-	if size > s.size && s.budget.used+size-s.size > limit {
+	if size > s.size && (s.budget.used+size-s.size > limit || size-s.size > s.budget.part.Room()) {
 		return faulter.Newf("read response", KindNoMemory, "%d of %d bytes are in use", s.budget.used, limit)
 	}
+	s.set(size)
+	return nil
+}
+
+// set changes the size. The caller holds the budget's lock.
+func (s *Share) set(size int64) {
 	s.budget.used += size - s.size
+	s.budget.part.Use(size - s.size)
 	s.size = size
-	return nil
 }
 
 // Close returns the share to the budget. It may be called more than once, and on a nil
@@ -121,16 +135,21 @@
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.budget.used -= s.size
-	s.size, s.held, s.closed = 0, 0, true
+	s.set(0)
+	s.held, s.closed = 0, true
 }
 
 // firstRead is the size of the first buffer; it doubles when it is full.
 const firstRead = 4096
 
+// Resizer is told what a buffer takes, and returns an error if that can't be had.
+type Resizer interface {
+	Resize(size int64) error
+}
+
 // ReadAll reads r to its end, and at most limit bytes. If share is not nil, the bytes are
-// taken from its budget before they are read.
-func ReadAll(r io.Reader, limit int64, share *Share) ([]byte, error) {
+// taken from it before they are read.
+func ReadAll(r io.Reader, limit int64, share Resizer) ([]byte, error) {
 	var data []byte
 	for {
 		if len(data) == cap(data) {
--- a/pkg/reclaimer/claim.go
+++ b/pkg/reclaimer/claim.go
@@ -44,22 +44,27 @@
 	if c.ended {
 		return nil, faulter.Newf(op, KindReclaimed, "the request made no progress while memory was short")
 	}
-	limit := r.limits.Memory
-	if size > smallClaim {
-		limit -= limit / reserveDivisor
-	}
 	var victims []Victim[O]
 	if size > c.size {
 		var enough bool
+		limit := r.available(size)
 		if victims, enough = r.reclaim(now, size-c.size, limit, c); !enough {
 			return nil, faulter.Newf(op, KindNoMemory, "%d of %d bytes are in use", r.used, limit)
 		}
 	}
-	r.used += size - c.size
+	r.take(size - c.size)
 	c.size = size
 	return victims, nil
 }
 
+// Reclaimed reports whether the claim has given way, or was closed.
+func (c *Claim[O]) Reclaimed() bool {
+	r := c.conn.reclaimer
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.ended
+}
+
 // Complete says that the request has arrived whole, so that it doesn't give way any more.
 func (c *Claim[O]) Complete() {
 	r := c.conn.reclaimer
@@ -87,7 +92,7 @@
 	}
 	c.ended = true
 	c.unlist()
-	c.conn.reclaimer.used -= c.size
+	c.conn.reclaimer.take(-c.size)
 	c.size = 0
 	if i := slices.Index(c.conn.claims, c); i >= 0 {
 		c.conn.claims = slices.Delete(c.conn.claims, i, i+1)
--- a/pkg/reclaimer/reclaimer.go
+++ b/pkg/reclaimer/reclaimer.go
@@ -36,6 +36,7 @@
 	"sync"
 	"time"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -80,13 +81,15 @@
 	// smallClaim is the size up to which a claim may use the reserve.
 	smallClaim = 64 << 10
 	// reserveDivisor is the ratio of the memory to its reserve for small claims.
-	reserveDivisor = 4
+	reserveDivisor = 8
 )
 
 // Limits are what a Reclaimer divides. Zero means no limit.
 type Limits struct {
-	// Memory is what all claims may take together.
+	// Memory is what all claims may take together, and Part the part of a pool from which they
+	// take it. Part may be nil.
 	Memory      int64
+	Part        *bounder.Part
 	Connections int
 	// Grace is the time without progress after which something may be reclaimed.
 	Grace time.Duration
@@ -112,7 +115,7 @@
 // New returns a Reclaimer without connections.
 func New[O any](l Limits) *Reclaimer[O] {
 	if l.Memory <= 0 {
-		l.Memory = math.MaxInt64
+		l.Memory = l.Part.Limit()
 	}
 	if l.Connections <= 0 {
 		l.Connections = math.MaxInt
@@ -193,6 +196,25 @@
 	return victims
 }
 
+// available returns what a claim of that size leaves of the memory for all claims. The caller
+// holds the lock.
+func (r *Reclaimer[O]) available(size int64) int64 {
+	limit := r.limits.Memory
+	if room := r.limits.Part.Room(); room < limit-r.used {
+		limit = r.used + room
+	}
+	if size > smallClaim {
+		limit -= r.limits.Memory / reserveDivisor
+	}
+	return limit
+}
+
+// take changes what all claims take. The caller holds the lock.
+func (r *Reclaimer[O]) take(bytes int64) {
+	r.used += bytes
+	r.limits.Part.Use(bytes)
+}
+
 // reclaim makes stalled claims give way until so many bytes are free below the limit. It
 // returns false, and changes nothing, if they don't suffice. The caller holds the lock.
 func (r *Reclaimer[O]) reclaim(now time.Time, wanted int64, limit int64, except *Claim[O]) ([]Victim[O], bool) {
--- a/pkg/reclaimer/reclaimer_test.go
+++ b/pkg/reclaimer/reclaimer_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -306,6 +307,28 @@
 	assert.Assert(m.t, m.reclaimer.Connections() <= m.limits.Connections)
 }
 
+// TestSharedMemory guards against requests that take what is guaranteed to others, and against
+// stalled ones that keep what others need.
+func TestSharedMemory(t *testing.T) {
+	pool := bounder.NewPool(1 << 20)
+	responses := pool.NewPart(256<<10, 512<<10)
+	r := New[string](Limits{Part: pool.NewPart(0, 1<<20), Grace: time.Second})
+	conn, _, err := r.Open(start, "conn")
+	assert.NilError(t, err)
+	stalled, large := conn.NewClaim(start, "stalled"), conn.NewClaim(start, "large")
+	_, err = stalled.Resize(start, 400<<10)
+	assert.NilError(t, err)
+	_, err = large.Resize(start, 300<<10)
+	assert.Assert(t, err != nil)
+	responses.Use(512 << 10)
+	given, err := large.Resize(start.Add(time.Second), 300<<10)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, given, []Victim[string]{{Owner: "stalled", Reason: ReasonStalled}})
+	assert.Equal(t, responses.Room(), int64(0))
+	large.Close()
+	assert.Equal(t, pool.NewPart(0, 1<<20).Room(), int64(512<<10))
+}
+
 // BenchmarkRequest measures what one request with a body costs.
 func BenchmarkRequest(b *testing.B) {
 	r := New[int](Limits{Memory: 16 << 20, Connections: 1000, Grace: time.Second})
