Bounder: the first buffer of a short body is no longer than the body

Cause: since bodies are read through bounder.ReadAll, one of 500 bytes took a buffer of 4 KB and was copied into a smaller one.

Change: a buffer never exceeds the limit by more than the byte that shows it; for a body of known length that is its length. Tests: four sizes, and bodies of no bytes.

--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -154,7 +154,7 @@
 	for {
 		if len(data) == cap(data) {
 			// One byte more than the limit shows that it is exceeded.
-			next := min(max(firstRead, 2*int64(cap(data))), max(limit+1, firstRead))
+			next := min(max(firstRead, 2*int64(cap(data))), limit+1)
 			if share != nil {
 				// The old buffer is free only after the copy.
 				if err := share.Resize(next + int64(cap(data))); err != nil {
--- a/pkg/bounder/bounder_test.go
+++ b/pkg/bounder/bounder_test.go
@@ -96,6 +96,9 @@
 		wantError bool
 	}{
 		{sent: 100, limit: 8 << 20, atMost: firstRead},
+		{sent: 100, limit: 100, atMost: 101},
+		{sent: 0, limit: 0, atMost: 1},
+		{sent: 1, limit: 0, atMost: 1, wantError: true},
 		{sent: 5000, limit: 8 << 20, atMost: 4 * firstRead},
 		{sent: 1 << 20, limit: 1 << 20, atMost: 1<<20 + 1},
 		{sent: 1<<20 + 1, limit: 1 << 20, atMost: 1<<20 + 1, wantError: true},
