--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -6,6 +6,7 @@
 //
 //	go test ./internal/soaker -run TestSoak -seeds 50 -first 1000
 //	go test ./internal/soaker -run TestSoak -seeds 1 -first 1007 -keep-logs DIR
+//	go test ./internal/soaker -run TestCrowdSoak -seeds 8 -first 1 -parallel 3
 //	go test ./internal/soaker -run TestCutSoak -seeds 8 -first 1 -parallel 3
 //	go test ./internal/soaker -run TestCutInstancesServeTheirCallers -cuts -parallel 2
 package soaker
--- a/internal/soaker/fixture_test.go
+++ b/internal/soaker/fixture_test.go
@@ -85,6 +85,8 @@
 	daemon  string
 	logDir  string
 	checker *checker
+	// memoryMB is the memory of an entry instance in its settings, or zero for none.
+	memoryMB int
 
 	store         *process
 	daemons       []*process
@@ -233,7 +235,7 @@
 		CallerAddress: f.address(blockEntry, i, portCaller), ReadinessAddress: f.address(blockEntry, i, portReadiness),
 		PeerAddress: f.address(blockEntry, i, portPeer), DirectoryAddress: f.address(blockEntry, i, portDirectory),
 		Store: f.address(blockStore, 1+i, portOther), KeyTTL: testLimits.keyTTL, ConfigTTL: testLimits.apply, EvacuationTTL: testLimits.evacuate, StopTimeout: shutdownTimeout, AddressTTL: time.Second,
-		RetryRatio: testLimits.retryRatio, RetrySlack: testLimits.retrySlack,
+		RetryRatio: testLimits.retryRatio, RetrySlack: testLimits.retrySlack, MemoryMB: f.memoryMB,
 	}.Encode()
 	if err == nil {
 		err = os.WriteFile(path, data, 0o600)
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -53,12 +53,17 @@
 	evacuations bool
 	// cuts says that entry instances may be cut from servers.
 	cuts bool
+	// crowds says that callers that misbehave may come in numbers.
+	crowds bool
 	// planned says that all other steps are regular operations, so that no request may be
 	// lost at any time.
 	planned bool
 }
 
 func (s scenario) name() string {
+	if s.crowds {
+		return "crowds " + strconv.FormatUint(s.seed, 10)
+	}
 	if s.evacuations {
 		return "evacuations " + strconv.FormatUint(s.seed, 10)
 	}
@@ -159,6 +164,9 @@
 	}
 	f := newFixture(t, run, daemon, *keepLogs, entries)
 	defer f.stop()
+	if s.crowds {
+		f.memoryMB = crowdMemoryMB
+	}
 	f.start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -182,6 +190,9 @@
 		steps = append(steps, generateReturns(f, s.seed)...)
 		steps = append(steps, generateStatements(f, s.seed)...)
 	}
+	if s.crowds {
+		steps = append(steps, generateCrowds(f, s.seed)...)
+	}
 	if s.evacuations {
 		steps = append(steps, generateEvacuations(f, s.seed)...)
 	}
