Tests: crowds of eight kinds at once

Change: bodies that stop short, in pieces and chunks, whole ones, heads, requests without waiting, responses that nobody reads, hops and the directory meet one process together.

--- a/internal/crowder/crowds_test.go
+++ b/internal/crowder/crowds_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +40,30 @@
 	}
 }
 
+// together are the crowds of TestCrowdsTogether.
+var together = []string{"length", "small_chunks", "whole", "small_heads", "pipelined", "unread", "hop_length", "directory_body"}
+
+// TestCrowdsTogether guards against parts of a process that are each within their limit, and
+// together beyond that of the process.
+func TestCrowdsTogether(t *testing.T) {
+	const memoryMB, fds = 128, 4100
+	e := startEntry(t, entryLimits{memoryMB: memoryMB, fds: fds, bodyBytes: maxBodyBytes})
+	meter := startGauge(e.command.Process.Pid)
+	var wait sync.WaitGroup
+	for _, s := range readScenarios(t, "testdata/crowds.txt") {
+		if slices.Contains(together, s.name) {
+			wait.Go(func() {
+				disperse := e.gather(t.Context(), s.target, s.crowd)
+				t.Cleanup(func() { disperse() })
+			})
+		}
+	}
+	wait.Wait()
+	time.Sleep(crowdStay)
+	e.awaitOrdinary("an ordinary request beside the crowds")
+	e.checkLimits(meter, memoryMB, fds)
+}
+
 // stopShort is the crowd of the tests of a process's start and stop.
 var stopShort = scenario{target: targetCallers, memoryMB: 128, fds: 4100, crowd: Crowd{Conns: 300, Length: 1 << 20, Sent: 1<<20 - 1}}
 
