Server: a refused HTTP/2 request leaves the others on its connection

Cause: a refusal set Connection: close, by which net/http shuts the whole HTTP/2 connection down (GOAWAY). Load only made refusals come earlier.

Change: only connections that carry one request at a time are closed.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -99,7 +99,15 @@
 // not read.
 func (b *body) endConnection() {
 	b.ended = true
-	b.writer.Header().Set("Connection", "close")
+	closeAfterResponse(b.writer, b.request)
+}
+
+// closeAfterResponse closes the connection of a request after its response, unless it carries
+// other requests as well.
+func closeAfterResponse(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // Resize implements [bounder.Resizer]: it takes the memory for a buffer of that size, and for
--- a/internal/server/limiter.go
+++ b/internal/server/limiter.go
@@ -234,7 +234,7 @@
 		head := headSize(r)
 		if head > l.bounds().HeaderBytes+headerSlack {
 			l.count(reasonHeadTooLong)
-			w.Header().Set("Connection", "close")
+			closeAfterResponse(w, r)
 			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
--- a/internal/server/limiter_test.go
+++ b/internal/server/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -371,6 +372,44 @@
 	assert.Assert(t, limiter.MemoryUsed() <= 4<<20)
 }
 
+// TestRefusedStreamLeavesOthers guards against one refused request that ends an HTTP/2 connection
+// with the requests of others on it.
+func TestRefusedStreamLeavesOthers(t *testing.T) {
+	source := httptest.NewUnstartedServer(nil)
+	source.StartTLS()
+	defer source.Close()
+	_, address := startLimited(t, LimiterSettings{Memory: 8 << 20}, WithTLS(&tls.Config{Certificates: source.TLS.Certificates}))
+	transport := source.Client().Transport.(*http.Transport).Clone()
+	transport.ForceAttemptHTTP2 = true
+	dials := 0
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	caller := &http.Client{Transport: transport}
+	defer caller.CloseIdleConnections()
+	post := func(body io.Reader) int {
+		response, err := caller.Post("https://"+address, "text/plain", body)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		assert.Equal(t, response.ProtoMajor, 2)
+		return response.StatusCode
+	}
+	assert.Equal(t, post(strings.NewReader("x")), http.StatusOK)
+	reader, writer := io.Pipe()
+	answered := make(chan int, 1)
+	go func() { answered <- post(reader) }()
+	_, err := io.WriteString(writer, "begins")
+	assert.NilError(t, err)
+	for range 3 {
+		assert.Equal(t, post(strings.NewReader(strings.Repeat("x", testBodyLimit+1))), http.StatusRequestEntityTooLarge)
+		assert.Equal(t, post(strings.NewReader("x")), http.StatusOK)
+	}
+	assert.NilError(t, writer.Close())
+	assert.Equal(t, <-answered, http.StatusOK)
+	assert.Equal(t, dials, 1)
+}
+
 // TestBodyThatNobodyReads guards against a response that waits for a body which its handler does
 // not read.
 func TestBodyThatNobodyReads(t *testing.T) {
