Server: bodies over the limit are counted like the other limits

Cause: at the own interface nothing counted them; the refusals that the forwarder counts are those of hosted mode.

Change: reason body_too_long in clients_turned_away and in its log line. Measured: the server's tests pass.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -132,7 +132,7 @@
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
 	const op = "read request"
 	if r.ContentLength > limit {
-		endConnection(r)
+		refuseTooLong(r)
 		return nil, faulter.Newf(op, KindTooLarge, "%d bytes are announced; %d are allowed", r.ContentLength, limit)
 	}
 	if r.ContentLength >= 0 {
@@ -145,7 +145,7 @@
 	}
 	data, err := bounder.ReadAll(r.Body, limit, memory)
 	if kind, found := faulter.KindOf[bounder.Kind](err); found && kind == bounder.KindTooLong {
-		endConnection(r)
+		refuseTooLong(r)
 		return nil, faulter.New(op, KindTooLarge, err)
 	}
 	if err != nil {
@@ -160,9 +160,10 @@
 	return data, nil
 }
 
-// endConnection says that the connection of a request ends with its response.
-func endConnection(r *http.Request) {
+// refuseTooLong counts a body over its limit, and says that the connection ends with the response.
+func refuseTooLong(r *http.Request) {
 	if b, limited := r.Body.(*body); limited {
+		b.limiter.count(reasonBodyTooLong)
 		b.endConnection()
 	}
 }
--- a/internal/server/limiter.go
+++ b/internal/server/limiter.go
@@ -163,6 +163,7 @@
 	reasonNoConnection = "no_connection"
 	reasonNoMemory     = "no_memory"
 	reasonHeadTooLong  = "head_too_long"
+	reasonBodyTooLong  = "body_too_long"
 	reasonBodyTimeout  = "body_timeout"
 	reasonWriteTimeout = "write_timeout"
 )
