Test of connections that give way: the idle one is awaited

Trace: a connection counts as idle once net/http has ended the request, which may be after its client has the response. A connection that was opened in between found all three in use, two of them too young to be judged, and was closed, as the design says; the test expected it to take the place of the third.

The check is the same: the idle connection must give way, and before those that send nothing. It is tried until net/http has ended the request.

--- a/internal/server/limiter_test.go
+++ b/internal/server/limiter_test.go
@@ -107,6 +107,17 @@
 	assert.Assert(c.t, !isNet || !timeout.Timeout(), "the connection stays open")
 }
 
+// hasEnded reports whether the server closes the connection within a short time.
+func (c *client) hasEnded() bool {
+	c.t.Helper()
+	const wait = 50 * time.Millisecond
+	assert.NilError(c.t, c.SetReadDeadline(time.Now().Add(wait)))
+	_, err := c.reader.ReadByte()
+	assert.Assert(c.t, err != nil, "the connection has a response")
+	timeout, isNet := err.(net.Error)
+	return !isNet || !timeout.Timeout()
+}
+
 // await waits until a condition holds.
 func await(t *testing.T, what string, holds func() bool) {
 	t.Helper()
@@ -218,9 +229,13 @@
 	assert.Equal(t, status, http.StatusOK)
 
 	// One that has served a request is idle, and goes before those that are too young to be
-	// judged.
-	first := dialClient(t, address)
-	served.awaitEnd()
+	// judged. It counts as idle shortly after its client has the response; until then the new
+	// one is closed.
+	var first *client
+	await(t, "the idle connection to give way", func() bool {
+		first = dialClient(t, address)
+		return served.hasEnded()
+	})
 	time.Sleep(stallGrace)
 	for _, old := range []*client{silent, partial} {
 		c := dialClient(t, address)
