--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -340,7 +340,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	listener, err := server.Listen(n.settings.PeerAddress)
+	listener, err := server.Listen(n.settings.PeerAddress, messenger.BufferBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -18,6 +18,10 @@
 	"github.com/waxwingmount/waxwingmount/internal/server"
 )
 
+// BufferBytes is the size of the operating system's buffers of connections for calls: what is
+// on its way to a peer in another region.
+const BufferBytes = 256 << 10
+
 const (
 	handshakeTimeout = 2 * time.Second
 	nonceBytes       = sha256.Size
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -14,14 +14,14 @@
 	"github.com/waxwingmount/waxwingmount/pkg/reclaimer"
 )
 
-// socketBufferBytes is the size of the operating system's buffers of an accepted connection.
+// clientBufferBytes is the size of the operating system's buffers of a client's connection.
 // Without a bound it keeps megabytes for each client that sends or doesn't read.
-const socketBufferBytes = 32 << 10
+const clientBufferBytes = 32 << 10
 
-// Listen listens on address. The buffers of the connections are bounded, also while they wait
-// to be accepted.
-func Listen(address netip.AddrPort) (net.Listener, error) {
-	config := net.ListenConfig{Control: BoundBuffers(socketBufferBytes)}
+// Listen listens on address. The operating system's buffers of the connections have that size,
+// also while they wait to be accepted.
+func Listen(address netip.AddrPort, bufferBytes int) (net.Listener, error) {
+	config := net.ListenConfig{Control: BoundBuffers(bufferBytes)}
 	return config.Listen(context.Background(), "tcp", address.String())
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,7 +75,7 @@
 // Start listens on address and serves in the background until the server is shut
 // down. The error is that of listening.
 func Start(address netip.AddrPort, handler http.Handler, options ...Option) (*Server, error) {
-	listener, err := Listen(address)
+	listener, err := Listen(address, clientBufferBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/starter/node.go
+++ b/internal/starter/node.go
@@ -214,7 +214,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	peerListener, err := server.Listen(n.settings.PeerAddress)
+	peerListener, err := server.Listen(n.settings.PeerAddress, messenger.BufferBytes)
 	if err != nil {
 		return err
 	}
