--- a/review/_lab2/cluster.go
+++ b/review/_lab2/cluster.go
@@ -65,12 +65,19 @@
 	portTries = 100
 )
 
+// given holds the addresses that freePort has returned.
+var given = make(map[string]bool)
+
 // freePort returns an address on which nothing listens.
 func freePort() string {
 	for range portTries {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if given[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
+			given[address] = true
 			return address
 		}
 	}
@@ -107,7 +114,6 @@
 	for i := range entries {
 		c.entries = append(c.entries, &entry{
 			name: fmt.Sprintf("entry-%d", i), zone: fmt.Sprintf("zone-%d", i%3),
-			caller: freePort(), ready: freePort(), peer: freePort(), dir: freePort(),
 		})
 	}
 	return c
@@ -235,19 +241,57 @@
 	c.record.printf("%s started", e.name)
 }
 
+// startTries is how often the entry instances are started: a port may be taken meanwhile.
+const (
+	startTries = 3
+	startTime  = 20 * time.Second
+)
+
 // startAll starts all entry instances and waits until they are ready.
 func (c *cluster) startAll() {
-	for _, e := range c.entries {
-		c.start(e, true)
+	for range startTries {
+		for _, e := range c.entries {
+			e.caller, e.ready, e.peer, e.dir = freePort(), freePort(), freePort(), freePort()
+		}
+		for _, e := range c.entries {
+			c.start(e, true)
+		}
+		if c.awaitReady() {
+			c.record.printf("all entry instances are ready")
+			return
+		}
+		c.record.printf("an entry instance did not start; all are started anew at other ports")
+		c.kill()
 	}
-	c.await("all entry instances are ready", 20*time.Second, func() bool {
+	fail("the entry instances are not ready")
+}
+
+// awaitReady reports whether all entry instances are ready in time, and none has ended.
+func (c *cluster) awaitReady() bool {
+	for until := time.Now().Add(startTime); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		ready := 0
 		for _, e := range c.entries {
-			if !e.isReady() {
+			if e.hasEnded() {
 				return false
 			}
+			if e.isReady() {
+				ready++
+			}
+		}
+		if ready == len(c.entries) {
+			return true
 		}
+	}
+	return false
+}
+
+func (e *entry) hasEnded() bool {
+	select {
+	case <-e.done:
 		return true
-	})
+	default:
+		return false
+	}
 }
 
 func (e *entry) isReady() bool {
@@ -272,15 +316,8 @@
 	c.record.printf("%s", what)
 }
 
-// signal sends a signal to the process of an entry instance.
-func (c *cluster) signal(e *entry, s syscall.Signal) {
-	c.record.printf("%v to %s", s, e.name)
-	_ = e.command.Process.Signal(s)
-}
-
-// stop ends all processes.
-func (c *cluster) stop() {
-	c.cancel()
+// kill ends the processes of all entry instances.
+func (c *cluster) kill() {
 	for _, e := range c.entries {
 		if e.command != nil && e.command.Process != nil {
 			_ = e.command.Process.Signal(syscall.SIGCONT)
@@ -288,6 +325,12 @@
 			<-e.done
 		}
 	}
+}
+
+// stop ends all processes and removes the temporary folder.
+func (c *cluster) stop() {
+	c.cancel()
+	c.kill()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(c.dir)
 	}
