--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,6 +44,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/permitter"
 	"github.com/waxwingmount/waxwingmount/pkg/prefixer"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 	"github.com/waxwingmount/waxwingmount/pkg/screener"
 	"github.com/waxwingmount/waxwingmount/pkg/warmer"
@@ -366,7 +367,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return &checkedConn{Conn: conn}, nil
+	return &checkedConn{Conn: responsechecker.NewConn(conn)}, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer acknowledges
