--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,6 +21,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/pathfinder"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
@@ -185,8 +186,6 @@
 	switch {
 	case metadata.ID != "" && metadata.ID != x.request.ID:
 		return x.excludeUpstream(a.active.upstream, errors.Newf("response belongs to request %q", metadata.ID)), true
-	case a.response.StatusCode < http.StatusOK:
-		return x.excludeUpstream(a.active.upstream, errors.Newf("status %d is none of a response", a.response.StatusCode)), true
 	case metadata.NotRun:
 		x.failedUpstreams[a.active.upstream.name] = true
 		x.lastErr = errors.Newf("server did not run the request: status %d", a.response.StatusCode)
@@ -280,7 +279,7 @@
 }
 
 // send sends the request to the attempt's upstream and waits for the response
-// header.
+// header. Nothing that a header says is believed if it is malformed.
 func (f *Forwarder) send(x *exchange, a *attempt) error {
 	u := a.active.upstream
 	ctx, span := f.Tracer.Start(a.ctx, "try", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
@@ -312,7 +311,10 @@
 		conn.endHead()
 	}
 	x.recordHeader(a)
-	return err
+	if err != nil {
+		return err
+	}
+	return responsechecker.CheckHead(a.response)
 }
 
 // isTimely reports whether what the attempt was chosen by still holds: the process has not
--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -40,6 +40,12 @@
 // serveRaw serves the same bytes to each request and then closes the connection, with a reset
 // if reset is set.
 func serveRaw(t *testing.T, response string, reset bool) netip.AddrPort {
+	t.Helper()
+	return serveRawFunc(t, func(*http.Request) string { return response }, reset)
+}
+
+// serveRawFunc is like serveRaw for bytes that depend on the request.
+func serveRawFunc(t *testing.T, respond func(*http.Request) string, reset bool) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -52,10 +58,13 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
 					return
 				}
-				fmt.Fprint(conn, response)
+				// The end of a connection with unread bytes would be a reset.
+				io.Copy(io.Discard, request.Body)
+				fmt.Fprint(conn, respond(request))
 				if reset {
 					// What was sent arrives first.
 					time.Sleep(50 * time.Millisecond)
--- a/pkg/responsechecker/kind_string.go
+++ b/pkg/responsechecker/kind_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[KindBroken-0]
+	_ = x[KindMalformed-1]
 }
 
-const _Kind_name = "Broken"
+const _Kind_name = "BrokenMalformed"
 
-var _Kind_index = [...]uint8{0, 6}
+var _Kind_index = [...]uint8{0, 6, 15}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
