--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -28,15 +28,21 @@
 		"end inside the header":   okHead,
 	},
 	"/stream/": {
-		"chunks without an end":          streamHead + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + "id: 1\ndata: \n\n" + "\r\n",
-		"end inside an event":            streamHead + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + "id: 1\ndata: \n\nid: 2\n" + "\r\n0\r\n\r\n",
-		"no blank line at the end":       streamHead + "Transfer-Encoding: chunked\r\n\r\nc\r\n" + "id: 1\ndata: \n" + "\r\n0\r\n\r\n",
+		"chunks without an end":          streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: \n\n"),
+		"end inside an event":            streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: \n\nid: 2\n") + "0\r\n\r\n",
+		"no blank line at the end":       streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: \n") + "0\r\n\r\n",
+		"chunk shorter than its data":    streamHead + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + "id: 1\ndata: \n\n" + "\r\n",
+		"the same inside an event":       streamHead + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + "id: 1\ndata: \n\nid: 2\n" + "\r\n0\r\n\r\n",
+		"the same without a blank line":  streamHead + "Transfer-Encoding: chunked\r\n\r\nc\r\n" + "id: 1\ndata: \n" + "\r\n0\r\n\r\n",
 		"shorter than its length":        streamHead + "Content-Length: 100\r\n\r\n" + "id: 1\ndata: \n\n",
 		"end inside an undelimited body": streamHead + "\r\n" + "id: 1\ndata: \n\nid: 2\n",
 		"no event in an undelimited one": streamHead + "\r\n",
 	},
 }
 
+// chunk returns one chunk of a body.
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
 // serveRaw serves the same bytes to each request and then closes the connection, with a reset
 // if reset is set.
 func serveRaw(t *testing.T, response string, reset bool) netip.AddrPort {
