--- a/internal/detourer/failure_test.go
+++ b/internal/detourer/failure_test.go
@@ -1,6 +1,7 @@
 package detourer
 
 import (
+	"bytes"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -133,6 +134,58 @@
 	}
 }
 
+// TestMalformedHead guards against a response of a peer whose head is none being believed. Its
+// request may have run.
+func TestMalformedHead(t *testing.T) {
+	for name, fields := range map[string]string{
+		"status 000":         "status: 000\r\n\r\n\r\n",
+		"no status":          "took: 1ms\r\n\r\n\r\n",
+		"negative status":    "status: -1\r\n\r\n\r\n",
+		"interim status":     "status: 103\r\n\r\n\r\n",
+		"blank in a name":    "status: 200\r\n\r\nX Odd: 1\r\n\r\n",
+		"blank after a name": "status: 200\r\n\r\nX-Odd : 1\r\n\r\n",
+		"control byte":       "status: 200\r\n\r\nX\x01Odd: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			frames := &bytes.Buffer{}
+			appendFrame(frames, frameHead, []byte(fields))
+			appendFrame(frames, frameEnd, nil)
+			peer := serveRaw(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				w.Write(frames.Bytes())
+			})
+			got, err := exchange(t, newTestClient(t), peer)
+			assert.Equal(t, kindOf(t, err), KindBroken, "%q", got)
+		})
+	}
+}
+
+// TestResetDuringRequest guards against a part of a response, which a peer sends and breaks off
+// while the request is being written, counting as complete. The peer can't have run the request.
+func TestResetDuringRequest(t *testing.T) {
+	const calls = 8
+	peer := serveRaw(t, func(w http.ResponseWriter, r *http.Request) {
+		// The first byte makes the client send the request.
+		r.Body.Read(make([]byte, 1))
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		defer conn.Close()
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+wholeHead+"\x04\x00\x00\x00\x04half")
+		time.Sleep(50 * time.Millisecond)
+		assert.Check(t, conn.(interface{ SetLinger(int) error }).SetLinger(0))
+	})
+	long := envelope()
+	long.Body = make([]byte, defaultMaxBodyBytes)
+	for range calls {
+		response, _, err := newTestClient(t).Do(t.Context(), peer, long)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+			response.Body.Close()
+		}
+		assert.Equal(t, kindOf(t, err), KindUnreachable)
+	}
+}
+
 const wholeHead = "\x03\x00\x00\x00\x11status: 200\r\n\r\n\r\n"
 
 // TestRunsOnce guards against a request that is sent twice because its connection was lost,
--- a/internal/detourer/head.go
+++ b/internal/detourer/head.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 // Head begins a response of a backend server.
@@ -48,6 +51,9 @@
 	if err != nil {
 		return Head{}, err
 	}
+	if err := responsechecker.CheckHead(&http.Response{StatusCode: status, Header: header}); err != nil {
+		return Head{}, faulter.New("decode response", KindMalformed, err)
+	}
 	return Head{
 		Status:    status,
 		Header:    header,
