--- a/internal/forwarder/broken_response_test.go
+++ b/internal/forwarder/broken_response_test.go
@@ -1,92 +1,34 @@
 package forwarder
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-)
 
-// longBodyBytes is more than the buffers of a connection take, so that the upload is still being
-// written when a server that reads only the head of a request has responded.
-const longBodyBytes = 8 << 20
+	"github.com/waxwingmount/waxwingmount/internal/misresponder"
+)
 
 // streamRoute is the path of the route with streams.
 const streamRoute = "/stream/"
 
-// responseEnd is how a server ends the connection of an early response.
-type responseEnd int
-
-const (
-	// byReset ends it with a reset while the upload is being written.
-	byReset responseEnd = iota
-	// byFIN closes the sending side, and the rest once the peer has.
-	byFIN
-)
-
-// earlyServer responds to each request when it has read the head, without a length, and ends the
-// connection. A stream that resumes goes on after the last event of its caller.
-type earlyServer struct {
-	stream   bool
-	end      responseEnd
-	requests atomic.Int32
-}
-
-// start starts the server and returns its address.
-func (s *earlyServer) start(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go s.run(listener)
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
-func (s *earlyServer) run(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
+// newEarlyServer returns a server that responds early, without a length. A stream's response is
+// the next two events, after the last one of a caller that resumes it.
+func newEarlyServer(route string, end misresponder.End) *misresponder.Server {
+	return &misresponder.Server{Early: true, End: end, Respond: func(r *http.Request) string {
+		if route != streamRoute {
+			return okHead + "\r\nhalf"
 		}
-		go s.runConn(conn.(*net.TCPConn))
-	}
-}
-
-func (s *earlyServer) runConn(conn *net.TCPConn) {
-	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	s.requests.Add(1)
-	head, body := s.response(lastEvent(request))
-	fmt.Fprint(conn, head, "\r\n", body)
-	// The response arrives, and the upload fills the buffers.
-	time.Sleep(50 * time.Millisecond)
-	if s.end == byReset {
-		conn.SetLinger(0)
-		return
-	}
-	conn.CloseWrite()
-	io.Copy(io.Discard, conn)
-}
-
-// response returns the head and the body of a response. A stream's is the next two events.
-func (s *earlyServer) response(last int) (head, body string) {
-	if s.stream {
-		return streamHead, testEvent(last+1) + testEvent(last+2)
-	}
-	return okHead, "half"
+		last := lastEvent(r)
+		return streamHead + "\r\n" + testEvent(last+1) + testEvent(last+2)
+	}}
 }
 
 // lastEvent returns the ID of the event after which a request resumes a stream, or 0.
@@ -96,11 +38,19 @@
 	return last
 }
 
-// newEarlyFixture is like newRawFixture for an earlyServer, with a limit that lets long bodies
-// pass.
-func newEarlyFixture(t *testing.T, s *earlyServer, byPeer bool) *fixture {
+// startServer starts a stand-in until the test ends.
+func startServer(t *testing.T, s *misresponder.Server) netip.AddrPort {
+	t.Helper()
+	address, err := s.Start()
+	assert.NilError(t, err)
+	t.Cleanup(func() { s.Close() })
+	return address
+}
+
+// newEarlyFixture is like newRawFixture for a stand-in, with a limit that lets long bodies pass.
+func newEarlyFixture(t *testing.T, s *misresponder.Server, byPeer bool) *fixture {
 	t.Helper()
-	f := newRawFixture(t, s.start(t), byPeer)
+	f := newRawFixture(t, startServer(t, s), byPeer)
 	f.applyLongBodies(2)
 	return f
 }
@@ -110,7 +60,7 @@
 func (f *fixture) applyLongBodies(version uint64) {
 	f.t.Helper()
 	config := testConfig(version)
-	config.Limits.BodyBytes = 2 * longBodyBytes
+	config.Limits.BodyBytes = 2 * misresponder.LongBodyBytes
 	for i := range config.Routes {
 		config.Routes[i].Timeout = 10 * time.Second
 	}
@@ -124,7 +74,7 @@
 // callLong sends a request with a long body.
 func (f *fixture) callLong(path string) (int, string, error) {
 	f.t.Helper()
-	return f.callAt(f.server, "POST", path, "x", "k", strings.Repeat("x", longBodyBytes), "")
+	return f.callAt(f.server, "POST", path, "x", "k", strings.Repeat("x", misresponder.LongBodyBytes), "")
 }
 
 // forEachPath runs a test on each kind of route, straight to the server and by a peer.
@@ -146,7 +96,7 @@
 func TestResetDuringUpload(t *testing.T) {
 	const calls = 8
 	forEachPath(t, func(t *testing.T, route string, byPeer bool) {
-		f := newEarlyFixture(t, &earlyServer{stream: route == streamRoute, end: byReset}, byPeer)
+		f := newEarlyFixture(t, newEarlyServer(route, misresponder.Reset), byPeer)
 		for range calls {
 			status, body, err := f.callLong(route)
 			assert.Check(t, err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "status %d, %q", status, body)
@@ -160,9 +110,11 @@
 func TestEarlyUndelimitedResponse(t *testing.T) {
 	const calls = 4
 	forEachPath(t, func(t *testing.T, route string, byPeer bool) {
-		s := &earlyServer{stream: route == streamRoute, end: byFIN}
-		f := newEarlyFixture(t, s, byPeer)
-		_, want := s.response(0)
+		f := newEarlyFixture(t, newEarlyServer(route, misresponder.HalfClosed), byPeer)
+		want := "half"
+		if route == streamRoute {
+			want = testEvent(1) + testEvent(2)
+		}
 		for range calls {
 			status, body, err := f.callLong(route)
 			assert.NilError(t, err)
@@ -175,7 +127,7 @@
 // TestResetDuringUploadIsRetried guards against an idempotent request whose response was reset
 // during the upload not being sent to another server.
 func TestResetDuringUploadIsRetried(t *testing.T) {
-	broken := &earlyServer{end: byReset}
+	broken := newEarlyServer("/safe/", misresponder.Reset)
 	f := newEarlyFixture(t, broken, false)
 	f.addServer("sound", "plain", func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -188,7 +140,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, body, "whole")
-		if broken.requests.Load() > 0 {
+		if broken.Requests() > 0 {
 			return
 		}
 	}
@@ -199,7 +151,7 @@
 // ending early, or an event coming twice, where another group can go on with it.
 func TestStreamResetDuringUploadIsResumed(t *testing.T) {
 	const events = 4
-	broken := &earlyServer{stream: true, end: byReset}
+	broken := newEarlyServer(streamRoute, misresponder.Reset)
 	f := newEarlyFixture(t, broken, false)
 	want := ""
 	for id := 1; id <= events; id++ {
--- a/internal/forwarder/malformed_head_test.go
+++ b/internal/forwarder/malformed_head_test.go
@@ -8,28 +8,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-)
 
-// malformedHeads are heads that are none, without the fields that all responses have.
-var malformedHeads = map[string]string{
-	"status 000":                     "HTTP/1.1 000 Odd\r\n",
-	"status 099":                     "HTTP/1.1 099 Odd\r\n",
-	"status with a sign":             "HTTP/1.1 +20 Odd\r\n",
-	"status of four digits":          "HTTP/1.1 2000 Odd\r\n",
-	"status 000 after 103":           "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Odd\r\n",
-	"blank in a name":                "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
-	"blank after a name":             "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
-	"blank after the name of length": "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
-	"blank after the name of coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
-	"tab in a name":                  "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n",
-	"control byte in a name":         "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n",
-	"NUL in a name":                  "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n",
-	"high byte in a name":            "HTTP/1.1 200 OK\r\nX\x80Odd: 1\r\n",
-	"parenthesis in a name":          "HTTP/1.1 200 OK\r\nX(Odd): 1\r\n",
-	"empty name":                     "HTTP/1.1 200 OK\r\n: 1\r\n",
-	"no colon":                       "HTTP/1.1 200 OK\r\nX-Odd\r\n",
-	"control byte in a value":        "HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\n",
-}
+	"github.com/waxwingmount/waxwingmount/internal/misresponder"
+)
 
 // malformedResponse returns a response with that head, which holds further fields.
 func malformedResponse(route, head, fields string) string {
@@ -45,7 +26,7 @@
 func TestMalformedHead(t *testing.T) {
 	forEachPath(t, func(t *testing.T, route string, byPeer bool) {
 		f := newHeadFixture(t, route, byPeer)
-		for name, head := range malformedHeads {
+		for name, head := range misresponder.MalformedHeads {
 			for _, fields := range []string{"", "Not-Run: 1\r\n"} {
 				status, body, err := f.callHead(head, fields)
 				if err != nil || status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
@@ -63,7 +44,7 @@
 		t.Run(fmt.Sprintf("%q", fields), func(t *testing.T) {
 			forEachPath(t, func(t *testing.T, route string, byPeer bool) {
 				f := newHeadFixture(t, route, byPeer)
-				for name, head := range malformedHeads {
+				for name, head := range misresponder.MalformedHeads {
 					f.callHead(head, fields)
 					status, body, err := f.callHead("HTTP/1.1 200 OK\r\n", "")
 					if err != nil || status != http.StatusOK {
@@ -85,7 +66,7 @@
 func newHeadFixture(t *testing.T, route string, byPeer bool) *headFixture {
 	t.Helper()
 	f := &headFixture{route: route}
-	f.fixture = newRawFixture(t, serveRawFunc(t, func(*http.Request) string { return *f.response.Load() }, false), byPeer)
+	f.fixture = newRawFixture(t, startServer(t, &misresponder.Server{Respond: func(*http.Request) string { return *f.response.Load() }}), byPeer)
 	return f
 }
 
@@ -119,7 +100,7 @@
 					body, response = testEvent(1), c.head+strings.TrimPrefix(streamHead, "HTTP/1.1 200 OK\r\n")
 				}
 				response += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, c.end)
-				f := newRawFixture(t, serveRaw(t, response, false), byPeer)
+				f := newRawFixture(t, startServer(t, &misresponder.Server{Respond: misresponder.Always(response)}), byPeer)
 				status, got, err := f.callAt(f.server, "POST", route, "x", "k", "body", "")
 				assert.NilError(t, err)
 				assert.Equal(t, status, c.want)
--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -1,10 +1,8 @@
 package forwarder
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/internal/misresponder"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -47,39 +46,11 @@
 // if reset is set.
 func serveRaw(t *testing.T, response string, reset bool) netip.AddrPort {
 	t.Helper()
-	return serveRawFunc(t, func(*http.Request) string { return response }, reset)
-}
-
-// serveRawFunc is like serveRaw for bytes that depend on the request.
-func serveRawFunc(t *testing.T, respond func(*http.Request) string, reset bool) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				// The end of a connection with unread bytes would be a reset.
-				io.Copy(io.Discard, request.Body)
-				fmt.Fprint(conn, respond(request))
-				if reset {
-					// What was sent arrives first.
-					time.Sleep(50 * time.Millisecond)
-					conn.(*net.TCPConn).SetLinger(0)
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	s := &misresponder.Server{Respond: misresponder.Always(response)}
+	if reset {
+		s.End = misresponder.Reset
+	}
+	return startServer(t, s)
 }
 
 // TestTruncatedResponse guards against a response that ends too early looking complete, with
--- a/pkg/responsechecker/responsechecker.go
+++ b/pkg/responsechecker/responsechecker.go
@@ -4,12 +4,12 @@
 //
 // # Usage
 //
-// The DialContext of a client's transport wraps each connection, below everything else that does,
-// and the head of each response is checked before anything that it says is believed:
+// [Wrap] returns a client's transport with both checks:
 //
-//	return responsechecker.NewConn(conn), nil
-//	...
-//	if err := responsechecker.CheckHead(response); err != nil { ... }
+//	client := &http.Client{Transport: responsechecker.Wrap(&http.Transport{DialContext: dial})}
+//
+// A client with connections of its own uses the parts: [NewConn] below everything else that wraps
+// a connection, and [CheckHead] before anything that a response says is believed.
 package responsechecker
 
 import (
