--- a/pkg/provider/http.go
+++ b/pkg/provider/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 // callTimeout is the timeout of one call to the platform.
@@ -38,7 +39,7 @@
 
 // NewHTTP returns a client of the platform that listens at address.
 func NewHTTP(address netip.AddrPort) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := responsechecker.Wrap(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &HTTP{
 		base:   url.URL{Scheme: "http", Host: address.String()},
 		client: &http.Client{Transport: transport, Timeout: callTimeout},
