--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -89,8 +89,6 @@
 func (a *attempt) checkHeader(resumeFrom int) (retrier.EventKind, error) {
 	status := a.response.StatusCode
 	switch {
-	case status < http.StatusOK:
-		return retrier.Interrupted, errors.Newf("status %d is none of a response", status)
 	case a.response.Header.Get(headerNotRun) == "true" && resumeFrom > 0:
 		return retrier.CannotResume, errors.Newf("backend server did not resume the request: status %d", status)
 	case a.response.Header.Get(headerNotRun) == "true":
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,6 +31,7 @@
 	"github.com/waxwingmount/waxwingmount/pkg/grouper"
 	"github.com/waxwingmount/waxwingmount/pkg/limiter"
 	"github.com/waxwingmount/waxwingmount/pkg/quarantiner"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 	"github.com/waxwingmount/waxwingmount/pkg/router"
 )
@@ -92,7 +93,7 @@
 	broadcaster Broadcaster
 	claims      Claims
 	tracer      trace.Tracer
-	transport   *http.Transport
+	transport   *responsechecker.Transport
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -217,14 +218,14 @@
 // maxHeaderBytes bounds the header of a response.
 const maxHeaderBytes = 64 << 10
 
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() *responsechecker.Transport {
+	return responsechecker.Wrap(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: noIdleConns,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // backend is one destination for a request.
