--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -23,6 +23,7 @@
 
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 //go:generate stringer -type=Kind -trimprefix=Kind -linecomment -output=kind_string.go
@@ -78,7 +79,7 @@
 func WithTLS(config *tls.Config) Option {
 	return func(c *Client) {
 		c.scheme = "https"
-		c.httpClient.Transport.(*http.Transport).TLSClientConfig = config
+		c.httpClient.Transport.(*responsechecker.Transport).TLSClientConfig = config
 	}
 }
 
@@ -111,13 +112,13 @@
 	c := &Client{
 		seeds:  seeds,
 		scheme: "http",
-		httpClient: &http.Client{Transport: &http.Transport{
+		httpClient: &http.Client{Transport: responsechecker.Wrap(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerEntry,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 	}
 	for _, option := range options {
 		option(c)
