--- a/internal/prober/client.go
+++ b/internal/prober/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -12,8 +11,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/gatekeeper"
 	"github.com/waxwingmount/waxwingmount/pkg/reconciler"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 const (
@@ -32,7 +33,7 @@
 }
 
 func newClient() *client {
-	transport := &http.Transport{MaxIdleConnsPerHost: noIdleConns, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := responsechecker.Wrap(&http.Transport{MaxIdleConnsPerHost: noIdleConns, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &client{http: &http.Client{Transport: transport, Timeout: probeTimeout}}
 }
 
@@ -64,5 +65,12 @@
 		return report, err
 	}
 	defer response.Body.Close()
-	return report, json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
+	data, err := bounder.ReadAll(response.Body, maxReportBytes, nil)
+	if err != nil {
+		return report, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Newf("status %d", response.StatusCode)
+	}
+	return report, json.Unmarshal(data, &report)
 }
