--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -14,6 +14,7 @@
 
 	"github.com/waxwingmount/waxwingmount/pkg/grouper"
 	"github.com/waxwingmount/waxwingmount/pkg/reconciler"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 // maxConcurrentOrders bounds the orders in flight.
@@ -30,7 +31,7 @@
 func newSender() *sender {
 	// Keep-alives are off, so that an order never waits on a connection that its
 	// engine has already closed.
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := responsechecker.Wrap(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &sender{client: &http.Client{Transport: transport, Timeout: orderTimeout}}
 }
 
@@ -89,7 +90,9 @@
 		return err
 	}
 	defer response.Body.Close()
-	io.Copy(io.Discard, response.Body)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return errors.Newf("status %d", response.StatusCode)
 	}
