--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/operator"
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 // clientFlags holds the flags that say how to reach the operator interface and how
@@ -51,7 +52,8 @@
 }
 
 func (c *clientFlags) newClient() (*client, error) {
-	cl := &client{http: &http.Client{Timeout: clientTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	cl := &client{}
 	scheme := "http://"
 	if c.caFile != "" {
 		pem, err := os.ReadFile(c.caFile)
@@ -62,9 +64,10 @@
 		if !pool.AppendCertsFromPEM(pem) {
 			return nil, usagef("read authority", "no certificate in %s", c.caFile)
 		}
-		cl.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+		transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
 		scheme = "https://"
 	}
+	cl.http = &http.Client{Transport: responsechecker.Wrap(transport), Timeout: clientTimeout}
 	if c.tokenFile != "" {
 		data, err := os.ReadFile(c.tokenFile)
 		if err != nil {
