--- a/internal/crowder/crowd.go
+++ b/internal/crowder/crowd.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 //go:generate stringer -type=Kind -trimprefix=Kind -output=kind_string.go
@@ -286,6 +287,9 @@
 		r.Waiting++
 		return
 	}
+	if err == nil {
+		err = responsechecker.CheckHead(response)
+	}
 	if err != nil {
 		r.Ended++
 		return
--- a/internal/crowder/crowd_test.go
+++ b/internal/crowder/crowd_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingmount/waxwingmount/internal/misresponder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 )
 
@@ -57,6 +58,19 @@
 	assert.DeepEqual(t, c.Gather(refuse, target).Disperse(), Report{Failed: 2, Statuses: map[int]int{}})
 }
 
+// TestMalformedHead guards against a head that is none being reported as a status.
+func TestMalformedHead(t *testing.T) {
+	for name, head := range misresponder.MalformedHeads {
+		server := &misresponder.Server{Respond: misresponder.Always(head + "\r\n"), Early: true}
+		address, err := server.Start()
+		assert.NilError(t, err)
+		dial := func() (net.Conn, error) { return net.Dial("tcp", address.String()) }
+		got := Crowd{Conns: 1, Length: 1, Sent: 1}.Gather(dial, Target{Host: "h", Path: "/"}).Disperse()
+		assert.Check(t, got.Ended == 1, "%s: %+v", name, got)
+		server.Close()
+	}
+}
+
 // TestBodies guards against bodies of another length or framing.
 func TestBodies(t *testing.T) {
 	for text, want := range map[string]string{
