--- a/internal/crowder/own_test.go
+++ b/internal/crowder/own_test.go
@@ -33,6 +33,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/operator"
 	"github.com/waxwingmount/waxwingmount/internal/platformemulator"
 	"github.com/waxwingmount/waxwingmount/pkg/decoder"
+	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
 const ownSettings = `
@@ -129,7 +130,7 @@
 
 // client returns a client with connections of its own.
 func (e *ownEntry) client() *http.Client {
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: e.roots}, ForceAttemptHTTP2: true}}
+	return &http.Client{Transport: responsechecker.Wrap(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: e.roots}, ForceAttemptHTTP2: true})}
 }
 
 // apply puts the configuration in force.
--- a/internal/server/broken_response_test.go
+++ b/internal/server/broken_response_test.go
@@ -48,7 +48,7 @@
 							panic(http.ErrAbortHandler)
 						}
 					}
-					s, err := Start(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(handler), WithTLS(config))
+					s, err := Start(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(handler), WithTLS(config.Clone()))
 					assert.NilError(t, err)
 					t.Cleanup(func() { s.Close() })
 					conn, err := net.Dial("tcp", s.listener.Addr().String())
--- a/pkg/responsechecker/transport_test.go
+++ b/pkg/responsechecker/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -102,3 +103,43 @@
 		}
 	}
 }
+
+// TestEarlyResponseOfHTTP2 guards against a part of an early response that is broken off during
+// the upload being complete over HTTP/2, and against a complete one being broken.
+func TestEarlyResponseOfHTTP2(t *testing.T) {
+	const calls = 4
+	for _, aborts := range []bool{false, true} {
+		for _, resets := range []bool{false, true} {
+			t.Run(fmt.Sprintf("aborts %t resets %t", aborts, resets), func(t *testing.T) {
+				t.Parallel()
+				var conns sync.Map
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					assert.Check(t, r.ProtoMajor == 2)
+					io.WriteString(w, "body")
+					if !aborts {
+						return
+					}
+					http.NewResponseController(w).Flush()
+					if conn, found := conns.Load(r.RemoteAddr); found && resets {
+						conn.(*net.TCPConn).SetLinger(0)
+						conn.(*net.TCPConn).Close()
+					}
+					panic(http.ErrAbortHandler)
+				}))
+				server.EnableHTTP2 = true
+				server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+					conns.Store(c.RemoteAddr().String(), c.(*tls.Conn).NetConn())
+					return ctx
+				}
+				server.StartTLS()
+				t.Cleanup(server.Close)
+				config := server.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+				client := &http.Client{Transport: Wrap(&http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true})}
+				for range calls {
+					body, err := post(client, server.URL)
+					assert.Check(t, (err != nil) == aborts, "%q, %v", body, err)
+				}
+			})
+		}
+	}
+}
