--- a/internal/commander/broken_response_test.go
+++ b/internal/commander/broken_response_test.go
@@ -22,10 +22,7 @@
 	if s.TLS != nil {
 		flags.caFile = writeAuthority(t, s.TLS)
 	}
-	address, err := s.Start()
-	assert.NilError(t, err)
-	defer s.Close()
-	flags.address = address.String()
+	flags.address = s.Start(t).String()
 	c, err := flags.newClient()
 	assert.NilError(t, err)
 	var result map[string]any
--- a/internal/controller/broken_response_test.go
+++ b/internal/controller/broken_response_test.go
@@ -13,10 +13,7 @@
 // sendTo sends an order to a stand-in. The name of its group has that length.
 func sendTo(t *testing.T, s *misresponder.Server, length int) error {
 	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	defer s.Close()
-	return newSender().send(t.Context(), address.String(), reconciler.Order{Instance: "a", Group: strings.Repeat("x", length)})
+	return newSender().send(t.Context(), s.Start(t).String(), reconciler.Order{Instance: "a", Group: strings.Repeat("x", length)})
 }
 
 // TestBrokenResponse guards against a broken response to an order counting as accepted.
--- a/internal/crowder/crowd_test.go
+++ b/internal/crowder/crowd_test.go
@@ -62,12 +62,10 @@
 func TestMalformedHead(t *testing.T) {
 	for name, head := range misresponder.MalformedHeads {
 		server := &misresponder.Server{Respond: misresponder.Always(head + "\r\n"), Early: true}
-		address, err := server.Start()
-		assert.NilError(t, err)
+		address := server.Start(t)
 		dial := func() (net.Conn, error) { return net.Dial("tcp", address.String()) }
 		got := Crowd{Conns: 1, Length: 1, Sent: 1}.Gather(dial, Target{Host: "h", Path: "/"}).Disperse()
 		assert.Check(t, got.Ended == 1, "%s: %+v", name, got)
-		server.Close()
 	}
 }
 
--- a/internal/dispatcher/broken_response_test.go
+++ b/internal/dispatcher/broken_response_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -16,15 +15,6 @@
 	"github.com/waxwingmount/waxwingmount/pkg/retrier"
 )
 
-// startServer starts a stand-in until the test ends.
-func startServer(t *testing.T, s *misresponder.Server) netip.AddrPort {
-	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	t.Cleanup(func() { s.Close() })
-	return address
-}
-
 // ways are the kinds of requests, with the fields and the body of a response.
 var ways = map[string]struct {
 	fields, body string
@@ -82,7 +72,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n" + way.fields + "\r\n" + way.body), Early: true, End: misresponder.Reset}
-			d := newCutDispatcher(t, startServer(t, s))
+			d := newCutDispatcher(t, s.Start(t))
 			for range calls {
 				body, err := way.call(t, d, brokenRequest(way.idempotent, make([]byte, misresponder.LongBodyBytes)))
 				checkFailed(t, err, "%q", body)
@@ -96,7 +86,7 @@
 func TestEarlyUndelimitedResponse(t *testing.T) {
 	const calls = 4
 	s := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n\r\nwhole"), Early: true, End: misresponder.HalfClosed}
-	d := newCutDispatcher(t, startServer(t, s))
+	d := newCutDispatcher(t, s.Start(t))
 	for range calls {
 		body, err := callService(t, d, brokenRequest(false, make([]byte, misresponder.LongBodyBytes)))
 		assert.NilError(t, err)
@@ -113,7 +103,7 @@
 				t.Run(fmt.Sprintf("%s, %s, %q", name, trouble, fields), func(t *testing.T) {
 					t.Parallel()
 					s := &misresponder.Server{Respond: misresponder.Always(head + way.fields + fields + "\r\n" + way.body + "data: [DONE]\n\n")}
-					body, err := way.call(t, newCutDispatcher(t, startServer(t, s)), brokenRequest(way.idempotent, []byte("x")))
+					body, err := way.call(t, newCutDispatcher(t, s.Start(t)), brokenRequest(way.idempotent, []byte("x")))
 					checkFailed(t, err, "%q", body)
 				})
 			}
--- a/internal/forwarder/broken_response_test.go
+++ b/internal/forwarder/broken_response_test.go
@@ -40,19 +40,10 @@
 	return last
 }
 
-// startServer starts a stand-in until the test ends.
-func startServer(t *testing.T, s *misresponder.Server) netip.AddrPort {
-	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	t.Cleanup(func() { s.Close() })
-	return address
-}
-
 // newEarlyFixture is like newRawFixture for a stand-in, with a limit that lets long bodies pass.
 func newEarlyFixture(t *testing.T, s *misresponder.Server, byPeer bool) *fixture {
 	t.Helper()
-	f := newRawFixture(t, startServer(t, s), byPeer)
+	f := newRawFixture(t, s.Start(t), byPeer)
 	f.applyLongBodies(2)
 	return f
 }
--- a/internal/forwarder/malformed_head_test.go
+++ b/internal/forwarder/malformed_head_test.go
@@ -66,7 +66,7 @@
 func newHeadFixture(t *testing.T, route string, byPeer bool) *headFixture {
 	t.Helper()
 	f := &headFixture{route: route}
-	f.fixture = newRawFixture(t, startServer(t, &misresponder.Server{Respond: func(*http.Request) string { return *f.response.Load() }}), byPeer)
+	f.fixture = newRawFixture(t, (&misresponder.Server{Respond: func(*http.Request) string { return *f.response.Load() }}).Start(t), byPeer)
 	return f
 }
 
@@ -100,7 +100,7 @@
 					body, response = testEvent(1), c.head+strings.TrimPrefix(streamHead, "HTTP/1.1 200 OK\r\n")
 				}
 				response += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, c.end)
-				f := newRawFixture(t, startServer(t, &misresponder.Server{Respond: misresponder.Always(response)}), byPeer)
+				f := newRawFixture(t, (&misresponder.Server{Respond: misresponder.Always(response)}).Start(t), byPeer)
 				status, got, err := f.callAt(f.server, "POST", route, "x", "k", "body", "")
 				assert.NilError(t, err)
 				assert.Equal(t, status, c.want)
--- a/internal/forwarder/truncated_test.go
+++ b/internal/forwarder/truncated_test.go
@@ -50,7 +50,7 @@
 	if reset {
 		s.End = misresponder.Reset
 	}
-	return startServer(t, s)
+	return s.Start(t)
 }
 
 // TestTruncatedResponse guards against a response that ends too early looking complete, with
--- a/internal/misresponder/misresponder.go
+++ b/internal/misresponder/misresponder.go
@@ -4,9 +4,7 @@
 // # Usage
 //
 //	server := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 000 Odd\r\n\r\n"), End: misresponder.Reset}
-//	address, err := server.Start()
-//	...
-//	defer server.Close()
+//	address := server.Start(t)
 package misresponder
 
 import (
@@ -17,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"testing"
 	"time"
 )
 
@@ -52,7 +51,6 @@
 	// TLS enables TLS. It may be nil.
 	TLS *tls.Config
 
-	listener net.Listener
 	requests atomic.Int32
 }
 
@@ -61,25 +59,25 @@
 	return func(*http.Request) string { return response }
 }
 
-// Start starts the server on a free port of the loopback interface.
-func (s *Server) Start() (netip.AddrPort, error) {
-	var err error
-	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return netip.AddrPort{}, err
+// Start starts the server on a free port of the loopback interface until the test ends. Responses
+// in progress are then ended as usual.
+func (s *Server) Start(t testing.TB) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	go s.run()
-	return netip.ParseAddrPort(s.listener.Addr().String())
+	t.Cleanup(func() { listener.Close() })
+	go s.run(listener)
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// Close stops the server. Responses in progress are ended as usual.
-func (s *Server) Close() error { return s.listener.Close() }
-
 // Requests returns how many requests have been responded to.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
-func (s *Server) run() {
+func (s *Server) run(listener net.Listener) {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/prober/broken_response_test.go
+++ b/internal/prober/broken_response_test.go
@@ -11,10 +11,7 @@
 // probeStandIn probes a stand-in and reports whether the probe was conclusive.
 func probeStandIn(t *testing.T, s *misresponder.Server) bool {
 	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	defer s.Close()
-	_, conclusive := newClient().probe(t.Context(), target{instance: "a", address: address})
+	_, conclusive := newClient().probe(t.Context(), target{instance: "a", address: s.Start(t)})
 	return conclusive
 }
 
--- a/pkg/caller/broken_response_test.go
+++ b/pkg/caller/broken_response_test.go
@@ -16,10 +16,7 @@
 // startEntry starts a stand-in until the test ends, and returns a client of it.
 func startEntry(t *testing.T, s *misresponder.Server) *Client {
 	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	t.Cleanup(func() { s.Close() })
-	return New([]netip.AddrPort{address}, WithFixedAddresses())
+	return New([]netip.AddrPort{s.Start(t)}, WithFixedAddresses())
 }
 
 // TestMalformedHead guards against a response whose head is none being returned, or its word that
@@ -46,12 +43,9 @@
 func TestMalformedHeadOfAddresses(t *testing.T) {
 	for name, head := range misresponder.MalformedHeads {
 		s := &misresponder.Server{Respond: misresponder.Always(head + "\r\n" + `{"addresses":["127.0.0.1:1"],"keep_for_ms":1000}`)}
-		address, err := s.Start()
-		assert.NilError(t, err)
-		c := New([]netip.AddrPort{address})
-		_, err = c.address(t.Context())
+		c := New([]netip.AddrPort{s.Start(t)})
+		_, err := c.address(t.Context())
 		assert.Check(t, err != nil, name)
-		s.Close()
 	}
 }
 
@@ -64,9 +58,7 @@
 		t.Run(fmt.Sprintf("reset %t", end == misresponder.Reset), func(t *testing.T) {
 			t.Parallel()
 			s := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n\r\n{}"), Early: true, End: end}
-			address, err := s.Start()
-			assert.NilError(t, err)
-			t.Cleanup(func() { s.Close() })
+			address := s.Start(t)
 			for range calls {
 				// A client drops an address that has failed.
 				c := New([]netip.AddrPort{address}, WithFixedAddresses())
--- a/pkg/provider/broken_response_test.go
+++ b/pkg/provider/broken_response_test.go
@@ -24,15 +24,6 @@
 	"list instances": {`[]`, func(ctx context.Context, h *HTTP) error { _, err := h.ListInstances(ctx); return err }},
 }
 
-// startPlatform starts a stand-in until the test ends, and returns a client of it.
-func startPlatform(t *testing.T, s *misresponder.Server) *HTTP {
-	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	t.Cleanup(func() { s.Close() })
-	return NewHTTP(address)
-}
-
 // TestMalformedHead guards against a response of the platform whose head is none being taken for
 // one.
 func TestMalformedHead(t *testing.T) {
@@ -40,7 +31,8 @@
 		for call, test := range platformCalls {
 			t.Run(call+", "+name, func(t *testing.T) {
 				t.Parallel()
-				h := startPlatform(t, &misresponder.Server{Respond: misresponder.Always(head + "\r\n" + test.body)})
+				s := &misresponder.Server{Respond: misresponder.Always(head + "\r\n" + test.body)}
+				h := NewHTTP(s.Start(t))
 				checkUnavailable(t, test.call(t.Context(), h))
 			})
 		}
@@ -54,7 +46,8 @@
 		for call, test := range platformCalls {
 			t.Run(call+", "+name, func(t *testing.T) {
 				t.Parallel()
-				h := startPlatform(t, &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + test.body), End: misresponder.Reset})
+				s := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + test.body), End: misresponder.Reset}
+				h := NewHTTP(s.Start(t))
 				checkUnavailable(t, test.call(t.Context(), h))
 			})
 		}
@@ -68,7 +61,8 @@
 	for _, end := range []misresponder.End{misresponder.Reset, misresponder.HalfClosed} {
 		t.Run(fmt.Sprintf("reset %t", end == misresponder.Reset), func(t *testing.T) {
 			t.Parallel()
-			h := startPlatform(t, &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n\r\nok"), Early: true, End: end})
+			s := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 200 OK\r\n\r\nok"), Early: true, End: end}
+			h := NewHTTP(s.Start(t))
 			for range calls {
 				err := h.PutObject(t.Context(), "k", make([]byte, misresponder.LongBodyBytes))
 				if end == misresponder.Reset {
--- a/pkg/responsechecker/transport_test.go
+++ b/pkg/responsechecker/transport_test.go
@@ -17,15 +17,6 @@
 	"github.com/waxwingmount/waxwingmount/internal/misresponder"
 )
 
-// serve serves the same bytes to each request until the test ends.
-func serve(t *testing.T, s *misresponder.Server) string {
-	t.Helper()
-	address, err := s.Start()
-	assert.NilError(t, err)
-	t.Cleanup(func() { s.Close() })
-	return address.String()
-}
-
 // testTLS returns the settings of a server and a client of TLS.
 func testTLS(t *testing.T) (server, client *tls.Config) {
 	t.Helper()
@@ -53,7 +44,7 @@
 				if reset {
 					server.End = misresponder.Reset
 				}
-				address := serve(t, server)
+				address := server.Start(t).String()
 				for range calls {
 					body, err := post(client, scheme+address)
 					if reset {
@@ -80,7 +71,8 @@
 
 // TestWrapKeepsDial guards against a transport's own way of opening connections being lost.
 func TestWrapKeepsDial(t *testing.T) {
-	address := serve(t, &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 204 No Content\r\n\r\n")})
+	server := &misresponder.Server{Respond: misresponder.Always("HTTP/1.1 204 No Content\r\n\r\n")}
+	address := server.Start(t).String()
 	dialed := ""
 	transport := Wrap(&http.Transport{DialContext: func(ctx context.Context, network, target string) (net.Conn, error) {
 		dialed = target
@@ -96,7 +88,8 @@
 func TestMalformedHead(t *testing.T) {
 	for name, head := range misresponder.MalformedHeads {
 		client := &http.Client{Transport: Wrap(&http.Transport{})}
-		response, err := client.Get("http://" + serve(t, &misresponder.Server{Respond: misresponder.Always(head + "\r\n")}))
+		server := &misresponder.Server{Respond: misresponder.Always(head + "\r\n")}
+		response, err := client.Get("http://" + server.Start(t).String())
 		if err == nil {
 			response.Body.Close()
 			t.Errorf("%s: status %d", name, response.StatusCode)
