--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -272,28 +272,26 @@
 	return c.Conn.Close()
 }
 
-// resetBroken returns a handler whose responses to clients of HTTP/1.0 end with a reset if the
-// handler breaks off, or the connection is closed, before they are complete. Such a client knows no
+// serveResettable serves a request of HTTP/1.0. Its connection ends with a reset if the handler
+// breaks off, or the connection is closed, before the response is complete. Such a client knows no
 // chunks, and takes the orderly end of a connection for that of a response without a length.
-func resetBroken(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, found := r.Context().Value(connKey{}).(*conn)
-		if r.ProtoAtLeast(1, 1) || !found {
-			handler.ServeHTTP(w, r)
-			return
-		}
-		c.resetOnClose(true)
-		complete := false
-		defer func() {
-			if !complete {
-				// At once, since TLS would announce an orderly end.
-				c.evict()
-			}
-		}()
+func serveResettable(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	c, found := r.Context().Value(connKey{}).(*conn)
+	if !found {
 		handler.ServeHTTP(w, r)
-		complete = true
-		c.resetOnClose(false)
-	})
+		return
+	}
+	c.resetOnClose(true)
+	complete := false
+	defer func() {
+		if !complete {
+			// At once, since TLS would announce an orderly end.
+			c.evict()
+		}
+	}()
+	handler.ServeHTTP(w, r)
+	complete = true
+	c.resetOnClose(false)
 }
 
 // resetOnClose sets whether the connection ends with a reset when it is closed.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -102,7 +102,7 @@
 	if s.limiter == nil {
 		s.limiter = NewLimiter(LimiterSettings{})
 	}
-	s.Handler = s.endReadsOf(s.limiter.Handler(resetBroken(handler)))
+	s.Handler = s.endReadsOf(s.limiter.Handler(handler))
 	go s.run()
 	return s, nil
 }
@@ -115,6 +115,7 @@
 
 // endReadsOf returns a handler that stops reading a request once its context ends, so that its
 // caller can be told, and that closes each connection after its response once the server stops.
+// It also sees to it that clients of HTTP/1.0 can tell a broken response.
 func (s *Server) endReadsOf(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		stop := context.AfterFunc(s.base, func() {
@@ -125,6 +126,10 @@
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			serveResettable(handler, w, r)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
