--- a/pkg/responsechecker/transport.go
+++ b/pkg/responsechecker/transport.go
@@ -9,27 +9,21 @@
 // Transport is a client's transport that refuses broken responses.
 type Transport struct{ *http.Transport }
 
-// DialFunc opens a connection, as [http.Transport.DialContext] does.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Wrap returns a Transport that sends requests with t, which must not be in use yet. It replaces
 // the DialContext of t. Connections with TLS are checked below TLS, and those of HTTP/2 too.
 func Wrap(t *http.Transport) *Transport {
-	dial := DialFunc(t.DialContext)
+	dial := t.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	t.DialContext = dial.Checked
-	return &Transport{Transport: t}
-}
-
-// Checked opens a connection that is a [Conn].
-func (d DialFunc) Checked(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d(ctx, network, address)
-	if err != nil {
-		return nil, err
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
 	}
-	return NewConn(conn), nil
+	return &Transport{Transport: t}
 }
 
 // RoundTrip implements [http.RoundTripper]. It returns an error of [KindMalformed] for a response
