--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -239,13 +239,14 @@
 			f := newFixture(t)
 			f.takeDetours("sound", f.forwarder)
 			path := newLink(t, f.platform, f.forwarder)
-			_, server := f.newForwarderOn(path)
+			cut, server := f.newForwarderOn(path)
 			for _, group := range []string{"a", "b", "c"} {
 				f.addGroup(group, serveStream)
 			}
 			f.addServer("p", "plain", servePlain)
 			f.addServer("q", "plain", servePlain)
 			f.applyConfig()
+			f.eventually(func() bool { return cut.Observer.Config() != nil })
 			assert.Assert(t, f.callAll(server, "before") == len(routesOfCut))
 			path.set(state)
 			time.Sleep(cutTolerance)
