Scheduler: orders that add a member or open a group are conditional

Cause: an order without a response is still under way and was carried out whenever it arrived, in whatever state the server was by then. The epoch protects a server only from groups older than one it has joined: between its leave and its next join the newest is that of the group it has left.

Remembering the orders without a response does not help a process that takes over.

Change: servers count the orders that they carry out and state it in their reports. The scheduler keeps a position of each server, "after N orders it was in group G", and sends join and open on condition of N, so that of all orders sent on one count at most one takes effect. A position follows from the answers (202: one more), or from a report where they say nothing: at a first order, before the first leave after a takeover, after a conflict. It may be behind the server, never ahead. A 409 breaks no group; the next report tells a count that differed from a state that did, and the log says which. A server that its report shows in another group gets no join before it has left. Close and leave name the group that they end and need no condition.

Tests that fail on: the scripts late_rejoin, late_rejoin_of_head, late_rejoin_takeover and late_join_restarted ("two groups: b joined small~2 while it was in small~1, which was open").

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -9,7 +9,9 @@
 //	o.Start(ctx)
 //
 // Every order carries the lease's epoch as its fencing token. An order is sent
-// only if the remaining lease term is longer than the order timeout.
+// only if the remaining lease term is longer than the order timeout. An order that adds a
+// member to a group or opens it is conditional on the number of orders that the instance has
+// carried out, which its report states.
 package orchestrator
 
 import (
@@ -47,6 +49,8 @@
 	// orderTimeout bounds the time from the lease check to the delivery of an
 	// order.
 	orderTimeout = 500 * time.Millisecond
+	// reportTimeout bounds the read of an instance's report before an order.
+	reportTimeout = 300 * time.Millisecond
 	// clockError bounds the drift between two clocks over one lease term.
 	clockError = 50 * time.Millisecond
 	// reconcileInterval is the time between two iterations of the control loop.
@@ -71,8 +75,10 @@
 	maxListAge = 1500 * time.Millisecond
 )
 
-// OrderSender delivers orders to instances.
+// OrderSender delivers orders to instances and reads their reports.
 type OrderSender interface {
+	// ReadReport returns what an instance says of itself.
+	ReadReport(ctx context.Context, in provider.Instance) (scheduler.Report, error)
 	// SendOrder returns the outcome of the order, and an error if it was not
 	// accepted.
 	SendOrder(ctx context.Context, o scheduler.Order, fence uint64) (scheduler.Outcome, error)
@@ -352,9 +358,13 @@
 	}
 }
 
-// runOrder delivers one order if this instance still holds the lease in the
+// runOrder prepares one order and delivers it if this instance still holds the lease in the
 // same term.
 func (o *Orchestrator) runOrder(ctx context.Context, s *scheduler.Scheduler, term uint64, order scheduler.Order) {
+	order, sendable := o.prepareOrder(ctx, s, order)
+	if !sendable {
+		return
+	}
 	// The time counts from before the check, which the process may be stopped after.
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -365,13 +375,64 @@
 	entry := log.WithFields(log.Fields{
 		"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch, "term": term,
 		"outcome": outcome.String(), "domain": order.Instance.FabricDomain, "staged": order.Instance.Staged,
+		"orders": order.Orders, "conditional": order.Conditional,
 	})
 	if err != nil {
 		entry.WithError(err).Warn(logger.LineOrderFailed)
 	} else {
 		entry.Info(logger.LineOrderSent)
 	}
+	o.countOrder(order, outcome)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s.HandleOutcome(clocker.Now(), order, outcome)
 }
+
+// prepareOrder prepares an order, and reads the instance's report first if that is needed. It
+// reports false if the order can't be sent now.
+func (o *Orchestrator) prepareOrder(ctx context.Context, s *scheduler.Scheduler, order scheduler.Order) (scheduler.Order, bool) {
+	o.mu.Lock()
+	order, readiness := s.Prepare(clocker.Now(), order)
+	o.mu.Unlock()
+	if readiness == scheduler.Sendable {
+		return order, true
+	}
+	entry := log.WithFields(log.Fields{
+		"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch,
+	})
+	o.Scope.Counter("order_reports").Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := o.OrderSender.ReadReport(ctx, order.Instance)
+	if err != nil {
+		// An order that needs the report counts as one without a response: it is prepared
+		// again when it would be resent.
+		entry.WithError(err).Warn(logger.LineReportNotRead)
+		return order, readiness == scheduler.BetterAfterReport
+	}
+	o.mu.Lock()
+	conflict := s.HandleReport(clocker.Now(), order.Instance.ID, report)
+	order, readiness = s.Prepare(clocker.Now(), order)
+	if readiness == scheduler.NeedsReport {
+		s.HandleOutcome(clocker.Now(), order, scheduler.Withheld)
+	}
+	o.mu.Unlock()
+	entry = entry.WithFields(log.Fields{
+		"in_group": report.Membership.Group, "state": report.Membership.State.String(), "orders": report.Orders,
+	})
+	if conflict != scheduler.NoConflict {
+		o.Scope.Tagged(map[string]string{"cause": conflict.String()}).Counter("order_conflicts").Inc(1)
+		entry.WithField("cause", conflict.String()).Info(logger.LineOrderConflict)
+	}
+	if readiness == scheduler.NeedsReport {
+		o.countOrder(order, scheduler.Withheld)
+		entry.Info(logger.LineOrderWithheld)
+		return order, false
+	}
+	return order, true
+}
+
+// countOrder counts an order by kind and outcome.
+func (o *Orchestrator) countOrder(order scheduler.Order, outcome scheduler.Outcome) {
+	o.Scope.Tagged(map[string]string{"order": order.Kind.String(), "outcome": outcome.String()}).Counter("order_outcomes").Inc(1)
+}
--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -77,6 +77,8 @@
 // churnInstance is one simulated instance.
 type churnInstance struct {
 	provider.Instance
+	// orders is the number of orders carried out.
+	orders uint64
 	lostAt time.Time
 	// cutAt and cutUntil are when the instance cannot be reached for a while.
 	cutAt, cutUntil time.Time
@@ -153,7 +155,9 @@
 			c.divide(&view)
 		}
 		for _, o := range c.scheduler.Step(c.now, view) {
-			c.scheduler.HandleOutcome(c.now, o, c.apply(o, idle))
+			if o, sendable := prepareWithReport(c.scheduler, c.now, o, c.report); sendable {
+				c.scheduler.HandleOutcome(c.now, o, c.apply(o, idle))
+			}
 		}
 		if !idle {
 			c.measure()
@@ -263,12 +267,24 @@
 	return nil
 }
 
+// report returns what an instance says of itself.
+func (c *churn) report(id string) Report {
+	in := c.instance(id)
+	if in == nil {
+		return Report{}
+	}
+	return Report{Incarnation: in.Incarnation, Orders: in.orders, Membership: in.Membership}
+}
+
 // apply carries out an order.
 func (c *churn) apply(o Order, idle bool) Outcome {
 	in := c.instance(o.Instance.ID)
 	if in == nil {
 		return Unknown
 	}
+	if o.Conditional && o.Orders != in.orders {
+		return Conflicting
+	}
 	model, _ := c.settings.engine.Model(o.Model)
 	load := model.Load
 	if idle {
@@ -292,7 +308,7 @@
 		in.Membership = provider.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, in.ID), State: provider.Joining}
 	case Open:
 		if in.Membership.Group != o.Group || in.Membership.State != provider.MemberReady {
-			return Refused
+			return Conflicting
 		}
 		if in.openAt.IsZero() {
 			in.openAt = c.now.Add(churnForm)
@@ -306,6 +322,7 @@
 			in.readyAt, in.openAt, in.closedAt = time.Time{}, time.Time{}, time.Time{}
 		}
 	}
+	in.orders++
 	return Accepted
 }
 
--- a/pkg/scheduler/order.go
+++ b/pkg/scheduler/order.go
@@ -1,8 +1,12 @@
 package scheduler
 
-import "github.com/waxwingmount/waxwingmount/pkg/provider"
+import (
+	"slices"
 
-//go:generate stringer -type=OrderKind,Outcome -linecomment -output=enum_string.go
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+//go:generate stringer -type=OrderKind,Outcome,Readiness,Conflict -linecomment -output=enum_string.go
 
 // OrderKind is the operation that an order requests of an instance.
 type OrderKind int
@@ -26,10 +30,19 @@
 const (
 	// Unknown means that no response arrived; the order may still be carried out.
 	Unknown Outcome = iota // unknown
-	// Accepted means that the order was carried out or is in progress.
+	// Accepted means that the order has begun.
 	Accepted // accepted
-	// Refused means that the instance rejected the order.
+	// Satisfied means that the instance is in the state that the order asks for, whether or
+	// not the order was carried out.
+	Satisfied // satisfied
+	// Conflicting means that the instance had carried out another number of orders than the
+	// order is conditional on, or that the order does not fit its state.
+	Conflicting // conflicting
+	// Refused means that the instance rejected the order for good.
 	Refused // refused
+	// Withheld means that the order was not sent, since a report did not show a state that
+	// it is for.
+	Withheld // withheld
 )
 
 // Order is an order to one instance.
@@ -41,4 +54,14 @@
 	Model    string
 	// Members holds the IDs of the group's members, the head first.
 	Members []string
+	// Orders is the number of orders that the instance had carried out when the order was
+	// prepared, as far as known. If Conditional is set, the instance carries the order out
+	// only if that is still the number.
+	Orders      uint64
+	Conditional bool
+}
+
+// membership returns the membership that a Join order results in.
+func (o Order) membership() provider.Membership {
+	return provider.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Instance.ID), State: provider.Joining}
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -11,8 +11,18 @@
 // # Usage
 //
 //	s := scheduler.New(epochBase)
-//	for _, order := range s.Step(now, view) { send(order) }
-//	s.HandleOutcome(now, order, scheduler.Accepted)
+//	for _, order := range s.Step(now, view) {
+//		order, readiness := s.Prepare(now, order)
+//		if readiness != scheduler.Sendable {
+//			s.HandleReport(now, order.Instance.ID, read(order.Instance))
+//			order, readiness = s.Prepare(now, order)
+//		}
+//		outcome := scheduler.Withheld
+//		if readiness != scheduler.NeedsReport {
+//			outcome = send(order)
+//		}
+//		s.HandleOutcome(now, order, outcome)
+//	}
 //
 // No state is stored; the instances' own reports are the only record. After a
 // failover the new scheduler adopts the complete groups that it finds and
@@ -121,6 +131,9 @@
 	// lent holds the model that each instance is to load in place of its last one,
 	// by instance ID.
 	lent map[string]loan
+	// positions holds the known position of each instance in its sequence of orders, by
+	// instance ID.
+	positions map[string]*position
 }
 
 // lastModel is the model of the last group that one incarnation of an instance
@@ -145,6 +158,8 @@
 	group    string
 }
 
+func (o Order) key() orderKey { return orderKey{o.Kind, o.Instance.ID, o.Group} }
+
 // New returns a scheduler whose epochs are greater than base.
 func New(base uint64) *Scheduler {
 	return &Scheduler{
@@ -156,6 +171,7 @@
 		loading:    make(map[string]weightLoad),
 		loadGroups: make(map[string]string),
 		lent:       make(map[string]loan),
+		positions:  make(map[string]*position),
 	}
 }
 
@@ -202,9 +218,10 @@
 // never opened, because it loads weights or has loaded them. A ready head of any
 // other group may have received an Open order that takes effect later, so it
 // must leave that group before it joins another.
-func (s *Scheduler) loadsAlone(in provider.Instance) bool {
-	m := in.Membership
-	return s.loadGroups[in.ID] == m.Group || m.Rank == 0 && m.State == provider.Joining
+func (s *Scheduler) loadsAlone(in provider.Instance) bool { return s.isAlone(in.ID, in.Membership) }
+
+func (s *Scheduler) isAlone(id string, m provider.Membership) bool {
+	return s.loadGroups[id] == m.Group || m.Rank == 0 && m.State == provider.Joining
 }
 
 // sortByRank sorts members by rank and reports whether they have consecutive
@@ -362,39 +379,9 @@
 	return orders
 }
 
-// HandleOutcome records the outcome of an order. A group that an instance
-// refuses to join is marked as broken; its replacement has a higher epoch.
-func (s *Scheduler) HandleOutcome(now time.Time, o Order, outcome Outcome) {
-	switch {
-	case o.Kind == Leave && outcome == Accepted:
-		s.departures[o.Instance.ID] = departure{group: o.Group, at: now}
-	case o.Kind == Join && outcome == Refused:
-		if g := s.groups[o.Group]; g != nil && g.brokenSince.IsZero() {
-			g.brokenSince = now
-		}
-		if l := s.loading[o.Instance.ID]; l.group == o.Group {
-			delete(s.loading, o.Instance.ID)
-		}
-	}
-}
-
 // Epoch returns the last epoch used, or the base if none was.
 func (s *Scheduler) Epoch() uint64 { return s.epochBase + s.epochsUsed }
 
-// departure is an accepted Leave order.
-type departure struct {
-	group string
-	at    time.Time
-}
-
-// recentlyLeft reports whether an instance left a group within the last
-// leaveReportDelay. An instance that reports the group after that has rejoined
-// it because of a Join order that was carried out late.
-func (s *Scheduler) recentlyLeft(now time.Time, id, group string) bool {
-	d := s.departures[id]
-	return d.group == group && now.Sub(d.at) < leaveReportDelay
-}
-
 // newOrder returns an order for one member of a group.
 func (s *Scheduler) newOrder(kind OrderKind, in provider.Instance, g *group) Order {
 	o := Order{Kind: kind, Instance: in, Group: g.name, Epoch: g.epoch}
@@ -410,7 +397,7 @@
 // throttle returns the order, or nothing if it was sent less than
 // resendInterval ago.
 func (s *Scheduler) throttle(now time.Time, o Order) []Order {
-	key := orderKey{o.Kind, o.Instance.ID, o.Group}
+	key := o.key()
 	if at, found := s.lastSent[key]; found && now.Sub(at) < resendInterval {
 		return nil
 	}
@@ -441,6 +428,11 @@
 			delete(s.loadGroups, id)
 		}
 	}
+	for id := range s.positions {
+		if _, listed := v.Tracker.Instance(id); !listed {
+			delete(s.positions, id)
+		}
+	}
 }
 
 // nextGroupName returns the name and epoch of the next group of a model.
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -36,6 +36,12 @@
 	ready map[string]time.Time
 	// delayed holds orders that are applied only by the "apply_delayed" command.
 	delayed []Order
+	// orders counts the orders that each instance has carried out since its start.
+	orders map[string]uint64
+	// entries holds the list entry of each instance.
+	entries map[string]provider.Instance
+	// violations describes joins that took an instance out of a group that was open.
+	violations []string
 	// highestEpochs holds the highest epoch that each instance has seen outside
 	// this simulation.
 	highestEpochs map[string]uint64
@@ -49,6 +55,7 @@
 		t: t, start: time.Unix(1000, 0), scheduler: New(0), tracker: tracker.New(),
 		instances: make(map[string]*provider.Instance), ready: make(map[string]time.Time),
 		highestEpochs: make(map[string]uint64), unlisted: make(map[string]bool),
+		orders: make(map[string]uint64), entries: make(map[string]provider.Instance),
 	}
 	s.tracker.SetGroupSizes(map[string]int{"large": 4, "small": 2})
 	return s
@@ -60,9 +67,15 @@
 	if in == nil {
 		return Unknown
 	}
+	if o.Conditional && o.Orders != s.orders[in.ID] {
+		return Conflicting
+	}
 	m := &in.Membership
 	switch o.Kind {
 	case Join:
+		if m.Group == o.Group && m.Epoch == o.Epoch {
+			return Satisfied
+		}
 		if o.Epoch < max(m.Epoch, s.highestEpochs[in.ID]) {
 			return Refused
 		}
@@ -75,26 +88,74 @@
 		} else if slices.Contains(in.Staged, o.Model) {
 			loadTime = time.Second
 		}
+		s.checkTwoGroups(*in, o)
 		*m = provider.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, in.ID), State: provider.Joining}
 		s.ready[in.ID] = now.Add(loadTime)
 	case Open:
 		if m.Group != o.Group || m.State != provider.MemberReady {
-			return Refused
+			return Conflicting
 		}
 		m.State = provider.Serving
 	case Close:
 		m.State = provider.Closing
 	case Leave:
-		if m.Group == o.Group && m.Epoch == o.Epoch {
-			*m = provider.Membership{}
-			in.Loaded = nil
+		if m.Group != o.Group || m.Epoch != o.Epoch {
+			return Satisfied
 		}
+		*m = provider.Membership{}
+		in.Loaded = nil
 	}
+	s.orders[in.ID]++
 	return Accepted
 }
 
+// report returns what an instance says of itself.
+func (s *simulation) report(id string) Report {
+	in := s.instances[id]
+	if in == nil {
+		return Report{}
+	}
+	return Report{Incarnation: in.Incarnation, Orders: s.orders[id], Membership: in.Membership}
+}
+
+// prepareWithReport prepares an order as a control loop does, which asks for a report if the
+// scheduler needs one. It reports false if the order is withheld.
+func prepareWithReport(s *Scheduler, now time.Time, o Order, report func(id string) Report) (Order, bool) {
+	o, readiness := s.Prepare(now, o)
+	if readiness != Sendable {
+		s.HandleReport(now, o.Instance.ID, report(o.Instance.ID))
+		o, readiness = s.Prepare(now, o)
+	}
+	if readiness == NeedsReport {
+		s.HandleOutcome(now, o, Withheld)
+	}
+	return o, readiness != NeedsReport
+}
+
+// checkTwoGroups records a violation if an instance joins a group while it is still in another
+// one that is open.
+func (s *simulation) checkTwoGroups(in provider.Instance, o Order) {
+	for _, head := range s.instances {
+		m := head.Membership
+		if m.Group != o.Group && m.Group == in.Membership.Group && m.Epoch == in.Membership.Epoch && m.Rank == 0 &&
+			(m.State == provider.Serving || m.State == provider.Closing) {
+			s.violations = append(s.violations, fmt.Sprintf("two groups: %s joined %s while it was in %s, which was open", in.ID, o.Group, m.Group))
+		}
+	}
+}
+
+// takeViolations returns the violations since the last call, one per line.
+func (s *simulation) takeViolations() string {
+	text := ""
+	for _, v := range s.violations {
+		text += v + "\n"
+	}
+	s.violations = nil
+	return text
+}
+
 // updateTracker finishes due loads and passes the instance list to the tracker.
-func (s *simulation) updateTracker(now time.Time) {
+func (s *simulation) updateTracker(now time.Time, stale []string) {
 	var all []provider.Instance
 	for id, in := range s.instances {
 		if at, joining := s.ready[id]; joining && in.Membership.State == provider.Joining && !now.Before(at) {
@@ -103,8 +164,11 @@
 			in.Staged = in.Loaded
 			delete(s.ready, id)
 		}
+		if !slices.Contains(stale, id) {
+			s.entries[id] = *in
+		}
 		if !s.unlisted[id] {
-			all = append(all, *in)
+			all = append(all, s.entries[id])
 		}
 	}
 	s.tracker.Update(now, 0, all)
@@ -119,16 +183,18 @@
 }
 
 // step runs one scheduling step and applies the orders. Orders to silent
-// instances are lost, and those to late instances are delayed.
+// instances are lost, and those to late instances are delayed. The list shows stale
+// instances as it did in the step before.
 func (s *simulation) step(d *datadriven.TestData) string {
 	var at int
-	var silent, late []string
+	var silent, late, stale []string
 	d.ScanArgs(s.t, "at", &at)
 	scanList(s.t, d, "silent", &silent)
 	scanList(s.t, d, "late", &late)
+	scanList(s.t, d, "stale", &stale)
 	now := s.start.Add(time.Duration(at) * time.Millisecond)
 	s.idle = d.HasArg("idle")
-	s.updateTracker(now)
+	s.updateTracker(now, stale)
 	demand := map[string]float64{"large": 0.5, "small": 0.5}
 	if d.HasArg("small_only") {
 		demand = map[string]float64{"large": 0, "small": 1}
@@ -147,7 +213,10 @@
 	var lines []string
 	for _, o := range s.scheduler.Step(now, view) {
 		line := describe(o)
+		o, sendable := prepareWithReport(s.scheduler, now, o, s.report)
 		switch {
+		case !sendable:
+			line += " (withheld)"
 		case slices.Contains(silent, o.Instance.ID):
 			s.scheduler.HandleOutcome(now, o, Unknown)
 			line += " (no response)"
@@ -158,7 +227,7 @@
 		default:
 			outcome := s.apply(now, o)
 			s.scheduler.HandleOutcome(now, o, outcome)
-			if outcome != Accepted {
+			if outcome != Accepted && outcome != Satisfied {
 				line += " (" + outcome.String() + ")"
 			}
 		}
@@ -167,7 +236,7 @@
 	if len(lines) == 0 {
 		return ""
 	}
-	return strings.Join(lines, "\n") + "\n"
+	return strings.Join(lines, "\n") + "\n" + s.takeViolations()
 }
 
 // scanList reads the values of an optional argument.
@@ -196,7 +265,9 @@
 }
 
 // TestScripts runs a scheduler against simulated instances that carry out its
-// orders. Times are in milliseconds.
+// orders. Times are in milliseconds. The scripts late_rejoin, late_rejoin_of_head,
+// late_rejoin_takeover and late_join_restarted guard against an instance that is ordered
+// into a group while it is in another one that is open.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newSimulation(t)
@@ -222,10 +293,14 @@
 					s.highestEpochs[id] = uint64(epoch)
 				}
 			case "apply_delayed":
-				for _, o := range s.delayed {
-					s.apply(s.start, o)
-				}
-				s.delayed = nil
+				s.delayed = slices.DeleteFunc(s.delayed, func(o Order) bool {
+					due := len(d.CmdArgs) == 0 || d.HasArg(o.Kind.String())
+					if due {
+						s.apply(s.start, o)
+					}
+					return due
+				})
+				return s.takeViolations()
 			case "takeover":
 				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "step":
@@ -279,6 +354,7 @@
 		s.unlisted[id] = event == "unlisted"
 	case "restarted":
 		in.Incarnation, in.Loaded, in.Membership = "2", nil, provider.Membership{}
+		delete(s.orders, id)
 	case "closed":
 		in.Membership.State = provider.MemberReady
 	case "leaving":
