--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -85,11 +85,12 @@
 	return nil
 }
 
-// Commands to a server. The second and third take a duration.
+// Commands to a server. All but the first take a duration.
 const (
-	commandDrain   = "drain"
-	commandRefuse  = "refuse"
-	commandEndless = "endless"
+	commandDrain       = "drain"
+	commandRefuse      = "refuse"
+	commandEndless     = "endless"
+	commandDelayOrders = "delay_orders"
 )
 
 func handleServerCommand(worker *emulator.BackendServer, fields []string) {
@@ -104,6 +105,8 @@
 		worker.RefuseFor(duration)
 	case fields[0] == commandEndless:
 		worker.SendEndlessFor(duration)
+	case fields[0] == commandDelayOrders:
+		worker.DelayOrdersFor(duration)
 	}
 }
 
--- a/internal/soaker/schedule_test.go
+++ b/internal/soaker/schedule_test.go
@@ -92,6 +92,32 @@
 	return steps
 }
 
+// maxLateOrders is the largest number of times that all servers leave orders without a
+// response for a time, and carry them out late, in a scenario.
+const maxLateOrders = 3
+
+// generateLateOrders generates steps in which servers carry out orders late. They come on
+// top, like those of generateReturns.
+func generateLateOrders(f *fixture, seed uint64) []step {
+	random := rand.New(rand.NewPCG(seed, seed^lateOrdersStream))
+	steps := make([]step, random.IntN(maxLateOrders+1))
+	for i := range steps {
+		steps[i] = step{name: commandDelayOrders, run: func(duration time.Duration) {
+			for _, p := range f.servers {
+				p.writeLine(commandDelayOrders + " " + duration.String())
+			}
+			time.Sleep(duration)
+		}}
+		steps[i].startAfter = time.Duration(random.Int64N(int64(faultPhase)))
+		steps[i].duration = minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
+	}
+	return steps
+}
+
+// lateOrdersStream keeps the random numbers of generateLateOrders apart from those of the
+// other generators.
+const lateOrdersStream = 1 << 40
+
 // The changes of the configuration in a scenario of its own, and the disturbances of
 // single entry instances meanwhile.
 const (
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -189,6 +189,7 @@
 	if s.returns {
 		steps = append(steps, generateReturns(f, s.seed)...)
 		steps = append(steps, generateStatements(f, s.seed)...)
+		steps = append(steps, generateLateOrders(f, s.seed)...)
 	}
 	if s.crowds {
 		steps = append(steps, generateCrowds(f, s.seed)...)
