Scheduler: a report without an incarnation still allows orders

A server's list entry may state its start while its report does not (PROTOCOL's example of a report has no `born`). The position would then never be one of the listed incarnation, and no order that needs it would be sent again.

Script anonymous_reports: without the change each join is withheld.

--- a/pkg/scheduler/position.go
+++ b/pkg/scheduler/position.go
@@ -18,6 +18,7 @@
 // Report is what an instance says of itself when it is asked. It may be some hundred
 // milliseconds old.
 type Report struct {
+	// Incarnation is "" if the instance does not state it.
 	Incarnation string
 	// Orders is the number of orders that this incarnation has carried out.
 	Orders     uint64
@@ -38,6 +39,11 @@
 	doubtedAt time.Time
 }
 
+// of reports whether the position is one of an incarnation. Either may be unknown.
+func (p *position) of(incarnation string) bool {
+	return p.Incarnation == "" || incarnation == "" || p.Incarnation == incarnation
+}
+
 // in reports whether the position is one in a group.
 func (p *position) in(group string, epoch uint64) bool {
 	return p.Membership.State != provider.Unattached && p.Membership.Group == group && p.Membership.Epoch == epoch
@@ -98,7 +104,7 @@
 // not known.
 func (s *Scheduler) positionOf(now time.Time, in provider.Instance) *position {
 	p := s.positions[in.ID]
-	if p == nil || p.Incarnation != in.Incarnation {
+	if p == nil || !p.of(in.Incarnation) {
 		return nil
 	}
 	// The list shows the effect of a Join order whose response did not arrive.
@@ -156,7 +162,7 @@
 // handleSuccess moves an instance's position past an order that was answered with success.
 func (s *Scheduler) handleSuccess(now time.Time, o Order, outcome Outcome) {
 	p := s.positions[o.Instance.ID]
-	if p == nil || p.Incarnation != o.Instance.Incarnation {
+	if p == nil || !p.of(o.Instance.Incarnation) {
 		return
 	}
 	switch {
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -48,6 +48,8 @@
 	// unlisted holds the instances whose list entries have expired.
 	unlisted map[string]bool
 	idle     bool
+	// anonymous is set if reports do not state the incarnation.
+	anonymous bool
 }
 
 func newSimulation(t *testing.T) *simulation {
@@ -115,7 +117,11 @@
 	if in == nil {
 		return Report{}
 	}
-	return Report{Incarnation: in.Incarnation, Orders: s.orders[id], Membership: in.Membership}
+	r := Report{Incarnation: in.Incarnation, Orders: s.orders[id], Membership: in.Membership}
+	if s.anonymous {
+		r.Incarnation = ""
+	}
+	return r
 }
 
 // prepareWithReport prepares an order as a control loop does, which asks for a report if the
@@ -301,6 +307,8 @@
 					return due
 				})
 				return s.takeViolations()
+			case "anonymous_reports":
+				s.anonymous = true
 			case "takeover":
 				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "step":
