Orchestrator: a leave waits at most 0.1 s for a report

A leave or close can be sent without a report; the read before it only spares the next join of that server some 0.2 s, the lag of reports.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -49,8 +49,11 @@
 	// orderTimeout bounds the time from the lease check to the delivery of an
 	// order.
 	orderTimeout = 500 * time.Millisecond
-	// reportTimeout bounds the read of an instance's report before an order.
+	// reportTimeout bounds the read of an instance's report before an order that needs it.
 	reportTimeout = 300 * time.Millisecond
+	// reportHeadStart replaces it for an order that could be sent without. It is below the
+	// lag of reports, which the read is to spare the next order.
+	reportHeadStart = 100 * time.Millisecond
 	// clockError bounds the drift between two clocks over one lease term.
 	clockError = 50 * time.Millisecond
 	// reconcileInterval is the time between two iterations of the control loop.
@@ -401,7 +404,11 @@
 		"order": order.Kind.String(), "instance": order.Instance.ID, "group": order.Group, "epoch": order.Epoch,
 	})
 	o.Scope.Counter("order_reports").Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	timeout := reportTimeout
+	if readiness == scheduler.BetterAfterReport {
+		timeout = reportHeadStart
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	report, err := o.OrderSender.ReadReport(ctx, order.Instance)
 	if err != nil {
