--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -220,6 +220,7 @@
 // must leave that group before it joins another.
 func (s *Scheduler) loadsAlone(in provider.Instance) bool { return s.isAlone(in.ID, in.Membership) }
 
+// isAlone is loadsAlone for a membership that is known from a report or an answer.
 func (s *Scheduler) isAlone(id string, m provider.Membership) bool {
 	return s.loadGroups[id] == m.Group || m.Rank == 0 && m.State == provider.Joining
 }
