--- /dev/null
+++ b/review/_lab3/main.go
@@ -0,0 +1,39 @@
+// Command lab3 plays the script cases of this review: it starts the entry instances as
+// processes, and stands in for the platform's store, the workers and the consumers.
+//
+// # Usage
+//
+//	lab3 CASE FOLDER
+//
+// TROUBLE=0 in the environment leaves the disruption out. The exit status is 1 if the rule was
+// broken, 0 if it held, and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases maps the names of the cases to their functions. A case returns whether the rule held.
+var cases = map[string]func(*lab) (bool, error){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab3 CASE FOLDER")
+		os.Exit(2)
+	}
+	l, err := newLab(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	held, err := cases[os.Args[1]](l)
+	l.close()
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		os.Exit(2)
+	case !held:
+		os.Exit(1)
+	}
+}
