--- a/review/_lab3/lab.go
+++ b/review/_lab3/lab.go
@@ -106,18 +106,33 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
+// Ports are taken below those that the system gives to connections, each once, so that nothing takes
+// one between its choice and its use.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
+// nextPort is the port that is tried next. It begins at a place of its own in each run.
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var free []netip.AddrPort
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		listener.Close()
+		if free = append(free, listener.Addr().(*net.TCPAddr).AddrPort()); len(free) == n {
+			return free, nil
 		}
-		defer listener.Close()
-		free = append(free, listener.Addr().(*net.TCPAddr).AddrPort())
 	}
-	return free, nil
+	return nil, errors.New("no free ports")
 }
 
 // entry is one entry instance.
