--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/waxwingd ] && [ -x target/lab3 ] || { echo "build the deploy file and run review/build-3.sh first"; exit 2; }
-exec timeout --signal=KILL 115 target/lab3 names review/11
+exec timeout --signal=KILL 115 target/lab3 mirror review/11
--- a/review/_lab3/names.go
+++ b/review/_lab3/names.go
@@ -165,7 +165,6 @@
 // addChat adds a service of model workers in groups of two, with a route, and writes the
 // configuration.
 func (l *lab) addChat() error {
-	const chat = "assist"
 	addresses, err := freeAddresses(2)
 	if err != nil {
 		return err
