Review: the scripts end what they started, and name their record

What was wrong: at its time limit run.sh killed the stand-in, which left the entry instances that it had started, and exited with 137 in place of 2. The record was written, but no run.sh said where. Case 13 gave SIGHUP to one of two machines; kinds has a share of 0.3, so there are four now. Checked: case 11 ended by SIGTERM after 6 s exits with 2 and leaves no process.

--- a/review/_lab3/grace.go
+++ b/review/_lab3/grace.go
@@ -57,7 +57,7 @@
 	if err := l.writeConfig(func(*emulator.Config) {}); err != nil {
 		return false, err
 	}
-	if err := l.addEntries(2, memoryMB, descriptors); err != nil {
+	if err := l.addEntries(4, memoryMB, descriptors); err != nil {
 		return false, err
 	}
 	// With FROM_START=1 the settings say so from the start, and there is no SIGHUP.
--- a/review/_lab3/lab.go
+++ b/review/_lab3/lab.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,10 +44,13 @@
 	mu     sync.Mutex
 	record *os.File
 	began  time.Time
+	// closed says that no process may be started any more.
+	closed atomic.Bool
 }
 
-func newLab(folder string) (*lab, error) {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+// newLab returns a deployment without processes, whose record is written to a file.
+func newLab(path string) (*lab, error) {
+	record, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
@@ -89,6 +94,7 @@
 
 func (l *lab) close() {
 	l.cancel()
+	l.closed.Store(true)
 	for _, e := range l.entries {
 		e.kill()
 	}
@@ -114,7 +120,7 @@
 )
 
 // nextPort is the port that is tried next. It begins at a place of its own in each run.
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
 
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
@@ -184,6 +190,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.lab.closed.Load() {
+		return errors.New("the case has ended")
+	}
 	e.command = exec.Command(e.lab.daemon, "--hosted")
 	e.command.Env = append(os.Environ(), "WAXWINGMOUNT_BOOT="+e.path)
 	e.command.Stderr = os.Stderr
