tracker: say why a group whose head serves can't take requests

The logs could not tell the hypotheses apart: the instance in control counts three open groups ("groups", open 3), and the entry instances refuse each request with an empty list of groups, without a reason.

Each such group now has a Gap, which is logged once when it changes ("group unavailable") and counted (groups_unavailable).

--- a/internal/logger/messages.go
+++ b/internal/logger/messages.go
@@ -34,6 +34,7 @@
 	LineServerCold        = "server is cold"
 	LineServerWarm        = "server is warm"
 	LineGroups            = "groups"
+	LineGroupUnavailable  = "group unavailable"
 	LineOrderSent         = "order sent"
 	LineOrderFailed       = "order not carried out"
 	LineOrderWithheld     = "order withheld"
@@ -83,6 +84,8 @@
 	// FieldServers counts the servers of a pool by the verdict on them.
 	FieldServers = "servers"
 	FieldError   = "error"
+	// FieldGap says what a group lacks.
+	FieldGap = "gap"
 	// FieldEvidence says why an attempt does not count against its route's maximum.
 	FieldEvidence = "evidence"
 
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -119,6 +119,7 @@
 	}
 	o.updateEvacuations(snapshot)
 	o.updateConfig(snapshot)
+	o.logGaps()
 	for id := range o.ownLosses {
 		if !o.tracker.IsLost(id) {
 			delete(o.ownLosses, id)
@@ -134,6 +135,19 @@
 	o.signal()
 }
 
+// logGaps logs which groups can't take requests though their heads serve, and why, when that
+// changes. The caller holds o.mu.
+func (o *Observer) logGaps() {
+	gaps := o.tracker.Gaps()
+	for name, gap := range gaps {
+		if o.gaps[name] != gap {
+			log.WithFields(log.Fields{logger.FieldGroup: name, logger.FieldGap: gap.String()}).Info(logger.LineGroupUnavailable)
+		}
+	}
+	o.gaps = gaps
+	o.Scope.Gauge("groups_unavailable").Update(float64(len(gaps)))
+}
+
 // recordEra records and logs a new era of the platform's table: the table has come
 // back from an older copy. The caller holds o.mu.
 func (o *Observer) recordEra(s Snapshot) {
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,13 @@
 					lines = append(lines, line)
 				}
 				return strings.Join(lines, "\n") + "\n"
+			case "gaps":
+				var lines []string
+				for name, gap := range tracker.Gaps() {
+					lines = append(lines, name+": "+gap.String())
+				}
+				slices.Sort(lines)
+				return strings.Join(lines, "\n") + "\n"
 			case "instances":
 				var lines []string
 				for _, in := range tracker.Instances() {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -103,6 +103,8 @@
 	// groupSizes holds the number of members per group, by model.
 	groupSizes map[string]int
 	groups     map[string]Group
+	// gaps holds what the groups lack whose heads serve, by name.
+	gaps map[string]Gap
 	// groupsByModel holds the groups of each service and model whose head can be reached
 	// from here, sorted by name, and remoteGroups those whose head can't.
 	groupsByModel, remoteGroups map[serviceModel][]Group
@@ -380,34 +382,46 @@
 			members[m.Group] = append(members[m.Group], in)
 		}
 	}
+	t.gaps = make(map[string]Gap)
 	for name, reported := range members {
-		if g, complete := buildGroup(name, reported); complete && len(reported) == t.groupSizes[g.Model] {
-			t.groups[name] = g
+		slices.SortFunc(reported, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
+		head := reported[0]
+		if head.Membership.State != provider.Serving || head.Leaving {
+			continue
+		}
+		model := ModelOf(name)
+		if gap := findGap(reported, t.groupSizes[model]); gap != NoGap {
+			t.gaps[name] = gap
+			continue
 		}
+		t.groups[name] = Group{Name: name, Epoch: head.Membership.Epoch, Model: model, Service: head.Service, Members: reported}
 	}
 	t.selectReachable()
 }
 
-// buildGroup returns the group of the given members and true, or false if a rank
-// is missing, a member is not ready, the epochs differ or the head is not serving.
-// The caller checks the number of members.
-func buildGroup(name string, members []provider.Instance) (Group, bool) {
-	slices.SortFunc(members, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
-	head := members[0]
-	if head.Membership.State != provider.Serving || head.Leaving {
-		return Group{}, false
+// findGap returns what the members of a group lack, sorted by rank, so that it can take
+// requests.
+func findGap(members []provider.Instance, size int) Gap {
+	if size == 0 {
+		return UnknownModel
 	}
-	for rank, in := range members {
+	for i, in := range members {
 		m := in.Membership
-		if m.Rank != rank || m.Epoch != head.Membership.Epoch || rank > 0 && m.State != provider.MemberReady {
-			return Group{}, false
+		switch {
+		case m.Epoch != members[0].Membership.Epoch:
+			return EpochsDiffer
+		case i > 0 && m.Rank == members[i-1].Membership.Rank:
+			return RankClaimedTwice
+		case m.Rank >= size:
+			return RankOutOfRange
+		case m.Rank != i:
+			return MemberMissing
+		case i > 0 && m.State != provider.MemberReady:
+			return MemberNotReady
 		}
 	}
-	return Group{
-		Name:    name,
-		Epoch:   head.Membership.Epoch,
-		Model:   ModelOf(name),
-		Service: head.Service,
-		Members: members,
-	}, true
+	if len(members) < size {
+		return MemberMissing
+	}
+	return NoGap
 }
