tracker: entries of a service that is not configured name no server

Related readers took any listed entry for an instance: references of a path check, testimonies for peers, losses, the count of evacuated servers.

Ruled out: the scheduler, which selects by service and counted three open groups all the while.

Now a group is one of a service, its size is that of the model in that service, and an entry whose service is not configured is in nothing but Listed. What is listed is kept, so that it counts as soon as a later configuration names the service, and no longer counts when one does not name it any more. Warm-ups go on reading the whole list: a server whose service is configured later has not started then.

TestServerOfServiceConfiguredLaterIsNotCold fails if warm-ups read only named servers.

--- a/internal/forwarder/warmup.go
+++ b/internal/forwarder/warmup.go
@@ -49,8 +49,9 @@
 	if !limited && !f.warmUps.limited {
 		return
 	}
+	// A server whose service is configured later has not started then.
 	var instances []provider.Instance
-	f.Observer.WithTracker(func(t *tracker.Tracker) { instances = t.Instances() })
+	f.Observer.WithTracker(func(t *tracker.Tracker) { instances = t.Listed() })
 	servers := make([]warmer.Listed, 0, len(instances))
 	for _, in := range instances {
 		servers = append(servers, listed(in, limits[in.Service]))
--- a/internal/forwarder/warmup_test.go
+++ b/internal/forwarder/warmup_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingmount/waxwingmount/internal/clocker"
 	"github.com/waxwingmount/waxwingmount/internal/logger"
+	"github.com/waxwingmount/waxwingmount/pkg/mapper"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
 )
 
@@ -165,3 +166,34 @@
 	most := arrivals.most(time.Time{})
 	assert.Assert(t, most >= 1 && most <= 5, "%d in a second", most)
 }
+
+// TestServerOfServiceConfiguredLaterIsNotCold guards against a server that has long been listed
+// being taken for one that has just started when a later configuration names its service.
+func TestServerOfServiceConfiguredLaterIsNotCold(t *testing.T) {
+	const perSecond = 5
+	f := newFixture(t)
+	var none atomic.Int64
+	arrivals := &arrivalLog{}
+	f.addServer("early", "other", countArrivals(&none, &arrivalLog{}))
+	f.addServer("p", "plain", countArrivals(&none, arrivals))
+	f.platform.set(func(p *platformStub) {
+		p.instances[0].Slots, p.instances[1].Slots = 50, 50
+	})
+	config := testConfig(1)
+	other := config.Services[1]
+	other.Name, other.WarmUp, other.WarmUpRate = "other", time.Minute, perSecond
+	config.Services = []mapper.Service{other}
+	config.Routes = config.Routes[1:2]
+	config.Routes[0].Targets[0].Service = "other"
+	f.apply(config)
+	// With a request the system is not idle any more, so that servers that start are cold.
+	status, _, _ := f.call("GET", "/once/", "first")
+	assert.Equal(t, status, http.StatusOK)
+	time.Sleep(1100 * time.Millisecond)
+	config = testConfig(2)
+	config.Services[1].WarmUp, config.Services[1].WarmUpRate = time.Minute, perSecond
+	config.Services = append(config.Services, other)
+	f.apply(config)
+	f.callEvery(20*time.Millisecond, time.Second)
+	assert.Assert(t, arrivals.since(time.Time{}) > 4*perSecond, "%d requests in a second", arrivals.since(time.Time{}))
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -122,8 +122,8 @@
 	tracker *tracker.Tracker
 	// content identifies the instances of the last snapshot.
 	content uint64
-	// gaps holds what was last logged of the groups that can't take requests, by name.
-	gaps   map[string]tracker.Gap
+	// gaps holds what was last logged of the groups that can't take requests.
+	gaps   map[tracker.GroupKey]tracker.Gap
 	config *mapper.RouteTable
 	// configConfirmedAt is the time at which the configuration was last
 	// confirmed as the newest: the start of the read that returned it.
--- a/internal/observer/poll.go
+++ b/internal/observer/poll.go
@@ -139,9 +139,9 @@
 // changes. The caller holds o.mu.
 func (o *Observer) logGaps() {
 	gaps := o.tracker.Gaps()
-	for name, gap := range gaps {
-		if o.gaps[name] != gap {
-			log.WithFields(log.Fields{logger.FieldGroup: name, logger.FieldGap: gap.String()}).Info(logger.LineGroupUnavailable)
+	for key, gap := range gaps {
+		if o.gaps[key] != gap {
+			log.WithFields(log.Fields{logger.FieldService: key.Service, logger.FieldGroup: key.Name, logger.FieldGap: gap.String()}).Info(logger.LineGroupUnavailable)
 		}
 	}
 	o.gaps = gaps
@@ -185,7 +185,7 @@
 	}
 	previous := o.config
 	o.config = s.Config
-	o.tracker.SetGroupSizes(groupSizes(s.Config))
+	o.tracker.SetServices(groupSizes(s.Config))
 	fields := log.Fields{logger.FieldVersion: s.Config.Version, "age": clocker.Since(s.ConfirmedAt).String(), "source": s.ConfigSource}
 	if previous != nil {
 		fields["previous_version"], fields["since_previous"] = previous.Version, clocker.Since(o.configChangedAt).String()
@@ -209,18 +209,19 @@
 	}
 }
 
-// groupSizes returns the number of members of a group, by model.
-func groupSizes(config *mapper.RouteTable) map[string]int {
-	sizes := make(map[string]int)
+// groupSizes returns the number of members of a group, by service and model.
+func groupSizes(config *mapper.RouteTable) map[string]map[string]int {
+	services := make(map[string]map[string]int)
 	for _, s := range config.Services {
-		if s.Engine == nil {
-			continue
-		}
-		for _, m := range s.Engine.Models {
-			sizes[m.Name] = m.Size
+		sizes := make(map[string]int)
+		if s.Engine != nil {
+			for _, m := range s.Engine.Models {
+				sizes[m.Name] = m.Size
+			}
 		}
+		services[s.Name] = sizes
 	}
-	return sizes
+	return services
 }
 
 // sleep waits for d. It reports false if ctx ends first.
--- a/pkg/scheduler/churn_test.go
+++ b/pkg/scheduler/churn_test.go
@@ -111,7 +111,7 @@
 	for _, m := range settings.engine.Models {
 		sizes[m.Name] = m.Size
 	}
-	c.tracker.SetGroupSizes(sizes)
+	c.tracker.SetServices(map[string]map[string]int{"": sizes})
 	for d := range settings.domains {
 		for range settings.domainSize {
 			c.add(strconv.Itoa(d))
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -59,7 +59,7 @@
 		highestEpochs: make(map[string]uint64), unlisted: make(map[string]bool),
 		orders: make(map[string]uint64), entries: make(map[string]provider.Instance),
 	}
-	s.tracker.SetGroupSizes(map[string]int{"large": 4, "small": 2})
+	s.tracker.SetServices(map[string]map[string]int{"": {"large": 4, "small": 2}})
 	return s
 }
 
--- a/pkg/scheduler/step_bench_test.go
+++ b/pkg/scheduler/step_bench_test.go
@@ -28,7 +28,7 @@
 		})
 	}
 	t := tracker.New()
-	t.SetGroupSizes(map[string]int{"m": groupSize})
+	t.SetServices(map[string]map[string]int{"s": {"m": groupSize}})
 	t.Update(time.Unix(1000, 0), 0, list)
 	engine := &mapper.Engine{Models: []mapper.Model{model}, Slots: 14, LoadsAtOnce: 4, LoadsPerSecond: 4}
 	return View{Tracker: t, Engine: engine, Service: "s", Demand: map[string]float64{"m": 1}}, list
--- a/pkg/tracker/evacuation.go
+++ b/pkg/tracker/evacuation.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	found := false
-	for _, in := range t.instances {
+	for _, in := range t.named {
 		if in.Service != service || in.Leaving {
 			continue
 		}
--- a/pkg/tracker/gap.go
+++ b/pkg/tracker/gap.go
@@ -8,7 +8,7 @@
 const (
 	// NoGap means that the group is complete.
 	NoGap Gap = iota // none
-	// UnknownModel means that no configured model has the group's name.
+	// UnknownModel means that the service has no model of the group's name.
 	UnknownModel // unknown model
 	// MemberMissing means that no instance that is listed and not lost has one of the ranks.
 	MemberMissing // member missing
@@ -22,6 +22,6 @@
 	MemberNotReady // member not ready
 )
 
-// Gaps returns why groups whose heads report that they serve can't take requests, by name.
-// The caller must not change it.
-func (t *Tracker) Gaps() map[string]Gap { return t.gaps }
+// Gaps returns why groups whose heads report that they serve can't take requests. The
+// caller must not change it.
+func (t *Tracker) Gaps() map[GroupKey]Gap { return t.gaps }
--- a/pkg/tracker/losses.go
+++ b/pkg/tracker/losses.go
@@ -134,7 +134,7 @@
 func (t *Tracker) LostInstances() []provider.Instance {
 	var found []provider.Instance
 	for _, id := range slices.Sorted(maps.Keys(t.losses)) {
-		if in, known := t.instances[id]; known {
+		if in, known := t.named[id]; known {
 			found = append(found, in)
 		}
 	}
--- a/pkg/tracker/reach.go
+++ b/pkg/tracker/reach.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -38,8 +37,8 @@
 func (t *Tracker) selectReachable() {
 	t.groupsByModel = make(map[serviceModel][]Group)
 	t.remoteGroups = make(map[serviceModel][]Group)
-	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
-		g := t.groups[name]
+	for _, id := range sortKeys(t.groups) {
+		g := t.groups[id]
 		key := serviceModel{g.Service, g.Model}
 		switch {
 		case t.Evacuated(g.Head()):
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -17,7 +17,8 @@
 }
 
 // parseInstance parses a line "id incarnation group epoch rank state [sequence=N]
-// [in=DATACENTRE] [leaving]". A dash stands for no group.
+// [in=DATACENTRE] [service=NAME] [leaving]". A dash stands for no group, and the service is s
+// unless it is given.
 func parseInstance(t *testing.T, line string) provider.Instance {
 	t.Helper()
 	in := provider.Instance{Service: "s"}
@@ -33,6 +34,9 @@
 	if _, place, found := strings.Cut(line, "in="); found {
 		in.DataCentre = strings.Fields(place)[0]
 	}
+	if _, service, found := strings.Cut(line, "service="); found {
+		in.Service = strings.Fields(service)[0]
+	}
 	in.Leaving = strings.HasSuffix(line, "leaving")
 	if _, count, found := strings.Cut(line, "sequence="); found {
 		if _, err := fmt.Sscan(count, &in.Sequence); err != nil {
@@ -42,12 +46,12 @@
 	return in
 }
 
-// TestScripts runs a tracker with one model "m", whose groups have two members.
+// TestScripts runs a tracker with one service "s" and model "m", whose groups have two members.
 // Times are in milliseconds.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracker := New()
-		tracker.SetGroupSizes(map[string]int{"m": 2})
+		tracker.SetServices(map[string]map[string]int{"s": {"m": 2}})
 		suspicions := NewSuspicions()
 		start := time.Unix(1000, 0)
 		at := func(d *datadriven.TestData) time.Time {
@@ -72,13 +76,26 @@
 				return runSuspicionCommand(t, suspicions, at, d)
 			case "clear_loss":
 				tracker.ClearLoss(d.CmdArgs[0].Key)
+			case "states_leaving":
+				id, incarnation := "", ""
+				d.ScanArgs(t, "instance", &id)
+				d.ScanArgs(t, "incarnation", &incarnation)
+				return fmt.Sprintf("new: %t\n", tracker.MarkLeaving(at(d), id, incarnation))
 			case "select_group":
 				selected = tracker.Groups("s", "m")[0]
 			case "group_available":
 				return fmt.Sprintf("%t\n", tracker.GroupAvailable(selected))
+			case "services":
+				services := make(map[string]map[string]int)
+				for _, service := range strings.Fields(d.Input) {
+					services[service] = map[string]int{"m": 2}
+				}
+				tracker.SetServices(services)
 			case "groups":
+				service := "s"
+				d.MaybeScanArgs(t, "service", &service)
 				var lines []string
-				for _, g := range tracker.Groups("s", "m") {
+				for _, g := range tracker.Groups(service, "m") {
 					line := fmt.Sprintf("%s %d", g.Name, g.Epoch)
 					for _, in := range g.Members {
 						line += " " + in.ID
@@ -88,8 +105,8 @@
 				return strings.Join(lines, "\n") + "\n"
 			case "gaps":
 				var lines []string
-				for name, gap := range tracker.Gaps() {
-					lines = append(lines, name+": "+gap.String())
+				for key, gap := range tracker.Gaps() {
+					lines = append(lines, key.Name+": "+gap.String())
 				}
 				slices.Sort(lines)
 				return strings.Join(lines, "\n") + "\n"
@@ -102,7 +119,7 @@
 					}
 					lines = append(lines, line)
 				}
-				return strings.Join(lines, "\n") + fmt.Sprintf("\nrelisted: %t\n", tracker.Relisted())
+				return strings.Join(lines, "\n") + fmt.Sprintf("\nlisted: %d, relisted: %t\n", len(tracker.Listed()), tracker.Relisted())
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
 			}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -5,11 +5,15 @@
 // # Usage
 //
 //	t := tracker.New()
-//	t.SetGroupSizes(map[string]int{"model": 4})
+//	t.SetServices(map[string]map[string]int{"service": {"model": 4}})
 //	t.Update(now, era, instances)
 //	t.MarkLost(now, "instance-3", incarnation)
 //	for _, group := range t.Groups("service", "model") { ... }
 //
+// The list may have entries that name no server: those of a service that is not configured
+// stay out of everything but [Tracker.Listed] until it is. A group is one of a service, whatever
+// the entries of others say.
+//
 // A group is available when all of its members report that they belong to it in
 // the same epoch and its head reports that it is serving. The loss of one member
 // makes it unavailable. Requests go to the head alone, so that a group can't be sent any
@@ -18,6 +22,7 @@
 package tracker
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -82,8 +87,10 @@
 // Tracker holds one process's view of the instances and groups. It does no I/O
 // and is not safe for concurrent use.
 type Tracker struct {
-	instances map[string]provider.Instance
-	losses    map[string]loss
+	// instances holds what is listed, by ID, and named the part of it that names servers.
+	// They are the same map if that is all.
+	instances, named map[string]provider.Instance
+	losses           map[string]loss
 	// leaving holds the instances that have said themselves that they leave.
 	leaving map[string]statedLeaving
 	// updatedAt is the time at which the last list was requested.
@@ -100,11 +107,12 @@
 	// departures holds the instances that were removed from the list, by ID.
 	departures map[string]departure
 
-	// groupSizes holds the number of members per group, by model.
-	groupSizes map[string]int
-	groups     map[string]Group
-	// gaps holds what the groups lack whose heads serve, by name.
-	gaps map[string]Gap
+	// services holds the number of members per group of each configured service, by model. It
+	// is nil as long as no configuration is known.
+	services map[string]map[string]int
+	groups   map[GroupKey]Group
+	// gaps holds what the groups lack whose heads serve.
+	gaps map[GroupKey]Gap
 	// groupsByModel holds the groups of each service and model whose head can be reached
 	// from here, sorted by name, and remoteGroups those whose head can't.
 	groupsByModel, remoteGroups map[serviceModel][]Group
@@ -116,6 +124,12 @@
 	evacuated map[string]bool
 }
 
+// GroupKey identifies a group: another service may have one of the same name.
+type GroupKey struct{ Service, Name string }
+
+// Key returns the group's key.
+func (g Group) Key() GroupKey { return GroupKey{g.Service, g.Name} }
+
 // serviceModel is a service and one of its models.
 type serviceModel struct{ service, model string }
 
@@ -153,9 +167,27 @@
 // that instances which live and reach the table have written their entries again.
 func (t *Tracker) Relisted() bool { return !t.updatedAt.Before(t.eraSince.Add(relistTimeout)) }
 
-// SetGroupSizes sets the number of members per group, by model.
-func (t *Tracker) SetGroupSizes(sizes map[string]int) {
-	t.groupSizes = sizes
+// SetServices sets the configured services, each with the number of members per group, by
+// model. Entries of other services name no server. What is listed already counts from then on
+// without being listed again. Until the first call all services count, and no model has groups.
+func (t *Tracker) SetServices(services map[string]map[string]int) {
+	t.services = services
+	t.selectNamed()
+}
+
+// selectNamed recomputes which entries name servers, and what follows from them.
+func (t *Tracker) selectNamed() {
+	t.named = t.instances
+	if t.services != nil {
+		unnamed := func(_ string, in provider.Instance) bool { return t.services[in.Service] == nil }
+		for id, in := range t.instances {
+			if unnamed(id, in) {
+				t.named = maps.Clone(t.instances)
+				maps.DeleteFunc(t.named, unnamed)
+				break
+			}
+		}
+	}
 	t.rebuild()
 }
 
@@ -196,7 +228,7 @@
 	t.pruneDepartures(at)
 	t.pruneLosses(at)
 	t.applyLeaving(at)
-	t.rebuild()
+	t.selectNamed()
 }
 
 // Confirm records that the last list was still current at a later time in an era of the
@@ -248,7 +280,7 @@
 	if known && in.Incarnation == incarnation {
 		in.Leaving = true
 		t.instances[id] = in
-		t.rebuild()
+		t.selectNamed()
 	}
 	return true
 }
@@ -310,15 +342,21 @@
 
 // Instance returns the known instance with the ID.
 func (t *Tracker) Instance(id string) (provider.Instance, bool) {
-	in, found := t.instances[id]
+	in, found := t.named[id]
 	return in, found
 }
 
 // Instances returns all known instances, sorted by ID.
-func (t *Tracker) Instances() []provider.Instance {
-	all := make([]provider.Instance, 0, len(t.instances))
-	for _, id := range slices.Sorted(maps.Keys(t.instances)) {
-		all = append(all, t.instances[id])
+func (t *Tracker) Instances() []provider.Instance { return sortByID(t.named) }
+
+// Listed returns all entries, sorted by ID, also those that name no server as long as their
+// service is not configured.
+func (t *Tracker) Listed() []provider.Instance { return sortByID(t.instances) }
+
+func sortByID(byID map[string]provider.Instance) []provider.Instance {
+	all := make([]provider.Instance, 0, len(byID))
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		all = append(all, byID[id])
 	}
 	return all
 }
@@ -337,8 +375,8 @@
 // reached from here or are in an evacuated data centre.
 func (t *Tracker) Heads() []provider.Instance {
 	var heads []provider.Instance
-	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
-		heads = append(heads, t.groups[name].Head())
+	for _, key := range sortKeys(t.groups) {
+		heads = append(heads, t.groups[key].Head())
 	}
 	return heads
 }
@@ -350,14 +388,14 @@
 // GroupAvailable reports whether a group can still take requests from here, in the same
 // epoch and with the same member incarnations.
 func (t *Tracker) GroupAvailable(g Group) bool {
-	current, found := t.groups[g.Name]
+	current, found := t.groups[g.Key()]
 	return found && current.Epoch == g.Epoch && slices.EqualFunc(current.Members, g.Members, sameIncarnation) && t.usable(current.Head())
 }
 
 // InstanceAvailable reports whether an individual instance can still take
 // requests from here, in the same incarnation.
 func (t *Tracker) InstanceAvailable(in provider.Instance) bool {
-	current, found := t.instances[in.ID]
+	current, found := t.named[in.ID]
 	return found && sameIncarnation(current, in) && !current.Leaving && t.usable(current)
 }
 
@@ -368,9 +406,10 @@
 
 // rebuild recomputes the available groups and servers from the instances.
 func (t *Tracker) rebuild() {
-	t.groups = make(map[string]Group)
+	t.groups = make(map[GroupKey]Group)
+	t.gaps = make(map[GroupKey]Gap)
 	t.individuals = make(map[string][]provider.Instance)
-	members := make(map[string][]provider.Instance)
+	members := make(map[GroupKey][]provider.Instance)
 	for _, in := range t.Instances() {
 		if t.LostForAll(in.ID) {
 			continue
@@ -379,26 +418,33 @@
 			t.individuals[in.Service] = append(t.individuals[in.Service], in)
 		}
 		if m := in.Membership; m.Group != "" && m.State != provider.Unattached {
-			members[m.Group] = append(members[m.Group], in)
+			key := GroupKey{in.Service, m.Group}
+			members[key] = append(members[key], in)
 		}
 	}
-	t.gaps = make(map[string]Gap)
-	for name, reported := range members {
+	for key, reported := range members {
 		slices.SortFunc(reported, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
 		head := reported[0]
 		if head.Membership.State != provider.Serving || head.Leaving {
 			continue
 		}
-		model := ModelOf(name)
-		if gap := findGap(reported, t.groupSizes[model]); gap != NoGap {
-			t.gaps[name] = gap
+		model := ModelOf(key.Name)
+		if gap := findGap(reported, t.services[key.Service][model]); gap != NoGap {
+			t.gaps[key] = gap
 			continue
 		}
-		t.groups[name] = Group{Name: name, Epoch: head.Membership.Epoch, Model: model, Service: head.Service, Members: reported}
+		t.groups[key] = Group{Name: key.Name, Epoch: head.Membership.Epoch, Model: model, Service: key.Service, Members: reported}
 	}
 	t.selectReachable()
 }
 
+// sortKeys returns the keys sorted by the names of the groups.
+func sortKeys[V any](groups map[GroupKey]V) []GroupKey {
+	return slices.SortedFunc(maps.Keys(groups), func(a, b GroupKey) int {
+		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Service, b.Service))
+	})
+}
+
 // findGap returns what the members of a group lack, sorted by rank, so that it can take
 // requests.
 func findGap(members []provider.Instance, size int) Gap {
