--- a/cmd/waxwingd/stop_test.go
+++ b/cmd/waxwingd/stop_test.go
@@ -30,7 +30,7 @@
 		"routes":   []any{map[string]any{"name": "r", "hostname": "h", "prefix": "/", "route_type": "non_idempotent", "timeout_ms": 30000, "target_latency_ms": 5000, "service": "s", "max_attempts": 1, "anonymous": true}},
 		"services": []any{map[string]any{"name": "s"}},
 	})
-	entry, _ := json.Marshal(map[string]any{"service": "s", "address": server, "zone": "z", "slots": 1, "state": "ready"})
+	entry, _ := json.Marshal(map[string]any{"service": "s", "address": server, "zone": "z", "version": "v1", "slots": 1, "state": "ready", "warmup_left_ms": 0, "sequence": 1})
 	return func(w http.ResponseWriter, r *http.Request) {
 		var rows []any
 		if r.Method == http.MethodGet {
--- a/internal/soaker/foreign_entries_test.go
+++ b/internal/soaker/foreign_entries_test.go
@@ -43,6 +43,7 @@
 // servers, by name. A form returns nil for an entry that it does not apply to.
 var foreignForms = map[string]func(entry map[string]any) map[string]any{
 	"service that is not configured": with("service", "mirror"),
+	"field of another type":          with("version", 1),
 }
 
 // with returns a form with one field changed.
