--- a/internal/soaker/foreign_entries_test.go
+++ b/internal/soaker/foreign_entries_test.go
@@ -150,9 +150,10 @@
 func TestForeignEntriesLeaveServersInUse(t *testing.T) {
 	t.Parallel()
 	daemon := buildDaemon(t)
-	run := byte(os.Getpid() + foreignRun)
+	next := byte(os.Getpid() + foreignRun)
 	for name, form := range foreignForms {
-		run++
+		run := next
+		next++
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			logDir := *keepLogs
