tracker: entries that contradict each other are resolved by what the servers say

Copies of plain servers' entries cost attempts with 421.

Cause: the members of a group were all entries that name it; one member too many, a rank that the group does not have or another epoch made it incomplete, for the tracker as for the adoption of groups. Nobody asked who answers at an address.

Now a group has a roster: of several claimants of a rank the one whose server confirms who it is, else the one that had the rank before the others claimed it. Other epochs, and ranks beyond the group's size, cost it only if the server of such an entry confirms it. Entries at one address contradict each other too, as do those without a start time where most of the service state one (born is not in all installations, so that it can't be required). Servers of such entries, and no others, are asked for their report under their ID: 421 denies, a report confirms, anything else says nothing. At most 8 are asked in 200 ms, again after 10 s, or 2 s without an answer. A denied entry names no server until it answers otherwise, has started again or is listed elsewhere; one that does not answer stays as it was, so that no sound server is refused for silence. The scheduler adopts rosters, and waits while one is disputed.

A gap "epochs differ" no longer exists: such a group lacks a member in its epoch.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -154,6 +154,7 @@
 		Table:               client,
 		Source:              client,
 		Prober:              client,
+		Identifier:          client,
 		OrderSender:         client,
 		LeavingSource:       client,
 		WarmupSource:        client,
--- a/internal/hostedrunner/node.go
+++ b/internal/hostedrunner/node.go
@@ -106,6 +106,7 @@
 	Table       provider.Table
 	Source      relayer.Platform
 	Prober      observer.Prober
+	Identifier  observer.Identifier
 	OrderSender orchestrator.OrderSender
 	Codec       forwarder.Codec
 	// LeavingSource may be nil.
@@ -220,7 +221,7 @@
 		Degree:   gossipDegree,
 	}, store, n.pool, n.peers)
 	n.relayer = relayer.New(relayer.Dependencies{Platform: store, Members: n.discoverer, Pool: n.pool, Epoch: epoch, FirstStart: s.FirstStart, EraSettled: n.eraSettled, StoreDelay: s.storeDelay(), MaxAge: relayer.StateMaxAge(s.stateTTL())})
-	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Announcer: n.peers, Scope: scope})
+	n.observer = observer.New(observer.Dependencies{Source: n.relayer, Prober: p.Prober, Identifier: p.Identifier, Announcer: n.peers, Scope: scope})
 	if p.LeavingSource != nil {
 		p.LeavingSource.OnLeaving(n.observer.HandleLeaving)
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	o := observer.New(observer.Dependencies{Source: client, Prober: client, Announcer: peers})
+//	o := observer.New(observer.Dependencies{Source: client, Prober: client, Identifier: client, Announcer: peers})
 //	o.Start(ctx)
 //	groups := o.Groups("service", "model")
 //	o.Suspect(ctx, group.Members)
@@ -67,6 +67,13 @@
 	Probe(ctx context.Context, in provider.Instance, timeout time.Duration) error
 }
 
+// Identifier asks instances who they are.
+type Identifier interface {
+	// Identify returns what the server at an instance's address says, or an error if it does
+	// not say whether it is that instance.
+	Identify(ctx context.Context, in provider.Instance, timeout time.Duration) (tracker.Identity, error)
+}
+
 // Announcer reaches the other entry instances.
 type Announcer interface {
 	// Announce sends losses and retracted losses to the peers.
@@ -107,10 +114,12 @@
 
 // Dependencies are the collaborators of an Observer.
 type Dependencies struct {
-	Source    Source
-	Prober    Prober
-	Announcer Announcer
-	Scope     tally.Scope
+	Source Source
+	Prober Prober
+	// Identifier is optional. Without it, entries that contradict each other stay disputed.
+	Identifier Identifier
+	Announcer  Announcer
+	Scope      tally.Scope
 }
 
 // Observer holds one entry instance's view of the platform. It is safe for
@@ -195,12 +204,15 @@
 	}
 }
 
-// Start runs the tick, poll, recheck and survey loops in the background until ctx ends.
+// Start runs the tick, poll, recheck, survey and identify loops in the background until ctx ends.
 func (o *Observer) Start(ctx context.Context) {
 	go o.pauses.tickLoop(ctx)
 	go o.pollLoop(ctx)
 	go o.recheckLoop(ctx)
 	go o.surveyLoop(ctx)
+	if o.Identifier != nil {
+		go o.identifyLoop(ctx)
+	}
 }
 
 // Config returns the configuration in force, or nil if none has been read yet.
--- a/internal/soaker/foreign_entries_test.go
+++ b/internal/soaker/foreign_entries_test.go
@@ -44,6 +44,8 @@
 var foreignForms = map[string]func(entry map[string]any) map[string]any{
 	"service that is not configured": with("service", "mirror"),
 	"field of another type":          with("version", 1),
+	"copy":                           func(entry map[string]any) map[string]any { return entry },
+	"copy at another address":        with("address", "127.0.0.1:9"),
 }
 
 // with returns a form with one field changed.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -193,24 +193,24 @@
 
 // adoptGroups adds the groups that instances report but that this scheduler did
 // not form, such as those of a previous lease holder. Incomplete groups are
-// added as broken.
+// added as broken. A group with a disputed rank waits until it is known who its members are.
 func (s *Scheduler) adoptGroups(now time.Time, v View) {
-	found := make(map[string][]provider.Instance)
-	for _, in := range v.Tracker.Instances() {
-		m := in.Membership
-		if in.Service != v.Service || m.Group == "" || m.State == provider.Unattached || s.groups[m.Group] != nil || s.recentlyLeft(now, in.ID, m.Group) || s.loadsAlone(in) {
+	for _, r := range v.Tracker.Rosters(v.Service) {
+		if r.Disputed || s.groups[r.Name] != nil {
 			continue
 		}
-		found[m.Group] = append(found[m.Group], in)
-	}
-	for name, members := range found {
-		model, known := v.Engine.Model(tracker.ModelOf(name))
-		complete := sortByRank(members) && known && len(members) == model.Size
-		g := &group{name: name, epoch: members[0].Membership.Epoch, model: model, members: members, createdAt: now}
-		if !complete {
+		members := slices.DeleteFunc(slices.Clone(r.Members), func(in provider.Instance) bool {
+			return s.recentlyLeft(now, in.ID, r.Name) || s.loadsAlone(in)
+		})
+		if len(members) == 0 {
+			continue
+		}
+		model, known := v.Engine.Model(tracker.ModelOf(r.Name))
+		g := &group{name: r.Name, epoch: r.Epoch, model: model, members: members, createdAt: now}
+		if !known || r.Gap != tracker.NoGap || len(members) != model.Size {
 			g.brokenSince = now
 		}
-		s.groups[name] = g
+		s.groups[r.Name] = g
 	}
 }
 
@@ -225,18 +225,6 @@
 	return s.loadGroups[id] == m.Group || m.Rank == 0 && m.State == provider.Joining
 }
 
-// sortByRank sorts members by rank and reports whether they have consecutive
-// ranks from 0 and the same epoch.
-func sortByRank(members []provider.Instance) bool {
-	slices.SortFunc(members, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
-	for rank, in := range members {
-		if in.Membership.Rank != rank || in.Membership.Epoch != members[0].Membership.Epoch {
-			return false
-		}
-	}
-	return true
-}
-
 // stepGroup advances one group towards its desired state: it dissolves a broken
 // group, drains one that is closing, and joins and opens a new one. An evacuation does not
 // end an open group. It ends a new one that would wait for a member there to join.
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -47,7 +47,9 @@
 	highestEpochs map[string]uint64
 	// unlisted holds the instances whose list entries have expired.
 	unlisted map[string]bool
-	idle     bool
+	// copies holds the instances whose entries another writer repeats, by the ID of the copy.
+	copies map[string]string
+	idle   bool
 	// anonymous is set if reports do not state the incarnation.
 	anonymous bool
 }
@@ -57,7 +59,7 @@
 		t: t, start: time.Unix(1000, 0), scheduler: New(0), tracker: tracker.New(),
 		instances: make(map[string]*provider.Instance), ready: make(map[string]time.Time),
 		highestEpochs: make(map[string]uint64), unlisted: make(map[string]bool),
-		orders: make(map[string]uint64), entries: make(map[string]provider.Instance),
+		orders: make(map[string]uint64), entries: make(map[string]provider.Instance), copies: make(map[string]string),
 	}
 	s.tracker.SetServices(map[string]map[string]int{"": {"large": 4, "small": 2}})
 	return s
@@ -177,6 +179,11 @@
 			all = append(all, s.entries[id])
 		}
 	}
+	for id, original := range s.copies {
+		entry := s.entries[original]
+		entry.ID = id
+		all = append(all, entry)
+	}
 	s.tracker.Update(now, 0, all)
 }
 
@@ -309,6 +316,15 @@
 				return s.takeViolations()
 			case "anonymous_reports":
 				s.anonymous = true
+			case "copy":
+				for _, id := range strings.Fields(d.Input) {
+					s.copies["copy-of-"+id] = id
+				}
+			case "confirm":
+				for _, id := range strings.Fields(d.Input) {
+					in, _ := s.tracker.Instance(id)
+					s.tracker.Identify(s.start, in, tracker.Confirmed)
+				}
 			case "takeover":
 				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "step":
--- a/pkg/tracker/gap.go
+++ b/pkg/tracker/gap.go
@@ -12,12 +12,11 @@
 	UnknownModel // unknown model
 	// MemberMissing means that no instance that is listed and not lost has one of the ranks.
 	MemberMissing // member missing
-	// RankClaimedTwice means that several instances report the same rank.
+	// RankClaimedTwice means that several instances report the same rank, and it is not known
+	// which of them has it.
 	RankClaimedTwice // rank claimed twice
 	// RankOutOfRange means that an instance reports a rank that the group does not have.
 	RankOutOfRange // rank out of range
-	// EpochsDiffer means that the members report different epochs.
-	EpochsDiffer // epochs differ
 	// MemberNotReady means that a member has not loaded its part of the model.
 	MemberNotReady // member not ready
 )
--- a/pkg/tracker/gap_string.go
+++ b/pkg/tracker/gap_string.go
@@ -13,13 +13,12 @@
 	_ = x[MemberMissing-2]
 	_ = x[RankClaimedTwice-3]
 	_ = x[RankOutOfRange-4]
-	_ = x[EpochsDiffer-5]
-	_ = x[MemberNotReady-6]
+	_ = x[MemberNotReady-5]
 }
 
-const _Gap_name = "noneunknown modelmember missingrank claimed twicerank out of rangeepochs differmember not ready"
+const _Gap_name = "noneunknown modelmember missingrank claimed twicerank out of rangemember not ready"
 
-var _Gap_index = [...]uint8{0, 4, 17, 31, 49, 66, 79, 95}
+var _Gap_index = [...]uint8{0, 4, 17, 31, 49, 66, 82}
 
 func (i Gap) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/pkg/tracker/identity.go
@@ -0,0 +1,191 @@
+package tracker
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingmount/waxwingmount/pkg/provider"
+)
+
+//go:generate stringer -type=Identity -linecomment -output=identity_string.go
+
+// Identity is what the server at an instance's address says of who it is.
+type Identity int
+
+const (
+	// Unidentified means that it has not said anything.
+	Unidentified Identity = iota // unidentified
+	// Confirmed means that it is this instance.
+	Confirmed // confirmed
+	// Denied means that it is another one.
+	Denied // denied
+)
+
+const (
+	// identifyInterval is the time between two questions to a server that has not answered.
+	identifyInterval = 2 * time.Second
+	// reidentifyInterval replaces it after an answer. Another server may have taken the
+	// address meanwhile, or have given it back.
+	reidentifyInterval = 10 * time.Second
+)
+
+// identification is what is known of the identity of one listed instance.
+type identification struct {
+	incarnation string
+	address     netip.AddrPort
+	identity    Identity
+	askedAt     time.Time
+	answeredAt  time.Time
+}
+
+// of reports whether the identification is one of this run of an instance at this address.
+func (i identification) of(in provider.Instance) bool {
+	return i.incarnation == in.Incarnation && i.address == in.Address
+}
+
+// identityOf returns what is known of an instance's identity.
+func (t *Tracker) identityOf(in provider.Instance) Identity {
+	if known, found := t.identities[in.ID]; found && known.of(in) {
+		return known.identity
+	}
+	return Unidentified
+}
+
+// Identify records what the server at an instance's address has said, or that it has not
+// answered. It reports whether that is news.
+func (t *Tracker) Identify(now time.Time, in provider.Instance, identity Identity) bool {
+	if listed, found := t.instances[in.ID]; !found || listed.Incarnation != in.Incarnation || listed.Address != in.Address {
+		return false
+	}
+	known := t.identities[in.ID]
+	if !known.of(in) {
+		known = identification{incarnation: in.Incarnation, address: in.Address}
+	}
+	news := identity != Unidentified && identity != known.identity
+	known.askedAt = now
+	if identity != Unidentified {
+		known.identity, known.answeredAt = identity, now
+	}
+	t.identities[in.ID] = known
+	if news {
+		t.selectNamed()
+	}
+	return news
+}
+
+// Unidentified returns the instances whose servers should be asked who they are, those first
+// that were not asked for the longest time. Their entries contradict others: they name the same
+// address, or the same rank of a group. Or they do not say when the server was started though
+// most of the service do.
+func (t *Tracker) Unidentified(now time.Time) []provider.Instance {
+	var due []provider.Instance
+	added := make(map[string]bool)
+	for _, in := range slices.Concat(t.contested, t.disputed) {
+		interval := reidentifyInterval
+		if t.identityOf(in) == Unidentified {
+			interval = identifyInterval
+		}
+		known := t.identities[in.ID]
+		if added[in.ID] || known.of(in) && now.Sub(known.askedAt) < interval {
+			continue
+		}
+		added[in.ID] = true
+		due = append(due, in)
+	}
+	slices.SortFunc(due, func(a, b provider.Instance) int {
+		if d := t.identities[a.ID].askedAt.Compare(t.identities[b.ID].askedAt); d != 0 {
+			return d
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return due
+}
+
+// selectNamed recomputes which entries name servers, and what follows from them.
+func (t *Tracker) selectNamed() {
+	t.contested = nil
+	unnamed := t.findUnnamed()
+	t.named = t.instances
+	if len(unnamed) > 0 {
+		t.named = make(map[string]provider.Instance, len(t.instances)-len(unnamed))
+		for id, in := range t.instances {
+			if !unnamed[id] {
+				t.named[id] = in
+			}
+		}
+	}
+	for id := range t.identities {
+		if _, listed := t.instances[id]; !listed {
+			delete(t.identities, id)
+		}
+	}
+	t.rebuild()
+}
+
+// findUnnamed returns the IDs of the entries that name no server.
+func (t *Tracker) findUnnamed() map[string]bool {
+	unnamed := make(map[string]bool)
+	first := make(map[netip.AddrPort]string, len(t.instances))
+	sharing := make(map[netip.AddrPort][]string)
+	undated, dated := make(map[string][]string), make(map[string]int)
+	for id, in := range t.instances {
+		switch {
+		case t.services != nil && t.services[in.Service] == nil:
+			unnamed[id] = true
+			continue
+		case t.identityOf(in) == Denied:
+			unnamed[id] = true
+			t.contested = append(t.contested, in)
+			continue
+		case in.Incarnation == "":
+			undated[in.Service] = append(undated[in.Service], id)
+		default:
+			dated[in.Service]++
+		}
+		other, shared := first[in.Address]
+		switch {
+		case !in.Address.IsValid():
+		case !shared:
+			first[in.Address] = id
+		case sharing[in.Address] == nil:
+			sharing[in.Address] = []string{other, id}
+		default:
+			sharing[in.Address] = append(sharing[in.Address], id)
+		}
+	}
+	for service, ids := range undated {
+		if len(ids) < dated[service] {
+			t.contest(ids, func(id string) bool { return t.identityOf(t.instances[id]) == Confirmed }, unnamed)
+		}
+	}
+	for _, ids := range sharing {
+		owner := t.ownerOf(ids)
+		t.contest(ids, func(id string) bool { return owner == "" || id == owner }, unnamed)
+	}
+	return unnamed
+}
+
+// contest records that the identities of instances matter, and that those that do not hold
+// name no servers.
+func (t *Tracker) contest(ids []string, holds func(id string) bool, unnamed map[string]bool) {
+	for _, id := range ids {
+		t.contested = append(t.contested, t.instances[id])
+		if !holds(id) {
+			unnamed[id] = true
+		}
+	}
+}
+
+// ownerOf returns the one of the instances that was confirmed last, or "".
+func (t *Tracker) ownerOf(ids []string) string {
+	owner := ""
+	var confirmedAt time.Time
+	for _, id := range ids {
+		if known := t.identities[id]; t.identityOf(t.instances[id]) == Confirmed && known.answeredAt.After(confirmedAt) {
+			owner, confirmedAt = id, known.answeredAt
+		}
+	}
+	return owner
+}
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -16,9 +17,11 @@
 	"joining": provider.Joining, "ready": provider.MemberReady, "serving": provider.Serving, "closing": provider.Closing, "broken": provider.Broken,
 }
 
+var identities = map[string]Identity{"unidentified": Unidentified, "confirmed": Confirmed, "denied": Denied}
+
 // parseInstance parses a line "id incarnation group epoch rank state [sequence=N]
-// [in=DATACENTRE] [service=NAME] [leaving]". A dash stands for no group, and the service is s
-// unless it is given.
+// [in=DATACENTRE] [service=NAME] [port=PORT] [leaving]". A dash stands for no incarnation or
+// no group, and the service is s unless it is given.
 func parseInstance(t *testing.T, line string) provider.Instance {
 	t.Helper()
 	in := provider.Instance{Service: "s"}
@@ -37,6 +40,12 @@
 	if _, service, found := strings.Cut(line, "service="); found {
 		in.Service = strings.Fields(service)[0]
 	}
+	if in.Incarnation == "-" {
+		in.Incarnation = ""
+	}
+	if _, port, found := strings.Cut(line, "port="); found {
+		in.Address = netip.MustParseAddrPort("10.0.0.1:" + strings.Fields(port)[0])
+	}
 	in.Leaving = strings.HasSuffix(line, "leaving")
 	if _, count, found := strings.Cut(line, "sequence="); found {
 		if _, err := fmt.Sscan(count, &in.Sequence); err != nil {
@@ -81,6 +90,27 @@
 				d.ScanArgs(t, "instance", &id)
 				d.ScanArgs(t, "incarnation", &incarnation)
 				return fmt.Sprintf("new: %t\n", tracker.MarkLeaving(at(d), id, incarnation))
+			case "identify":
+				id, answer := "", ""
+				d.ScanArgs(t, "instance", &id)
+				d.ScanArgs(t, "as", &answer)
+				return fmt.Sprintf("news: %t\n", tracker.Identify(at(d), tracker.instances[id], identities[answer]))
+			case "unidentified":
+				var ids []string
+				for _, in := range tracker.Unidentified(at(d)) {
+					ids = append(ids, in.ID)
+				}
+				return strings.Join(ids, " ") + "\n"
+			case "rosters":
+				var lines []string
+				for _, r := range tracker.Rosters("s") {
+					line := fmt.Sprintf("%s %d", r.Name, r.Epoch)
+					for _, in := range r.Members {
+						line += " " + in.ID
+					}
+					lines = append(lines, fmt.Sprintf("%s; gap %s, disputed %t", line, r.Gap, r.Disputed))
+				}
+				return strings.Join(lines, "\n") + "\n"
 			case "select_group":
 				selected = tracker.Groups("s", "m")[0]
 			case "group_available":
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -12,7 +12,9 @@
 //
 // The list may have entries that name no server: those of a service that is not configured
 // stay out of everything but [Tracker.Listed] until it is. A group is one of a service, whatever
-// the entries of others say.
+// the entries of others say. Entries that contradict each other are resolved by what the servers
+// say of who they are: [Tracker.Unidentified] returns whom to ask, and [Tracker.Identify] takes
+// the answer. An instance that has answered as another one names no server.
 //
 // A group is available when all of its members report that they belong to it in
 // the same epoch and its head reports that it is serving. The loss of one member
@@ -111,8 +113,15 @@
 	// is nil as long as no configuration is known.
 	services map[string]map[string]int
 	groups   map[GroupKey]Group
-	// gaps holds what the groups lack whose heads serve.
-	gaps map[GroupKey]Gap
+	// rosters holds who the members of each group are, and gaps what the groups lack whose heads
+	// serve.
+	rosters map[GroupKey]Roster
+	gaps    map[GroupKey]Gap
+	// identities holds what servers have said of who they are, by ID. contested holds the
+	// instances that name the address of another one or can't be told from foreign ones, and
+	// disputed those that claim the rank of another one.
+	identities          map[string]identification
+	contested, disputed []provider.Instance
 	// groupsByModel holds the groups of each service and model whose head can be reached
 	// from here, sorted by name, and remoteGroups those whose head can't.
 	groupsByModel, remoteGroups map[serviceModel][]Group
@@ -153,6 +162,7 @@
 		losses:     make(map[string]loss),
 		leaving:    make(map[string]statedLeaving),
 		departures: make(map[string]departure),
+		identities: make(map[string]identification),
 		path:       NewPath(),
 	}
 }
@@ -175,22 +185,6 @@
 	t.selectNamed()
 }
 
-// selectNamed recomputes which entries name servers, and what follows from them.
-func (t *Tracker) selectNamed() {
-	t.named = t.instances
-	if t.services != nil {
-		unnamed := func(_ string, in provider.Instance) bool { return t.services[in.Service] == nil }
-		for id, in := range t.instances {
-			if unnamed(id, in) {
-				t.named = maps.Clone(t.instances)
-				maps.DeleteFunc(t.named, unnamed)
-				break
-			}
-		}
-	}
-	t.rebuild()
-}
-
 // Update replaces the instances by the platform's list, which was requested at
 // the given time in an era of the platform's table. After a gap of more than
 // maxListGap, and in a new era, missing instances are kept for relistTimeout. In a
@@ -406,15 +400,15 @@
 
 // rebuild recomputes the available groups and servers from the instances.
 func (t *Tracker) rebuild() {
+	previous := t.rosters
 	t.groups = make(map[GroupKey]Group)
 	t.gaps = make(map[GroupKey]Gap)
+	t.rosters = make(map[GroupKey]Roster)
 	t.individuals = make(map[string][]provider.Instance)
+	t.disputed = nil
 	members := make(map[GroupKey][]provider.Instance)
 	for _, in := range t.Instances() {
-		if t.LostForAll(in.ID) {
-			continue
-		}
-		if !in.Leaving {
+		if !in.Leaving && !t.LostForAll(in.ID) {
 			t.individuals[in.Service] = append(t.individuals[in.Service], in)
 		}
 		if m := in.Membership; m.Group != "" && m.State != provider.Unattached {
@@ -422,18 +416,18 @@
 			members[key] = append(members[key], in)
 		}
 	}
-	for key, reported := range members {
-		slices.SortFunc(reported, func(a, b provider.Instance) int { return a.Membership.Rank - b.Membership.Rank })
-		head := reported[0]
-		if head.Membership.State != provider.Serving || head.Leaving {
+	for key, claims := range members {
+		r := t.newRoster(key, claims, previous[key])
+		t.rosters[key] = r
+		head := r.Members[0]
+		if head.Membership.State != provider.Serving || head.Leaving || t.LostForAll(head.ID) {
 			continue
 		}
-		model := ModelOf(key.Name)
-		if gap := findGap(reported, t.services[key.Service][model]); gap != NoGap {
+		if gap := t.findGap(r); gap != NoGap {
 			t.gaps[key] = gap
 			continue
 		}
-		t.groups[key] = Group{Name: key.Name, Epoch: head.Membership.Epoch, Model: model, Service: key.Service, Members: reported}
+		t.groups[key] = Group{Name: key.Name, Epoch: r.Epoch, Model: ModelOf(key.Name), Service: key.Service, Members: r.Members}
 	}
 	t.selectReachable()
 }
@@ -445,29 +439,18 @@
 	})
 }
 
-// findGap returns what the members of a group lack, sorted by rank, so that it can take
-// requests.
-func findGap(members []provider.Instance, size int) Gap {
-	if size == 0 {
-		return UnknownModel
+// findGap returns what a group lacks so that it can take requests.
+func (t *Tracker) findGap(r Roster) Gap {
+	if r.Gap != NoGap {
+		return r.Gap
 	}
-	for i, in := range members {
-		m := in.Membership
+	for rank, in := range r.Members {
 		switch {
-		case m.Epoch != members[0].Membership.Epoch:
-			return EpochsDiffer
-		case i > 0 && m.Rank == members[i-1].Membership.Rank:
-			return RankClaimedTwice
-		case m.Rank >= size:
-			return RankOutOfRange
-		case m.Rank != i:
+		case t.LostForAll(in.ID):
 			return MemberMissing
-		case i > 0 && m.State != provider.MemberReady:
+		case rank > 0 && in.Membership.State != provider.MemberReady:
 			return MemberNotReady
 		}
 	}
-	if len(members) < size {
-		return MemberMissing
-	}
 	return NoGap
 }
