tracker: a list without contradictions costs what it did before

A group whose claims are its ranks needs no new list of members, and start times are counted only for services with entries that have none.

--- a/pkg/tracker/identity.go
+++ b/pkg/tracker/identity.go
@@ -47,6 +47,9 @@
 
 // identityOf returns what is known of an instance's identity.
 func (t *Tracker) identityOf(in provider.Instance) Identity {
+	if len(t.identities) == 0 {
+		return Unidentified
+	}
 	if known, found := t.identities[in.ID]; found && known.of(in) {
 		return known.identity
 	}
@@ -129,7 +132,7 @@
 	unnamed := make(map[string]bool)
 	first := make(map[netip.AddrPort]string, len(t.instances))
 	sharing := make(map[netip.AddrPort][]string)
-	undated, dated := make(map[string][]string), make(map[string]int)
+	var undated []string
 	for id, in := range t.instances {
 		switch {
 		case t.services != nil && t.services[in.Service] == nil:
@@ -140,13 +143,13 @@
 			t.contested = append(t.contested, in)
 			continue
 		case in.Incarnation == "":
-			undated[in.Service] = append(undated[in.Service], id)
-		default:
-			dated[in.Service]++
+			undated = append(undated, id)
+		}
+		if !in.Address.IsValid() {
+			continue
 		}
 		other, shared := first[in.Address]
 		switch {
-		case !in.Address.IsValid():
 		case !shared:
 			first[in.Address] = id
 		case sharing[in.Address] == nil:
@@ -155,11 +158,7 @@
 			sharing[in.Address] = append(sharing[in.Address], id)
 		}
 	}
-	for service, ids := range undated {
-		if len(ids) < dated[service] {
-			t.contest(ids, func(id string) bool { return t.identityOf(t.instances[id]) == Confirmed }, unnamed)
-		}
-	}
+	t.contestUndated(undated, unnamed)
 	for _, ids := range sharing {
 		owner := t.ownerOf(ids)
 		t.contest(ids, func(id string) bool { return owner == "" || id == owner }, unnamed)
@@ -167,6 +166,27 @@
 	return unnamed
 }
 
+// contestUndated records that the identities of instances without a start time matter where most
+// of their service have one, and that such an instance names a server only if it is confirmed.
+func (t *Tracker) contestUndated(undated []string, unnamed map[string]bool) {
+	byService := make(map[string][]string)
+	for _, id := range undated {
+		service := t.instances[id].Service
+		byService[service] = append(byService[service], id)
+	}
+	for service, ids := range byService {
+		dated := 0
+		for id, in := range t.instances {
+			if in.Service == service && in.Incarnation != "" && !unnamed[id] {
+				dated++
+			}
+		}
+		if len(ids) < dated {
+			t.contest(ids, func(id string) bool { return t.identityOf(t.instances[id]) == Confirmed }, unnamed)
+		}
+	}
+}
+
 // contest records that the identities of instances matter, and that those that do not hold
 // name no servers.
 func (t *Tracker) contest(ids []string, holds func(id string) bool, unnamed map[string]bool) {
--- a/pkg/tracker/roster.go
+++ b/pkg/tracker/roster.go
@@ -71,6 +71,11 @@
 		r.Gap = UnknownModel
 		return r
 	}
+	if len(claims) == size && !slices.ContainsFunc(claims, func(in provider.Instance) bool {
+		return in.Membership.Rank >= size || claims[in.Membership.Rank].ID != in.ID
+	}) {
+		return r
+	}
 	if previous.Gap != NoGap || previous.Epoch != r.Epoch {
 		previous.Members = nil
 	}
