provider: an entry of the list that names no instance does not cost the others

The own interface had the fault of the users' platform in another form: one entry of another type made the whole list of instances unreadable, so that the controller went on with an old list, and nothing was logged. Entries are decoded one by one now; those that can't be decoded or lack an ID or an address are left out, and the error beside the others is logged when it changes.

Engines are told from other programs by their reports (internal/prober), which stays as it was.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/waxwingmount/waxwingmount/internal/prober"
 	"github.com/waxwingmount/waxwingmount/internal/renewer"
 	"github.com/waxwingmount/waxwingmount/internal/syncer"
+	"github.com/waxwingmount/waxwingmount/pkg/faulter"
 	"github.com/waxwingmount/waxwingmount/pkg/leaser"
 	"github.com/waxwingmount/waxwingmount/pkg/placer"
 	"github.com/waxwingmount/waxwingmount/pkg/provider"
@@ -68,6 +69,8 @@
 	mu sync.Mutex
 	// instances is the newest list of instances.
 	instances []provider.Instance
+	// listError is why the last list, or an entry of it, could not be used, or "".
+	listError string
 }
 
 // New returns a Controller that does not hold the lease.
@@ -117,16 +120,36 @@
 func (c *Controller) Resign(ctx context.Context) { c.lease.Resign(ctx) }
 
 func (c *Controller) listLoop(ctx context.Context) {
-	pacer.Repeat(ctx, renewInterval, func(ctx context.Context) {
-		instances, err := c.Platform.ListInstances(ctx)
-		if err != nil {
-			return
-		}
-		c.mu.Lock()
-		c.instances = instances
-		c.mu.Unlock()
-		c.Prober.SetLeaving(leavingInstances(instances))
-	})
+	pacer.Repeat(ctx, renewInterval, c.refreshList)
+}
+
+// refreshList reads the list of instances. Entries that name none do not cost the others.
+func (c *Controller) refreshList(ctx context.Context) {
+	instances, err := c.Platform.ListInstances(ctx)
+	c.logListError(err)
+	if kind, _ := faulter.KindOf[provider.Kind](err); err != nil && kind != provider.KindInvalidEntry {
+		return
+	}
+	c.mu.Lock()
+	c.instances = instances
+	c.mu.Unlock()
+	c.Prober.SetLeaving(leavingInstances(instances))
+}
+
+// logListError logs why the list of instances, or an entry of it, can't be used, when that
+// changes.
+func (c *Controller) logListError(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	c.mu.Lock()
+	changed := text != c.listError
+	c.listError = text
+	c.mu.Unlock()
+	if changed && err != nil {
+		log.WithError(err).Warn("list of instances")
+	}
 }
 
 // leavingInstances returns the IDs of the instances that are shutting down.
--- a/pkg/provider/errors.go
+++ b/pkg/provider/errors.go
@@ -19,6 +19,9 @@
 	// KindStale means that a guard of the transaction is a version of an earlier era
 	// of the table; nothing was committed.
 	KindStale
+	// KindInvalidEntry means that a list has entries that can't be used. The others are
+	// returned beside the error.
+	KindInvalidEntry
 )
 
 // Error is the error type of this package.
--- a/pkg/provider/http.go
+++ b/pkg/provider/http.go
@@ -9,8 +9,11 @@
 	"net/url"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingmount/waxwingmount/pkg/bounder"
 	"github.com/waxwingmount/waxwingmount/pkg/faulter"
+	"github.com/waxwingmount/waxwingmount/pkg/normalizer"
 	"github.com/waxwingmount/waxwingmount/pkg/responsechecker"
 )
 
@@ -84,9 +87,24 @@
 
 // ListInstances implements [Lister].
 func (h *HTTP) ListInstances(ctx context.Context) ([]Instance, error) {
-	var instances []Instance
-	err := h.call(ctx, "list instances", http.MethodGet, "/instances", nil, nil, &instances)
-	return instances, err
+	const op = "list instances"
+	var entries []normalizer.Optional[Instance]
+	if err := h.call(ctx, op, http.MethodGet, "/instances", nil, nil, &entries); err != nil {
+		return nil, err
+	}
+	instances := make([]Instance, 0, len(entries))
+	var ignored error
+	for i, e := range entries {
+		switch in := e.Value; {
+		case e.Err != nil:
+			ignored = faulter.New(op, KindInvalidEntry, errors.Wrapf(e.Err, "entry %d", i))
+		case in.ID == "" || !in.Address.IsValid() || in.Address.Port() == 0:
+			ignored = faulter.Newf(op, KindInvalidEntry, "entry %d: an ID and an address are required", i)
+		default:
+			instances = append(instances, in)
+		}
+	}
+	return instances, ignored
 }
 
 func (h *HTTP) call(ctx context.Context, op, method, path string, query url.Values, body []byte, into any) error {
--- a/pkg/provider/kind_string.go
+++ b/pkg/provider/kind_string.go
@@ -12,11 +12,12 @@
 	_ = x[KindNotFound-1]
 	_ = x[KindInvalid-2]
 	_ = x[KindStale-3]
+	_ = x[KindInvalidEntry-4]
 }
 
-const _Kind_name = "UnavailableNotFoundInvalidStale"
+const _Kind_name = "UnavailableNotFoundInvalidStaleInvalidEntry"
 
-var _Kind_index = [...]uint8{0, 11, 19, 26, 31}
+var _Kind_index = [...]uint8{0, 11, 19, 26, 31, 43}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pkg/provider/provider.go
+++ b/pkg/provider/provider.go
@@ -54,7 +54,8 @@
 
 // Lister lists the instances of the platform. The list may be out of date.
 type Lister interface {
-	// ListInstances returns every instance that is live or leaving.
+	// ListInstances returns every instance that is live or leaving. Beside an error of
+	// [KindInvalidEntry] the instances are those that the other entries name.
 	ListInstances(ctx context.Context) ([]Instance, error)
 }
 
