tracker: entries with start times don't take servers without any out of use

Where servers state no start time, another writer's entries that do, if they are more, would have made each server answer first. Those that named servers before stay in use while they are asked. The script undated fails without it.

--- a/pkg/tracker/identity.go
+++ b/pkg/tracker/identity.go
@@ -146,7 +146,8 @@
 }
 
 // contestUndated records that the identities of instances without a start time matter where most
-// of their service have one, and that such an instance names a server only if it is confirmed.
+// of their service have one, and that such an instance names a server only if it is confirmed or
+// did so before: entries of others must not take those that were there first out of use.
 func (t *Tracker) contestUndated(undated []string, unnamed map[string]bool) {
 	byService := make(map[string][]string)
 	for _, id := range undated {
@@ -166,7 +167,9 @@
 		for _, id := range ids {
 			in := t.instances[id]
 			t.contested = append(t.contested, in)
-			unnamed[id] = t.identityOf(in) != Confirmed
+			if _, named := t.named[id]; !named && t.identityOf(in) != Confirmed {
+				unnamed[id] = true
+			}
 		}
 	}
 }
