--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -316,15 +316,6 @@
 				return s.takeViolations()
 			case "anonymous_reports":
 				s.anonymous = true
-			case "copy":
-				for _, id := range strings.Fields(d.Input) {
-					s.copies["copy-of-"+id] = id
-				}
-			case "confirm":
-				for _, id := range strings.Fields(d.Input) {
-					in, _ := s.tracker.Instance(id)
-					s.tracker.Identify(s.start, in, tracker.Confirmed)
-				}
 			case "takeover":
 				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "step":
@@ -379,6 +370,11 @@
 	case "restarted":
 		in.Incarnation, in.Loaded, in.Membership = "2", nil, provider.Membership{}
 		delete(s.orders, id)
+	case "copy":
+		s.copies["copy-of-"+id] = id
+	case "confirm":
+		named, _ := s.tracker.Instance(id)
+		s.tracker.Identify(s.start, named, tracker.Confirmed)
 	case "closed":
 		in.Membership.State = provider.MemberReady
 	case "leaving":
--- a/pkg/tracker/script_test.go
+++ b/pkg/tracker/script_test.go
@@ -79,48 +79,16 @@
 				era := uint64(0)
 				d.MaybeScanArgs(t, "era", &era)
 				tracker.Update(at(d), era, listed)
-			case "mark_lost", "mark_lost_here", "contradict", "path_respond", "path_fail", "restore", "remote_groups", "localize", "evacuate", "servers", "renew_loss", "instance_lost":
+			case "mark_lost", "mark_lost_here", "contradict", "path_respond", "path_fail", "restore", "remote_groups", "localize", "evacuate", "servers", "renew_loss", "clear_loss", "instance_lost":
 				return runPathCommand(t, tracker, at, d)
 			case "judge", "respond", "prune":
 				return runSuspicionCommand(t, suspicions, at, d)
-			case "clear_loss":
-				tracker.ClearLoss(d.CmdArgs[0].Key)
-			case "states_leaving":
-				id, incarnation := "", ""
-				d.ScanArgs(t, "instance", &id)
-				d.ScanArgs(t, "incarnation", &incarnation)
-				return fmt.Sprintf("new: %t\n", tracker.MarkLeaving(at(d), id, incarnation))
-			case "identify":
-				id, answer := "", ""
-				d.ScanArgs(t, "instance", &id)
-				d.ScanArgs(t, "as", &answer)
-				return fmt.Sprintf("news: %t\n", tracker.Identify(at(d), tracker.instances[id], identities[answer]))
-			case "unidentified":
-				var ids []string
-				for _, in := range tracker.Unidentified(at(d)) {
-					ids = append(ids, in.ID)
-				}
-				return strings.Join(ids, " ") + "\n"
-			case "rosters":
-				var lines []string
-				for _, r := range tracker.Rosters("s") {
-					line := fmt.Sprintf("%s %d", r.Name, r.Epoch)
-					for _, in := range r.Members {
-						line += " " + in.ID
-					}
-					lines = append(lines, fmt.Sprintf("%s; gap %s, disputed %t", line, r.Gap, r.Disputed))
-				}
-				return strings.Join(lines, "\n") + "\n"
+			case "states_leaving", "identify", "unidentified", "rosters", "services", "gaps":
+				return runEntryCommand(t, tracker, at, d)
 			case "select_group":
 				selected = tracker.Groups("s", "m")[0]
 			case "group_available":
 				return fmt.Sprintf("%t\n", tracker.GroupAvailable(selected))
-			case "services":
-				services := make(map[string]map[string]int)
-				for _, service := range strings.Fields(d.Input) {
-					services[service] = map[string]int{"m": 2}
-				}
-				tracker.SetServices(services)
 			case "groups":
 				service := "s"
 				d.MaybeScanArgs(t, "service", &service)
@@ -133,13 +101,6 @@
 					lines = append(lines, line)
 				}
 				return strings.Join(lines, "\n") + "\n"
-			case "gaps":
-				var lines []string
-				for key, gap := range tracker.Gaps() {
-					lines = append(lines, key.Name+": "+gap.String())
-				}
-				slices.Sort(lines)
-				return strings.Join(lines, "\n") + "\n"
 			case "instances":
 				var lines []string
 				for _, in := range tracker.Instances() {
@@ -182,6 +143,53 @@
 	return suspicions.Judge(at(d), id, incarnation, e).String() + "\n"
 }
 
+// runEntryCommand runs a command on what entries mean, and on what servers say of themselves.
+func runEntryCommand(t *testing.T, tracker *Tracker, at func(*datadriven.TestData) time.Time, d *datadriven.TestData) string {
+	t.Helper()
+	switch d.Cmd {
+	case "states_leaving":
+		id, incarnation := "", ""
+		d.ScanArgs(t, "instance", &id)
+		d.ScanArgs(t, "incarnation", &incarnation)
+		return fmt.Sprintf("new: %t\n", tracker.MarkLeaving(at(d), id, incarnation))
+	case "identify":
+		id, answer := "", ""
+		d.ScanArgs(t, "instance", &id)
+		d.ScanArgs(t, "as", &answer)
+		return fmt.Sprintf("news: %t\n", tracker.Identify(at(d), tracker.instances[id], identities[answer]))
+	case "unidentified":
+		var ids []string
+		for _, in := range tracker.Unidentified(at(d)) {
+			ids = append(ids, in.ID)
+		}
+		return strings.Join(ids, " ") + "\n"
+	case "rosters":
+		var lines []string
+		for _, r := range tracker.Rosters("s") {
+			line := fmt.Sprintf("%s %d", r.Name, r.Epoch)
+			for _, in := range r.Members {
+				line += " " + in.ID
+			}
+			lines = append(lines, fmt.Sprintf("%s; gap %s, disputed %t", line, r.Gap, r.Disputed))
+		}
+		return strings.Join(lines, "\n") + "\n"
+	case "services":
+		services := make(map[string]map[string]int)
+		for _, service := range strings.Fields(d.Input) {
+			services[service] = map[string]int{"m": 2}
+		}
+		tracker.SetServices(services)
+	case "gaps":
+		var lines []string
+		for key, gap := range tracker.Gaps() {
+			lines = append(lines, key.Name+": "+gap.String())
+		}
+		slices.Sort(lines)
+		return strings.Join(lines, "\n") + "\n"
+	}
+	return ""
+}
+
 // runPathCommand runs a command on what is lost, or can't be reached from here.
 func runPathCommand(t *testing.T, tracker *Tracker, at func(*datadriven.TestData) time.Time, d *datadriven.TestData) string {
 	t.Helper()
@@ -225,6 +233,8 @@
 		return fmt.Sprintf("%s; by peers %t; all evacuated %t\n", strings.Join(names, ", "), tracker.ReachableByPeers("s", ""), tracker.AllEvacuated("s"))
 	case "localize":
 		tracker.LocalizeLoss(d.CmdArgs[0].Key)
+	case "clear_loss":
+		tracker.ClearLoss(d.CmdArgs[0].Key)
 	case "renew_loss":
 		tracker.RenewLossHere(at(d), id)
 	case "instance_lost":
