--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -316,6 +316,10 @@
 				return s.takeViolations()
 			case "anonymous_reports":
 				s.anonymous = true
+			case "restart_of_all":
+				s.tracker = tracker.New()
+				s.tracker.SetServices(map[string]map[string]int{"": {"large": 4, "small": 2}})
+				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "takeover":
 				s.scheduler = New(s.scheduler.Epoch() + 100)
 			case "step":
